Set up the workspace, the schemas and the design

Cause: the repository was empty, and work on several packages needs one contract for documents, result codes and package interfaces. Change: npm workspace with one package per layer, lint rules for the direction of imports, JSON schemas with generated types and tables, clock, seeded random source, rendezvous hashing and event record, design page and external interfaces. Ruled out: ajv standalone code (its ES module output still calls require); validators are compiled from the embedded schemas when the module loads.

--- /dev/null
+++ b/ava.config.js
@@ -0,0 +1,5 @@
+export default {
+  files: ['packages/*/dist/test/**/*.test.js'],
+  timeout: '120s',
+  workerThreads: false
+}
--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,45 @@
+/**
+ * Standard style, and the direction of imports between the workspace packages:
+ * a package imports only the layers listed for it.
+ */
+import neostandard from 'neostandard'
+
+const ALLOWED_IMPORTS = {
+  schema: [],
+  common: ['schema'],
+  policy: ['schema', 'common'],
+  fleet: ['schema', 'common'],
+  questionnaire: ['schema', 'common'],
+  daemon: ['schema', 'common', 'policy', 'fleet'],
+  cli: ['schema', 'common', 'questionnaire', 'daemon/admin-api']
+}
+
+const PURE_PACKAGES = ['policy', 'fleet']
+const IO_MODULES = ['http', 'https', 'net', 'dgram', 'fs', 'tls', 'child_process', 'worker_threads', 'timers']
+
+const importRules = Object.entries(ALLOWED_IMPORTS).map(([name, allowed]) => ({
+  files: [`packages/${name}/src/**/*.ts`],
+  rules: {
+    'no-restricted-imports': ['error', {
+      patterns: [
+        {
+          group: ['@wisteriavalve/*', ...allowed.map(dependency => `!@wisteriavalve/${dependency}`),
+            ...(allowed.includes('daemon/admin-api') ? ['@wisteriavalve/daemon'] : [])],
+          message: `packages/${name} must not import this layer`
+        },
+        ...(PURE_PACKAGES.includes(name)
+          ? [{ group: [...IO_MODULES, ...IO_MODULES.map(module => `node:${module}`)], message: 'decision logic has no I/O' }]
+          : [])
+      ]
+    }]
+  }
+}))
+
+export default [
+  ...neostandard({ ts: true, ignores: ['**/dist/**', '**/src/generated/**'] }),
+  ...importRules,
+  {
+    files: ['**/*.ts'],
+    rules: { 'max-lines': ['error', { max: 350, skipBlankLines: true, skipComments: true }] }
+  }
+]
--- /dev/null
+++ b/packages/cli/bin/wisteriavalve.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import '../dist/src/main.js'
--- /dev/null
+++ b/packages/common/src/index.ts
@@ -0,0 +1,8 @@
+/**
+ * Clock, random source, rendezvous hashing and event record.
+ */
+export * from './types.js'
+export * from './clock.js'
+export * from './random.js'
+export * from './rendezvous.js'
+export * from './event-record.js'
--- /dev/null
+++ b/packages/common/src/rendezvous.ts
@@ -0,0 +1,18 @@
+/**
+ * Rendezvous hashing (Thaler and Ravishankar, 1998): each node computes the
+ * same order of members for a key without talking to the others, and a member
+ * that comes or goes moves only its own keys.
+ */
+import murmurhash from 'murmurhash'
+
+/** 32-bit Murmur3 hash of a string. */
+export const hash32 = (text: string): number => murmurhash.v3(text, 0)
+
+const compareMembers = (a: string, b: string): number => a < b ? -1 : a > b ? 1 : 0
+
+/** Members by descending weight for the key; equal weights are ordered by name. */
+export const rendezvousOrder = (key: string, members: readonly string[]): string[] =>
+  members
+    .map(member => ({ member, weight: hash32(`${key}\u0000${member}`) }))
+    .sort((a, b) => b.weight - a.weight || compareMembers(a.member, b.member))
+    .map(({ member }) => member)
--- /dev/null
+++ b/packages/common/src/types.ts
@@ -0,0 +1,25 @@
+/**
+ * Types shared by all layers above the schema.
+ */
+
+/** Cancels a scheduled call; does nothing once the call was made. */
+export type Cancel = () => void
+
+/** Monotonic clock in milliseconds; its zero is arbitrary. */
+export type Clock = {
+  nowMs: () => number
+  after: (delayMs: number, run: () => void) => Cancel
+}
+
+/** Clock that stands still until it is advanced; calls that fall due run in order of time. */
+export type ManualClock = Clock & { advance: (durationMs: number) => void }
+
+/** Seeded source of random numbers. */
+export type Random = {
+  /** Uniform in [0, 1). */
+  next: () => number
+  /** Uniform integer in [0, below). */
+  int: (below: number) => number
+}
+
+export type Result<T, E> = { ok: true, value: T } | { ok: false, error: E }
--- /dev/null
+++ b/packages/policy/src/index.ts
@@ -0,0 +1,1 @@
+export * from './types.js'
--- /dev/null
+++ b/packages/policy/src/types.ts
@@ -0,0 +1,177 @@
+/**
+ * Types of the decisions for a request.
+ */
+import type { Kind, ServiceConfiguration, Target, TargetNote, TargetStatus } from '@wisteriavalve/schema'
+
+export type PolicyName = 'round-robin' | 'random' | 'least-in-flight' | 'two-choices' | 'prequal' | 'adaptive'
+
+export type TargetHealth = TargetStatus['health']
+
+/** Where a sign that a target is draining came from. */
+export type DrainSource = 'response' | 'health-endpoint' | 'vm-list' | 'peer'
+
+/** How an attempt ended when it was not answered completely. */
+export type AttemptFailure =
+  | 'connect-failed' // no connection was opened: not run
+  | 'refused' // the backend server said that it did not run the request
+  | 'reset' // the connection was lost after the request was sent
+  | 'timeout' // the deadline passed
+  | 'no-progress' // no byte moved for longer than the limit
+  | 'error-status' // a complete answer with status 500 or above
+  | 'cancelled' // the caller or a faster hedge ended the attempt; says nothing about the target
+
+export type AttemptOutcome = 'ok' | AttemptFailure
+
+export type Classified =
+  | { ok: true, service: ServiceConfiguration, kind: Kind, known: boolean }
+  | { ok: false, error: 'service-unknown' }
+
+/** Load that a target reports of itself; each part is optional. */
+export type LoadReport = { inFlight?: number, slots?: number, utilization?: number }
+
+export type ProbeResult =
+  | { ok: true, state: 'ready' | 'draining' | 'starting', load: LoadReport, latencyMs: number }
+  | { ok: false, failure: AttemptFailure }
+
+export type TargetTableOptions = {
+  service: string
+  slotsPerTarget: number
+  /** Connections that this node may hold to one target; upper bound of the concurrency limit. */
+  connectionShare: number
+  /** Called on each change of a target's health. */
+  onHealth?: (targetId: string, health: TargetHealth, reason: string, nowMs: number) => void
+}
+
+/**
+ * State of all targets of one service as this node sees them.
+ * An attempt is noted by noteStarted, at most one noteFirstByte, and exactly one noteFinished.
+ */
+export type TargetTable = {
+  setTargets: (targets: readonly Target[], nowMs: number) => void
+  noteDraining: (targetId: string, source: DrainSource, nowMs: number) => void
+  noteStarted: (targetId: string, nowMs: number) => void
+  noteFirstByte: (targetId: string, firstByteMs: number, nowMs: number) => void
+  noteFinished: (targetId: string, outcome: AttemptOutcome, durationMs: number, nowMs: number) => void
+  noteReport: (targetId: string, report: LoadReport, nowMs: number) => void
+  noteProbe: (targetId: string, result: ProbeResult, nowMs: number) => void
+  /** Takes over what a peer observed. */
+  notePeer: (note: TargetNote, nowMs: number) => void
+  /** Ages all estimates after a pause of the process. */
+  wake: (gapMs: number, nowMs: number) => void
+  /** Observations that peers should know, each given out once. */
+  takeNotes: (nowMs: number) => TargetNote[]
+  /** Time of the last complete answer of a target to this node, for the probe planner. */
+  lastAnswerMs: (targetId: string) => number | undefined
+  /** Requests that may run at a time over all usable targets. */
+  capacity: (nowMs: number) => number
+  /** Time to first byte after which a hedge is worth sending; undefined with too few samples. */
+  hedgeDelayMs: () => number | undefined
+  /** 99th percentile of the time to first byte of one target; undefined with too few samples. */
+  firstByteP99Ms: (targetId: string) => number | undefined
+  target: (targetId: string) => Target | undefined
+  snapshot: (nowMs: number) => TargetStatus[]
+}
+
+export type SelectionRequest = {
+  /** Availability zone of this node. */
+  zone: string
+  /** Targets that this request has tried already. */
+  exclude: ReadonlySet<string>
+}
+
+export type Selection =
+  | { ok: true, targetId: string, reason: string }
+  /** no-target: none can be used; all-busy: each usable one is at its limit. */
+  | { ok: false, error: 'no-target' | 'all-busy' }
+
+export type AdmissionRequest = {
+  id: string
+  weight: number
+  /** Monotonic ms; after it the answer is of no use. */
+  deadlineMs: number
+  /** Called in the same turn in which the request leaves the queue to run. */
+  run: () => void
+  /** Called when the request is refused after it was queued. It will never run. */
+  refuse: (refusal: Refusal) => void
+}
+
+export type Refusal = {
+  result: 'queue-full' | 'deadline-unreachable' | 'deadline-passed-in-queue' | 'process-paused'
+  /** Time after which a new attempt makes sense. */
+  retryAfterMs: number
+}
+
+export type AdmissionOptions = {
+  queueLengthMax: number
+  /** Requests that may run at a time; asked on each decision since limits adapt. */
+  capacity: (nowMs: number) => number
+}
+
+export type Admission = {
+  offer: (request: AdmissionRequest, nowMs: number) => { decision: 'run' } | { decision: 'queued' } | { decision: 'refused', refusal: Refusal }
+  /** Frees the place of a request that ran; may start queued ones. */
+  release: (serviceTimeMs: number, nowMs: number) => void
+  /** Takes a request out of the queue; false when it is not queued. */
+  cancel: (id: string) => boolean
+  /** Refuses queued requests whose deadline passed or cannot be met. */
+  expire: (nowMs: number) => void
+  runningCount: () => number
+  queuedCount: () => number
+  /** Share of the capacity in use, in percent; above 100 when requests wait. */
+  loadPercent: (nowMs: number) => number
+}
+
+export type RetryBudget = {
+  noteRequest: (nowMs: number) => void
+  /** Takes one extra attempt from the budget; false when it is used up. */
+  tryTake: (purpose: 'retry' | 'hedge', nowMs: number) => boolean
+}
+
+export type RetryState = {
+  idempotent: boolean
+  /** True while the request body can be sent again from its beginning. */
+  bodyReplayable: boolean
+  /** True once response bytes went to the caller. */
+  responseStarted: boolean
+  deadlineMs: number
+  attempts: number
+  /** Extra attempts that the call tree below may still make. */
+  allowance: number
+}
+
+export type RetryDecision =
+  | { decision: 'retry' }
+  | { decision: 'give-up', resultClass: 'not-run' | 'outcome-unknown' }
+
+export type ConnectionView = {
+  id: number
+  openedMs: number
+  /** Last time bytes arrived or were accepted. */
+  lastProgressMs: number
+  /** Last complete answer; undefined when it has not answered yet. */
+  lastAnsweredMs?: number
+  busy: boolean
+  retired: boolean
+  /** When the running request was sent; undefined when idle. */
+  sentMs?: number
+}
+
+export type ConnectionChoice =
+  | { choice: 'reuse', id: number }
+  | { choice: 'open' }
+  /** The share is used up; an idle connection that is not fresh enough must be closed first, when given. */
+  | { choice: 'wait', closeFirst?: number }
+
+export type CallerLimitsOptions = {
+  connectionsMax: number
+  requestsPerS: number
+  requestBurst: number
+  /** Most caller addresses that are remembered. */
+  callersMax: number
+}
+
+export type CallerLimits = {
+  tryOpenConnection: (address: string) => boolean
+  noteConnectionClosed: (address: string) => void
+  tryRequest: (address: string, nowMs: number) => { ok: true } | { ok: false, retryAfterMs: number }
+}
--- /dev/null
+++ b/packages/schema/src/validators.ts
@@ -0,0 +1,43 @@
+/**
+ * Validators of the documents, compiled from the generated schemas when this
+ * module is loaded. A validator narrows an unknown value to its type;
+ * `explainErrors` tells what is wrong with a value that was refused.
+ */
+import { Ajv, type ErrorObject, type ValidateFunction } from 'ajv'
+import { adminSchema, answersSchema, configurationSchema, messagesSchema } from './generated/schemas.js'
+import type {
+  Answers, BackendHealth, ConfigurationOrder, EntryAnswer, FleetSettings, GossipEnvelope, GossipMessage,
+  Head, MemberUpdate, ServiceConfiguration, Shard, VmEntry, VmList
+} from './generated/types.js'
+
+const ajv = new Ajv({ allErrors: true, strict: false })
+ajv.addSchema([configurationSchema, messagesSchema, adminSchema, answersSchema])
+
+const compileDefinition = <T>(reference: string): ValidateFunction<T> => ajv.compile<T>({ $ref: reference })
+
+export const isAnswers = compileDefinition<Answers>('answers')
+export const isHead = compileDefinition<Head>('configuration#/definitions/Head')
+export const isShard = compileDefinition<Shard>('configuration#/definitions/Shard')
+export const isFleetSettings = compileDefinition<FleetSettings>('configuration#/definitions/FleetSettings')
+export const isServiceConfiguration = compileDefinition<ServiceConfiguration>('configuration#/definitions/ServiceConfiguration')
+export const isConfigurationOrder = compileDefinition<ConfigurationOrder>('messages#/definitions/ConfigurationOrder')
+export const isMemberUpdate = compileDefinition<MemberUpdate>('messages#/definitions/MemberUpdate')
+export const isGossipMessage = compileDefinition<GossipMessage>('messages#/definitions/GossipMessage')
+export const isGossipEnvelope = compileDefinition<GossipEnvelope>('messages#/definitions/GossipEnvelope')
+export const isVmEntry = compileDefinition<VmEntry>('messages#/definitions/VmEntry')
+export const isVmList = compileDefinition<VmList>('messages#/definitions/VmList')
+export const isEntryAnswer = compileDefinition<EntryAnswer>('messages#/definitions/EntryAnswer')
+export const isBackendHealth = compileDefinition<BackendHealth>('messages#/definitions/BackendHealth')
+
+/** Fault of a document: its place as a JSON pointer, and what is wrong there. */
+export type DocumentFault = { path: string, message: string }
+
+const describe = (error: ErrorObject): string => {
+  if (error.keyword === 'additionalProperties') return `has the unknown field ${String(error.params.additionalProperty)}`
+  if (error.keyword === 'enum') return `must be one of ${(error.params.allowedValues as unknown[]).join(', ')}`
+  return error.message ?? error.keyword
+}
+
+/** Faults that the last call of a validator found. */
+export const explainErrors = (validator: { errors?: ErrorObject[] | null }): DocumentFault[] =>
+  (validator.errors ?? []).map(error => ({ path: error.instancePath, message: describe(error) }))
