Define the admin procedures and the parts of the daemon

Cause: the request path, the fleet runtime and the command-line tool are written at the same time and need fixed types between them. Change: tRPC router of the admin address, DaemonContext, FleetRuntime.

--- a/packages/daemon/src/admin-api.ts
+++ b/packages/daemon/src/admin-api.ts
@@ -1,1 +1,60 @@
-export {}
+/**
+ * Interface of the admin address: the tRPC procedures that the command-line
+ * tool calls. The fleet procedures gather from all nodes that this node
+ * reaches and name those that did not answer.
+ */
+import { initTRPC } from '@trpc/server'
+import type { EventEntry, NodeReport, NodeStatus } from '@wisteriavalve/schema'
+
+/** Filter for `explain`; each given field must match. */
+export type ExplainQuery = {
+  requestId?: string
+  service?: string
+  targetId?: string
+  /** Only what happened in the last so many ms. */
+  withinMs?: number
+  /** Only what the fleet did by itself. */
+  automaticOnly?: boolean
+}
+
+export type MissingNode = { nodeId: string, reason: string }
+
+export type Gathered<T> = { nodes: T[], missing: MissingNode[] }
+
+/** What the admin router needs from the daemon. */
+export type AdminSource = {
+  status: () => NodeStatus
+  explain: (query: ExplainQuery) => EventEntry[]
+  fleetStatus: () => Promise<Gathered<NodeStatus>>
+  fleetExplain: (query: ExplainQuery) => Promise<Gathered<{ nodeId: string, events: EventEntry[] }>>
+  fleetReport: () => Promise<Gathered<NodeReport>>
+}
+
+const STRING_FIELDS = ['requestId', 'service', 'targetId'] as const
+
+const isRecord = (input: unknown): input is Record<string, unknown> =>
+  typeof input === 'object' && input !== null && !Array.isArray(input)
+
+/** @throws Error when a field has the wrong type */
+export const parseExplainQuery = (input: unknown): ExplainQuery => {
+  if (!isRecord(input)) throw new Error('the explain query must be an object')
+  for (const field of STRING_FIELDS) {
+    if (input[field] !== undefined && typeof input[field] !== 'string') throw new Error(`${field} must be a string`)
+  }
+  if (input.withinMs !== undefined && typeof input.withinMs !== 'number') throw new Error('withinMs must be a number')
+  if (input.automaticOnly !== undefined && typeof input.automaticOnly !== 'boolean') throw new Error('automaticOnly must be a boolean')
+  return input
+}
+
+export const createAdminRouter = (source: AdminSource) => {
+  const { router, procedure } = initTRPC.create()
+  return router({
+    status: procedure.query(() => source.status()),
+    explain: procedure.input(parseExplainQuery).query(({ input }) => source.explain(input)),
+    fleetStatus: procedure.query(() => source.fleetStatus()),
+    fleetExplain: procedure.input(parseExplainQuery).query(({ input }) => source.fleetExplain(input)),
+    fleetReport: procedure.query(() => source.fleetReport())
+  })
+}
+
+export type AdminRouter = ReturnType<typeof createAdminRouter>
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,1 +1,2 @@
-export {}
+export * from './types.js'
+export * from './admin-api.js'
--- /dev/null
+++ b/packages/daemon/src/types.ts
@@ -0,0 +1,80 @@
+/**
+ * Types between the parts of the daemon.
+ */
+import type { Clock, EventRecord, Random } from '@wisteriavalve/common'
+import type { AdoptedConfiguration } from '@wisteriavalve/fleet'
+import type {
+  ConfigurationOrder, EntryAnswer, EventEntry, LogEventName, MemberUpdate, NodeReport, NodeStatus, Target, TargetNote
+} from '@wisteriavalve/schema'
+import type { ExplainQuery, Gathered } from './admin-api.js'
+
+/** Settings of the process after they passed their check; see docs/settings.md. */
+export type DaemonSettings = {
+  nodeId: string
+  fleet: string
+  zone: string
+  fleetKey: string
+  callerListen: ListenAddress
+  gossipListen: ListenAddress
+  peerListen: ListenAddress
+  adminListen: ListenAddress
+  advertiseHost: string
+  advertiseCallerPort?: number
+  advertiseGossipPort?: number
+  advertisePeerPort?: number
+  configurationServiceUrl: string
+  vmListUrl: string
+  /** Services that this node serves; empty for all. */
+  services: string[]
+  policy: string
+  seed: number
+  logLevel: string
+  stopTimeoutMs: number
+}
+
+export type ListenAddress = { host: string, port: number }
+
+/** Writes one log line for an event; fields become key=value pairs. */
+export type Log = (event: LogEventName, fields?: Record<string, string | number | boolean>) => void
+
+export type DaemonContext = {
+  settings: DaemonSettings
+  clock: Clock
+  random: Random
+  log: Log
+  events: EventRecord
+}
+
+/** Targets of one service: the union of the VM list and the configuration. */
+export type ServiceTargets = { targets: Target[], leavingIds: string[] }
+
+/** What this node answers when a peer asks it for its state. */
+export type PeerSource = {
+  status: () => NodeStatus
+  explain: (query: ExplainQuery) => EventEntry[]
+  report: () => NodeReport
+}
+
+/** The part of the daemon that acts together with other nodes and reads the platform. */
+export type FleetRuntime = {
+  /** Binds the gossip and peer addresses and begins to look for a configuration. */
+  start: (peerSource: PeerSource) => Promise<void>
+  onConfiguration: (listener: (configuration: AdoptedConfiguration) => void) => void
+  onTargets: (listener: (service: string, targets: ServiceTargets) => void) => void
+  onNotes: (listener: (notes: TargetNote[]) => void) => void
+  shareNotes: (notes: TargetNote[]) => void
+  setLoadPercent: (loadPercent: number) => void
+  entryAnswer: (zone?: string) => EntryAnswer
+  members: () => MemberUpdate[]
+  configuration: () => AdoptedConfiguration | undefined
+  configurationStatus: () => { order?: ConfigurationOrder, state: NodeStatus['configurationState'], reason?: string }
+  gatherStatus: () => Promise<Gathered<NodeStatus>>
+  gatherExplain: (query: ExplainQuery) => Promise<Gathered<{ nodeId: string, events: EventEntry[] }>>
+  gatherReport: () => Promise<Gathered<NodeReport>>
+  /** Tells peers that this node leaves; entry answers leave it out from now on. */
+  leave: () => void
+  /** To be called when the process did not run for gapMs. */
+  wake: (gapMs: number) => void
+  counters: () => Record<string, number>
+  stop: () => Promise<void>
+}
