Add the decisions for requests

Cause: the daemon needs classification, admission, routing, retry, hedging, target health, connection choice and caller limits. Decided: splitRetryAllowance divides the allowance before an attempt is sent (passOn + keep = allowance); a retry spends 1 of what was kept and splits again. Splitting only when the retry happens was ruled out, because the first attempt already carries its share by then and the sum could exceed the allowance. Conclusion: interfaces are ready for the daemon.

--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -1,1 +1,17 @@
+/**
+ * Decisions for requests: classification, admission, routing, retry, hedging,
+ * target health, connection choice, caller limits. Nothing here performs I/O.
+ */
 export * from './types.js'
+export { classifyRequest, createServiceIndex } from './classification.js'
+export { parseLoadReport } from './load-report.js'
+export { createTargetTable } from './target-table.js'
+export { selectTarget } from './select-target.js'
+export { isPolicyName, policies } from './policies/index.js'
+export { createAdmission } from './admission.js'
+export { createRetryBudget } from './retry-budget.js'
+export { planRetry, splitRetryAllowance } from './retry.js'
+export { planHedge } from './hedge.js'
+export { chooseConnection, connectionShare, findSilentConnections, silenceLimitMs } from './connections.js'
+export { createCallerLimits } from './caller-limits.js'
+export { CALL_DEPTH_MAX, RETRY_ALLOWANCE_DEFAULT } from './constants.js'
--- /dev/null
+++ b/packages/policy/src/policies/random.ts
@@ -0,0 +1,7 @@
+/**
+ * Baseline: a target at random.
+ */
+import type { Policy, TargetState } from '../types.js'
+
+export const randomTarget: Policy = (eligible, { random }) =>
+  ({ state: eligible[random.int(eligible.length)] as TargetState, reason: 'random' })
--- /dev/null
+++ b/packages/policy/src/select-target.ts
@@ -0,0 +1,46 @@
+/**
+ * Selects the target of an attempt: filters out targets that must not or need
+ * not be used, then asks the policy. The same filter applies to all policies,
+ * so they differ only in their choice.
+ */
+import type { Random } from '@wisteriavalve/common'
+import { effectiveLimit } from './concurrency-limit.js'
+import { policies } from './policies/index.js'
+import { warmth } from './target-state.js'
+import type { PolicyName, RoutingState, Selection, SelectionRequest, TargetState, TargetTable } from './types.js'
+
+/** Fills routing.scratch with the targets below their limit; returns how many targets were not excluded. */
+const filterCandidates = (routing: RoutingState, request: SelectionRequest, nowMs: number, random: Random): number => {
+  const { candidates, scratch } = routing
+  let usable = 0
+  scratch.length = 0
+  for (let index = 0; index < candidates.length; index++) {
+    const state = candidates[index] as TargetState
+    if (request.exclude.size > 0 && request.exclude.has(state.target.id)) continue
+    usable++
+    if (state.inFlight >= effectiveLimit(state)) continue
+    if (state.health === 'probation' && request.idempotent === false && !routing.failOpen) continue
+    if (routing.hasCold && state.health === 'cold' && random.next() >= warmth(state, nowMs)) continue
+    scratch.push(state)
+  }
+  return usable
+}
+
+/** Cold and tested targets are better than none. */
+const relaxFilter = ({ candidates, scratch }: RoutingState, request: SelectionRequest): void => {
+  for (const state of candidates) {
+    if (!request.exclude.has(state.target.id) && state.inFlight < effectiveLimit(state)) scratch.push(state)
+  }
+}
+
+export const selectTarget = (
+  policyName: PolicyName, table: TargetTable, request: SelectionRequest, nowMs: number, random: Random
+): Selection => {
+  const routing = table.routing(nowMs)
+  const usable = filterCandidates(routing, request, nowMs, random)
+  if (usable === 0) return { ok: false, error: 'no-target' }
+  if (routing.scratch.length === 0) relaxFilter(routing, request)
+  if (routing.scratch.length === 0) return { ok: false, error: 'all-busy' }
+  const { state, reason } = policies[policyName](routing.scratch, { routing, zone: request.zone, nowMs, random })
+  return { ok: true, targetId: state.target.id, reason }
+}
--- /dev/null
+++ b/packages/policy/src/target-list.ts
@@ -0,0 +1,59 @@
+/**
+ * Takes over a list of targets. The list lags, so it only adds: a target that
+ * a newer list drops stays in use until a failed attempt confirms that it is
+ * gone.
+ */
+import type { Target } from '@wisteriavalve/schema'
+import { sendHealth, type TableCore } from './table-core.js'
+import { createTargetState } from './target-state.js'
+import type { TargetState } from './types.js'
+
+const addTarget = (core: TableCore, target: Target, isFirstList: boolean, nowMs: number): void => {
+  const { slotsPerTarget, connectionShare } = core.options
+  // The targets of the first list served before this node came; only later ones start cold.
+  const health = isFirstList
+    ? { initial: 'ready' as const, reason: 'listed when this node started', nowMs }
+    : { initial: 'cold' as const, reason: 'new in the list of targets; slow start', nowMs }
+  const state = createTargetState(target, slotsPerTarget, Math.min(slotsPerTarget, connectionShare), health)
+  core.states.set(target.id, state)
+  core.stale = true
+  core.dueMs = Math.min(core.dueMs, state.lifecycle.context.untilMs)
+  core.options.onHealth?.(target.id, state.health, health.reason, nowMs)
+}
+
+const isSameAddress = (a: Target, b: Target): boolean => a.host === b.host && a.port === b.port
+
+/** A new address under a known id is another server, and so is one that left before. */
+const isReplaced = (known: TargetState, target: Target): boolean =>
+  known.health === 'gone' || !isSameAddress(known.target, target)
+
+const dropTarget = (core: TableCore, state: TargetState, nowMs: number): void => {
+  state.dropped = true
+  if (state.health !== 'draining' || state.inFlight > 0) return
+  sendHealth(core, state, { type: 'LEFT', reason: 'drained and left the list of targets', nowMs })
+}
+
+export const takeTargets = (core: TableCore, targets: readonly Target[], nowMs: number): void => {
+  const isFirstList = core.states.size === 0
+  const listed = new Set<string>()
+  for (const target of targets) {
+    listed.add(target.id)
+    const known = core.states.get(target.id)
+    if (!known || isReplaced(known, target)) {
+      addTarget(core, target, isFirstList, nowMs)
+      continue
+    }
+    known.target = target
+    known.dropped = false
+  }
+  for (const state of core.states.values()) {
+    if (!listed.has(state.target.id) && state.health !== 'gone') dropTarget(core, state, nowMs)
+  }
+}
+
+/** To be called after each failed attempt or finished drain of a dropped target. */
+export const confirmDropped = (core: TableCore, state: TargetState, isUnreachable: boolean, nowMs: number): void => {
+  if (!state.dropped || state.health === 'gone') return
+  if (state.health === 'draining' ? state.inFlight > 0 : !isUnreachable) return
+  sendHealth(core, state, { type: 'LEFT', reason: 'left the list of targets and does not answer', nowMs })
+}
--- /dev/null
+++ b/packages/policy/src/target-notes.ts
@@ -0,0 +1,56 @@
+/**
+ * Observations that nodes share. Draining is always believed; that a target is
+ * dead only lowers its score, because the peer may be on the other side of a
+ * partition.
+ */
+import type { TargetNote } from '@wisteriavalve/schema'
+import { takeReport } from './load-estimate.js'
+import type { TableCore } from './table-core.js'
+import { slowAnswerMs, takeDraining } from './target-outcomes.js'
+import { addPhantom } from './target-state.js'
+import type { TargetState } from './types.js'
+
+/** Least time between two notes on the load of a target. */
+const LOAD_NOTE_INTERVAL_MS = 1000
+
+/** A sign of draining from before the restart speaks of the previous process. */
+const isOutdated = (state: TargetState, observedMs: number): boolean =>
+  state.health === 'cold' && observedMs <= state.coldSinceMs
+
+export const takePeerNote = (core: TableCore, state: TargetState, note: TargetNote, nowMs: number): void => {
+  const observedMs = nowMs - note.ageMs
+  if (note.observation === 'draining' && !isOutdated(state, observedMs)) takeDraining(core, state, 'peer', observedMs, nowMs)
+  if (note.observation === 'dead' && (state.lastAnswerMs ?? -Infinity) < observedMs) {
+    addPhantom(state, state.slots, slowAnswerMs(core), nowMs)
+  }
+  if (note.inFlight !== undefined) {
+    takeReport(state, { inFlight: note.inFlight }, core.routing, core.options.slotsPerTarget, observedMs)
+  }
+}
+
+const isDue = (state: TargetState, nowMs: number): boolean =>
+  state.note !== undefined && (state.note.observation !== 'answering' || nowMs - state.notedMs >= LOAD_NOTE_INTERVAL_MS)
+
+const toNote = (core: TableCore, state: TargetState, nowMs: number): TargetNote => {
+  const { observation, atMs } = state.note ?? { observation: 'answering' as const, atMs: nowMs }
+  const note: TargetNote = {
+    service: core.options.service,
+    targetId: state.target.id,
+    observation,
+    ageMs: Math.max(0, Math.round(nowMs - atMs))
+  }
+  // The age covers both parts, so the load is only told with the observation of its time.
+  if (observation === 'answering' && state.reportedInFlight !== undefined) note.inFlight = Math.round(state.reportedInFlight)
+  return note
+}
+
+export const collectNotes = (core: TableCore, nowMs: number): TargetNote[] => {
+  const notes: TargetNote[] = []
+  for (const state of core.states.values()) {
+    if (!isDue(state, nowMs)) continue
+    notes.push(toNote(core, state, nowMs))
+    delete state.note
+    state.notedMs = nowMs
+  }
+  return notes
+}
--- a/packages/policy/src/types.ts
+++ b/packages/policy/src/types.ts
@@ -1,6 +1,8 @@
 /**
  * Types of the decisions for a request.
  */
+import type { HealthSnapshot } from './target-health.js'
+import type { Random } from '@wisteriavalve/common'
 import type { Kind, ServiceConfiguration, Target, TargetNote, TargetStatus } from '@wisteriavalve/schema'
 
 export type PolicyName = 'round-robin' | 'random' | 'least-in-flight' | 'two-choices' | 'prequal' | 'adaptive'
@@ -22,6 +24,14 @@
 
 export type AttemptOutcome = 'ok' | AttemptFailure
 
+export type RequestHead = { method: string, path: string, host?: string }
+
+/** Services of a configuration, indexed for the request path. */
+export type ServiceIndex = {
+  serviceOf: (host: string | undefined, path: string) => ServiceConfiguration | undefined
+  unknownKindOf: (service: ServiceConfiguration) => Kind
+}
+
 export type Classified =
   | { ok: true, service: ServiceConfiguration, kind: Kind, known: boolean }
   | { ok: false, error: 'service-unknown' }
@@ -69,14 +79,89 @@
   /** 99th percentile of the time to first byte of one target; undefined with too few samples. */
   firstByteP99Ms: (targetId: string) => number | undefined
   target: (targetId: string) => Target | undefined
-  snapshot: (nowMs: number) => TargetStatus[]
+  /** @param connections open connections by target id, for the status */
+  snapshot: (nowMs: number, connections?: ReadonlyMap<string, number>) => TargetStatus[]
+  /** State that the policies read; not to be changed from outside. */
+  routing: (nowMs: number) => RoutingState
+}
+
+/** Mutable record of one target; the first part is what policies read. */
+export type TargetState = {
+  target: Target
+  health: TargetHealth
+  /** Start of the slow start; used while the target is cold. */
+  coldSinceMs: number
+  inFlight: number
+  /** Adaptive concurrency limit; the whole part of it counts. */
+  limit: number
+  slots: number
+  /** Load from other nodes at the time of the last report. */
+  othersInFlight: number
+  reportMs: number
+  /** Moving average of the time to first byte, failures counted as slow answers. */
+  latencyMs: number
+  latencyUpdatedMs: number
+  /** Failed requests that count as still running, so that a fast failure does not look like idleness. */
+  phantomInFlight: number
+  phantomMs: number
+
+  lifecycle: HealthSnapshot
+  /** Not in the newest list of targets any more. */
+  dropped: boolean
+  failuresInRow: number
+  answersInRow: number
+  /** Last outcomes, 1 for a failure; a ring. */
+  outcomes: number[]
+  outcomePosition: number
+  limitLoweredMs: number
+  lastAnswerMs?: number
+  lastDrainSignMs: number
+  reportedInFlight?: number
+  firstBytes: LatencyWindow
+  /** Observation to tell peers, and when it was made. */
+  note?: { observation: TargetNote['observation'], atMs: number }
+  notedMs: number
 }
 
+/** Latest latencies, for quantiles. */
+export type LatencyWindow = {
+  add: (latencyMs: number) => void
+  /** Undefined with fewer than the least number of samples. */
+  quantile: (share: number) => number | undefined
+  count: () => number
+}
+
+export type RoutingState = {
+  /** Targets that may get requests now. */
+  candidates: readonly TargetState[]
+  /** Some candidate is cold and another is not. */
+  hasCold: boolean
+  /** All targets but draining ones are used since no other is left. */
+  failOpen: boolean
+  /** Usual time to first byte of the service; undefined before the first answer. */
+  usualLatencyMs: number | undefined
+  /** Load that other nodes put on an average target. */
+  meanOthersInFlight: number
+  /** Position of the rotation, for policies that use one. */
+  rotation: { next: number }
+  /** Reused array, so that a selection allocates little. */
+  scratch: TargetState[]
+}
+
+export type PolicyContext = { routing: RoutingState, zone: string, nowMs: number, random: Random }
+
+export type Pick = { state: TargetState, reason: string }
+
+/** Picks one of the eligible targets; there is at least one. */
+export type Policy = (eligible: readonly TargetState[], context: PolicyContext) => Pick
+
 export type SelectionRequest = {
   /** Availability zone of this node. */
   zone: string
   /** Targets that this request has tried already. */
   exclude: ReadonlySet<string>
+  /** Requests that are not idempotent are kept away from targets on probation. Taken as true when left out. */
+  idempotent?: boolean
 }
 
 export type Selection =
@@ -135,10 +220,29 @@
   responseStarted: boolean
   deadlineMs: number
   attempts: number
-  /** Extra attempts that the call tree below may still make. */
+  /** Extra attempts that this node keeps for itself; see splitRetryAllowance. */
   allowance: number
 }
 
+export type HedgeState = {
+  idempotent: boolean
+  bodyReplayable: boolean
+  firstByteSeen: boolean
+  /** A hedge was sent already. */
+  hedged: boolean
+  /** When the first attempt was sent. */
+  startedMs: number
+  deadlineMs: number
+  /** Extra attempts that this node keeps for itself. */
+  allowance: number
+}
+
+export type HedgeDecision =
+  | { decision: 'none' }
+  /** Ask again at that time. */
+  | { decision: 'wait', untilMs: number }
+  | { decision: 'hedge' }
+
 export type RetryDecision =
   | { decision: 'retry' }
   | { decision: 'give-up', resultClass: 'not-run' | 'outcome-unknown' }
@@ -156,6 +260,12 @@
   sentMs?: number
 }
 
+export type ConnectionRequest = {
+  idempotent: boolean
+  /** Connections that this node may hold to the target. */
+  share: number
+}
+
 export type ConnectionChoice =
   | { choice: 'reuse', id: number }
   | { choice: 'open' }
