--- a/packages/policy/src/target-table.ts
+++ b/packages/policy/src/target-table.ts
@@ -11,7 +11,7 @@
 import type { TargetState, TargetTable, TargetTableOptions } from './types.js'
 import type { TargetStatus } from '@wisteriavalve/schema'
 
-const HEDGE_QUANTILE = 0.95
+const HEDGE_QUANTILE = JSON.parse(process.env.TUNE ?? '{}').hq ?? 0.95
 
 const toStatus = (core: TableCore, state: TargetState, connections: number, nowMs: number): TargetStatus => {
   const { target, lifecycle, firstBytes } = state
--- /dev/null
+++ b/packages/testbench/src/experiments/policy-simulation.ts
@@ -0,0 +1,187 @@
+/**
+ * Experiment on a virtual clock: 20 nodes send the requests of a deployment to
+ * simulated targets by one policy. The latency is what a caller sees from the
+ * intended start on, with its way to the node; a request that is not answered
+ * counts with its full deadline.
+ */
+import { createRandom, type Random } from '@wisteriavalve/common'
+import { connectionShare, type PolicyName } from '@wisteriavalve/policy'
+import { build, type Histogram } from 'hdr-histogram-js'
+import { deployments, kinds, meanServiceMs, WITHIN_ZONE_MS, type Deployment, type SimulatedKind, type SimulatedService } from './deployments.js'
+import { createNode, createNodeTable, type RequestResult } from './simulated-node.js'
+import { createSimulatedTarget, type Neighbours, type TargetBehaviour } from './simulated-target.js'
+import { createSimulationClock, type SimulationClock } from './simulation-clock.js'
+
+export type Scenario = 'noisy' | 'straggler' | 'faults' | 'overload'
+
+export type SimulationOptions = {
+  deployment: keyof typeof deployments
+  scenario: Scenario
+  policy: PolicyName
+  hedging: boolean
+  loadShare: number
+  neighbours: Neighbours
+  seed: number
+  durationMs: number
+  /** Every selection knows the current load of all targets; shows what perfect reports would give. */
+  exactReports: boolean
+}
+
+export type KindCounts = { requests: number, inTime: number, refused: number }
+
+export type SimulationResult = {
+  latencyUs: Histogram
+  refusalUs: Histogram
+  /** Latencies by second of the run. */
+  bySecondUs: Histogram[]
+  kinds: Map<string, KindCounts>
+  requests: number
+  ok: number
+  hedged: number
+  extraAttempts: number
+  /** Requests that must not be repeated and ran more than once. */
+  repeated: number
+  /** Requests that were reported as not run and had run. */
+  wronglyNotRun: number
+  lateAfterDrain: number
+}
+
+const WARM_UP_MS = 1500
+/** Faults of the straggler and faults scenarios begin here. */
+export const FAULT_MS = 3000
+/** Frequent moderate or rare strong interference; each episode lasts some milliseconds. */
+export const neighbourPresets = {
+  moderate: { quietMs: 150, noisyMs: 25, slowdown: 4 },
+  strong: { quietMs: 400, noisyMs: 20, slowdown: 10 }
+} satisfies Record<string, Neighbours>
+const STRAGGLER_SLOWDOWN = 10
+/** Callers differ in size, so nodes get unequal shares. */
+const NODE_WEIGHT_SPREAD = 0.3
+
+const SERVICE_STAGES = 4
+
+/** Mean speed of a target with these neighbours. */
+const meanSpeed = ({ quietMs, noisyMs, slowdown }: Neighbours): number =>
+  (quietMs + noisyMs / slowdown) / (quietMs + noisyMs)
+
+const exponential = (meanMs: number, random: Random): number => -meanMs * Math.log(1 - random.next())
+
+/** Gamma-distributed with a coefficient of variation of 0.5: handlers differ, but less than an exponential would. */
+const serviceTime = (meanMs: number, random: Random): number => {
+  let sum = 0
+  for (let stage = 0; stage < SERVICE_STAGES; stage++) sum += exponential(meanMs / SERVICE_STAGES, random)
+  return sum
+}
+
+const behaviourOf = ({ scenario, neighbours }: SimulationOptions, index: number, slots: number): TargetBehaviour => ({
+  slots,
+  neighbours,
+  slowdown: STRAGGLER_SLOWDOWN,
+  slowFromMs: scenario === 'straggler' && index === 1 ? FAULT_MS : Infinity,
+  deadFromMs: scenario === 'faults' && index === 0 ? FAULT_MS : Infinity,
+  drainFromMs: scenario === 'faults' && index === 1 ? FAULT_MS : Infinity,
+  failFastFromMs: scenario === 'faults' && index === 2 ? FAULT_MS : Infinity
+})
+
+const pickKind = (random: Random): SimulatedKind => {
+  let rest = random.next()
+  for (const kind of kinds) {
+    rest -= kind.share
+    if (rest < 0) return kind
+  }
+  return kinds[0] as SimulatedKind
+}
+
+const newHistogram = (): Histogram => build({ lowestDiscernibleValue: 1, highestTrackableValue: 60_000_000, numberOfSignificantValueDigits: 3 })
+
+const createResult = (durationMs: number): SimulationResult => ({
+  latencyUs: newHistogram(),
+  refusalUs: newHistogram(),
+  bySecondUs: Array.from({ length: Math.ceil(durationMs / 1000) + 1 }, newHistogram),
+  kinds: new Map(kinds.map(kind => [kind.name, { requests: 0, inTime: 0, refused: 0 }])),
+  requests: 0,
+  ok: 0,
+  hedged: 0,
+  extraAttempts: 0,
+  repeated: 0,
+  wronglyNotRun: 0,
+  lateAfterDrain: 0
+})
+
+const takeResult = (result: SimulationResult, callersMs: number, request: RequestResult): void => {
+  if (request.startedMs < WARM_UP_MS) return
+  const counts = result.kinds.get(request.kind.name) as KindCounts
+  const ok = request.outcome === 'ok'
+  const latencyMs = (ok ? request.latencyMs : request.kind.deadlineMs) + 2 * callersMs
+  counts.requests++
+  result.requests++
+  if (ok) { counts.inTime++; result.ok++ }
+  if (request.attempts === 0 && !ok) {
+    counts.refused++
+    result.refusalUs.recordValue(Math.round(request.latencyMs * 1000) + 1)
+  }
+  if (request.hedged) result.hedged++
+  result.extraAttempts += Math.max(0, request.attempts - 1)
+  if (!request.kind.idempotent && request.runs > 1) result.repeated++
+  if (request.outcome === 'not-run' && request.runs > 0) result.wronglyNotRun++
+  // Uploads are bounded by progress and not by their duration.
+  if (request.kind.name === 'upload') return
+  result.latencyUs.recordValue(Math.round(latencyMs * 1000))
+  result.bySecondUs[Math.floor(request.startedMs / 1000)]?.recordValue(Math.round(latencyMs * 1000))
+}
+
+const createTargets = (clock: SimulationClock, options: SimulationOptions, deployment: Deployment, service: SimulatedService, serviceIndex: number) =>
+  Array.from({ length: service.targets }, (_, index) => ({
+    target: { id: `${service.name}-${index}`, host: '127.0.0.1', port: 9000 + index, zone: deployment.zones[index % deployment.zones.length] as string },
+    simulated: createSimulatedTarget(clock, behaviourOf(options, index, service.slots), options.seed * 1000 + serviceIndex * 100 + index)
+  }))
+
+/** Poisson arrivals at one node; the request sequence depends on the seed only. */
+const startArrivals = (clock: SimulationClock, random: Random, ratePerMs: number, accept: (kind: SimulatedKind, workMs: number) => void): void => {
+  const next = (): void => {
+    const kind = pickKind(random)
+    accept(kind, serviceTime(kind.serviceMs, random))
+    clock.at(clock.nowMs() + exponential(1 / ratePerMs, random), next)
+  }
+  clock.at(exponential(1 / ratePerMs, random), next)
+}
+
+const startService = (
+  clock: SimulationClock, options: SimulationOptions, deployment: Deployment, serviceIndex: number, result: SimulationResult
+): (() => void) => {
+  const service = deployment.services[serviceIndex] as SimulatedService
+  const targets = createTargets(clock, options, deployment, service, serviceIndex)
+  const random = createRandom(options.seed * 7919 + serviceIndex)
+  const weights = Array.from({ length: deployment.nodes }, () => 1 + NODE_WEIGHT_SPREAD * (2 * random.next() - 1))
+  const weightSum = weights.reduce((sum, weight) => sum + weight, 0)
+  const ratePerMs = options.loadShare * service.targets * service.slots * meanSpeed(options.neighbours) / meanServiceMs
+  weights.forEach((weight, node) => {
+    const zone = deployment.zones[node % deployment.zones.length] as string
+    const table = createNodeTable(service.name, service.slots, connectionShare(service.connections, deployment.entryVmCountMax))
+    table.setTargets(targets.map(({ target }) => target), 0)
+    const { accept } = createNode({
+      clock,
+      random: createRandom(options.seed * 104729 + serviceIndex * 100 + node),
+      zone,
+      policy: options.policy,
+      hedging: options.hedging,
+      exactReports: options.exactReports,
+      table,
+      targets: new Map(targets.map(({ target, simulated }) =>
+        [target.id, { target: simulated, onewayMs: target.zone === zone ? WITHIN_ZONE_MS : deployment.betweenZonesMs }])),
+      record: request => takeResult(result, deployment.callersMs, request)
+    })
+    startArrivals(clock, createRandom(options.seed * 15485863 + serviceIndex * 100 + node), ratePerMs * weight / weightSum, accept)
+  })
+  return () => { for (const { simulated } of targets) result.lateAfterDrain += simulated.counts.lateAfterDrain }
+}
+
+export const simulate = (options: SimulationOptions): SimulationResult => {
+  const clock = createSimulationClock()
+  const deployment = deployments[options.deployment]
+  const result = createResult(options.durationMs)
+  const ends = deployment.services.map((_, index) => startService(clock, options, deployment, index, result))
+  clock.runUntil(options.durationMs)
+  for (const end of ends) end()
+  return result
+}
