--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,1 +1,6 @@
-export {}
+/**
+ * Command-line tool `wisteriavalve`.
+ */
+export * from './program.js'
+export * from './types.js'
+export * from './exit-codes.js'
--- /dev/null
+++ b/packages/cli/src/program.ts
@@ -0,0 +1,53 @@
+/**
+ * Command line of the tool: builds the commands from their register, runs one,
+ * and turns its outcome into an exit code.
+ */
+import { Command, CommanderError } from 'commander'
+import { COMMANDS } from './commands.js'
+import { EXIT_CODES, exitOfResult, type ExitName } from './exit-codes.js'
+import { printFailure } from './output.js'
+import type { Io, Outcome } from './types.js'
+
+const exitHelp = (): string =>
+  ['', 'Exit codes:', ...EXIT_CODES.map(({ code, meaning }) => `  ${String(code).padEnd(4)} ${meaning}`)].join('\n')
+
+const HELP_INTRO = `Generates the configuration of a wisteriavalve fleet from the answers to a
+questionnaire, and shows the state of its daemons. A first run:
+
+  wisteriavalve init answers.yaml               ask the questions
+  wisteriavalve check answers.yaml              look for faults
+  wisteriavalve generate answers.yaml --out d   write the files to publish
+  wisteriavalve status                          show the state of the fleet`
+
+const createProgram = (io: Io, finish: (outcome: Outcome, options: { json?: boolean }) => void): Command => {
+  const program = new Command('wisteriavalve')
+    .description(HELP_INTRO)
+    .version('0.1.0')
+    .exitOverride()
+    .showHelpAfterError('(add --help for the arguments and options)')
+    .configureOutput({
+      writeOut: text => io.stdout.write(text),
+      writeErr: text => io.stderr.write(text),
+      outputError: (text, write) => write(text.replace(/^error:/, 'error WV-5002 usage:'))
+    })
+    .addHelpText('after', exitHelp())
+  for (const command of COMMANDS) command.register(program, io, finish)
+  return program
+}
+
+/** @param args arguments after the name of the tool */
+export const runTool = async (args: readonly string[], io: Io): Promise<ExitName> => {
+  let exit: ExitName = 'ok'
+  const finish = (outcome: Outcome, { json = false }: { json?: boolean }): void => {
+    if ('failure' in outcome) printFailure(io, outcome.failure, json)
+    exit = 'failure' in outcome ? exitOfResult(outcome.failure.result) : outcome.exit
+  }
+  try {
+    await createProgram(io, finish).parseAsync([...args], { from: 'user' })
+    return exit
+  } catch (error) {
+    if (error instanceof CommanderError) return error.exitCode === 0 ? 'ok' : 'usage'
+    io.stderr.write(`internal fault: ${error instanceof Error ? error.stack : String(error)}\n`)
+    return 'internal'
+  }
+}
--- /dev/null
+++ b/packages/cli/src/system-error.ts
@@ -0,0 +1,19 @@
+/**
+ * Error messages of the operating system in words.
+ */
+const MEANINGS: Record<string, string> = {
+  ENOENT: 'no such file or folder',
+  EACCES: 'permission denied',
+  EPERM: 'operation not permitted',
+  EISDIR: 'is a folder',
+  ENOTDIR: 'a part of the path is not a folder',
+  EEXIST: 'exists already',
+  ENOTEMPTY: 'folder is not empty',
+  EROFS: 'the file system is read only',
+  ENOSPC: 'no space left'
+}
+
+export const describeSystemError = (error: unknown): string => {
+  const code = (error as { code?: string }).code
+  return (code && MEANINGS[code]) ?? (error instanceof Error ? error.message : String(error))
+}
--- /dev/null
+++ b/packages/questionnaire/src/generate.ts
@@ -0,0 +1,68 @@
+/**
+ * Turns answers into the values of a configuration. Values are named by the
+ * SHA-256 of their bytes, so a change of one service gives a new value for the
+ * service, its shard and the head, and leaves all others as they are.
+ */
+import { createHash } from 'node:crypto'
+import { hash32 } from '@wisteriavalve/common'
+import type { Answers, Head, ServiceConfiguration, Shard } from '@wisteriavalve/schema'
+import { SHARD_COUNT } from './constants.js'
+import { resolveFleetSettings, resolveService, restoreCount } from './resolve.js'
+import type { ConfigurationValue } from './types.js'
+
+export const headKey = (fleet: string): string => `wisteriavalve/${fleet}/head`
+
+export const valueKey = (fleet: string, hash: string): string => `wisteriavalve/${fleet}/value/${hash}`
+
+export const hashBytes = (bytes: Buffer): string => createHash('sha256').update(bytes).digest('hex')
+
+/** Two decimal digits, 00 to 63. */
+export const shardId = (serviceName: string): string =>
+  String(hash32(serviceName) % SHARD_COUNT).padStart(2, '0')
+
+type HashedValue = ConfigurationValue & { hash: string }
+
+const encodeValue = (fleet: string, document: unknown): HashedValue => {
+  const bytes = Buffer.from(JSON.stringify(document))
+  const hash = hashBytes(bytes)
+  return { key: valueKey(fleet, hash), bytes, hash }
+}
+
+const sortedRecord = (entries: Iterable<[string, string]>): Record<string, string> =>
+  Object.fromEntries([...entries].sort(([a], [b]) => a < b ? -1 : 1))
+
+/** Name and hash of each service, by shard. */
+const groupByShard = (services: readonly { name: string, hash: string }[]): Map<string, [string, string][]> => {
+  const shards = new Map<string, [string, string][]>()
+  for (const { name, hash } of services) {
+    const id = shardId(name)
+    shards.set(id, [...shards.get(id) ?? [], [name, hash]])
+  }
+  return shards
+}
+
+const buildShard = (services: [string, string][]): Shard => ({ format: 1, services: sortedRecord(services) })
+
+/**
+ * Values in the order in which they are to be published: services, shards,
+ * fleet settings, and the head last, since a node adopts a head only when all
+ * values that it refers to are present.
+ */
+export const generateConfiguration = (answers: Answers): ConfigurationValue[] => {
+  const { fleet } = answers
+  const services = answers.services.map(resolveService)
+    .map((service: ServiceConfiguration) => ({ name: service.name, ...encodeValue(fleet, service) }))
+    .sort((a, b) => a.name < b.name ? -1 : 1)
+  const shards = [...groupByShard(services)].sort(([a], [b]) => a < b ? -1 : 1)
+    .map(([id, entries]) => ({ id, ...encodeValue(fleet, buildShard(entries)) }))
+  const settings = encodeValue(fleet, resolveFleetSettings(answers))
+  const head: Head = {
+    format: 1,
+    fleet,
+    restoreCount: restoreCount(answers),
+    settingsHash: settings.hash,
+    shards: sortedRecord(shards.map(({ id, hash }) => [id, hash]))
+  }
+  return [...services, ...shards, settings].map(({ key, bytes }) => ({ key, bytes }))
+    .concat({ key: headKey(fleet), bytes: Buffer.from(JSON.stringify(head)) })
+}
