--- /dev/null
+++ b/packages/testbench/src/net.ts
@@ -0,0 +1,45 @@
+/**
+ * Loopback addresses and listening. Each test process takes addresses of its
+ * own 127.x network, so that test runs on one machine do not meet.
+ */
+import dgram from 'node:dgram'
+import net from 'node:net'
+import { once } from 'node:events'
+
+const HOSTS_PER_NETWORK = 250
+let hostCount = 0
+
+/** A loopback address that no other process of this machine is likely to use. */
+export const takeLoopbackHost = (): string => {
+  const number = hostCount++
+  const network = 16 + process.pid % 200
+  const subnet = (Math.floor(process.pid / 200) + Math.floor(number / HOSTS_PER_NETWORK)) % 256
+  return `127.${network}.${subnet}.${1 + number % HOSTS_PER_NETWORK}`
+}
+
+/** Starts to listen and gives the port. */
+export const listen = async (server: net.Server, host: string, port = 0): Promise<number> => {
+  server.listen(port, host)
+  await once(server, 'listening')
+  return (server.address() as net.AddressInfo).port
+}
+
+/** Closes a listening server; resolves at once when it is closed already. */
+export const closeServer = (server: net.Server): Promise<void> =>
+  new Promise(resolve => { server.close(() => resolve()) })
+
+export const takeFreeTcpPort = async (host: string): Promise<number> => {
+  const server = net.createServer()
+  const port = await listen(server, host)
+  await closeServer(server)
+  return port
+}
+
+export const takeFreeUdpPort = async (host: string): Promise<number> => {
+  const socket = dgram.createSocket('udp4')
+  socket.bind(0, host)
+  await once(socket, 'listening')
+  const { port } = socket.address()
+  await new Promise<void>(resolve => { socket.close(() => resolve()) })
+  return port
+}
