--- /dev/null
+++ b/packages/testbench/src/fleet-harness.ts
@@ -0,0 +1,189 @@
+/**
+ * Fleet of real daemon processes behind the test doubles. Every address is on
+ * loopback; gossip and peer addresses can lie behind fault-injecting proxies.
+ */
+import { createTRPCClient, httpLink } from '@trpc/client'
+import type { AdminRouter } from '@wisteriavalve/daemon/admin-api'
+import type { NodeStatus, VmEntry } from '@wisteriavalve/schema'
+import { startDaemonProcess, WAIT_TIMEOUT_MS, type DaemonProcess } from './daemon-process.js'
+import { takeFreeTcpPort, takeFreeUdpPort, takeLoopbackHost } from './net.js'
+import type { ConfigurationService } from './platform/configuration-service.js'
+import type { VmListDouble } from './platform/vm-list.js'
+import { createTcpProxy, type TcpProxy } from './proxy/tcp.js'
+import { createUdpProxy, type UdpProxy } from './proxy/udp.js'
+import { waitUntil } from './wait.js'
+
+export type FleetOptions = {
+  fleet: string
+  zones: readonly string[]
+  count: number
+  configurationService: Pick<ConfigurationService, 'url'>
+  vmList: VmListDouble
+  seed: number
+  policy?: string
+  /** Puts proxies in front of the gossip and the peer address of each node. */
+  proxied?: boolean
+  /** Further settings, by their environment name without prefix. */
+  settings?: (index: number) => Record<string, string>
+}
+
+type Ports = { caller: number, gossip: number, peer: number, admin: number }
+
+export type FleetNode = {
+  nodeId: string
+  zone: string
+  host: string
+  callerPort: number
+  adminPort: number
+  /** Address of the gossip socket itself, behind the proxy if there is one. */
+  gossipPort: number
+  process: DaemonProcess
+  gossipProxy?: UdpProxy
+  peerProxy?: TcpProxy
+  vm: VmEntry
+  isReady: () => Promise<boolean>
+  waitReady: (timeoutMs?: number) => Promise<void>
+  status: () => Promise<NodeStatus>
+  metrics: () => Promise<string>
+  /** SIGTERM; resolves with the exit code. */
+  stop: () => Promise<number>
+  /** SIGKILL; resolves after the exit. */
+  kill: () => Promise<void>
+  pause: () => void
+  resume: () => void
+}
+
+export type Fleet = {
+  nodes: FleetNode[]
+  /** Starts one more node and enters it into the VM list. */
+  add: () => Promise<FleetNode>
+  waitReady: (timeoutMs?: number) => Promise<void>
+  /** Cuts gossip and pulls between the nodes of the group and all others; an empty group heals. */
+  partition: (group: readonly FleetNode[]) => void
+  /** Ends all processes and proxies; to be called whatever happens. */
+  close: () => Promise<void>
+}
+
+const READY_PATH = '/.well-known/wisteriavalve/ready'
+const STOP_TIMEOUT_MS = 5000
+
+const takePorts = async (host: string): Promise<Ports> => ({
+  caller: await takeFreeTcpPort(host),
+  gossip: await takeFreeUdpPort(host),
+  peer: await takeFreeTcpPort(host),
+  admin: await takeFreeTcpPort(host)
+})
+
+const createNode = async (options: FleetOptions, index: number): Promise<FleetNode> => {
+  const host = takeLoopbackHost()
+  const ports = await takePorts(host)
+  const zone = options.zones[index % options.zones.length] as string
+  const nodeId = `entry-${index + 1}`
+  // The proxies share the node's host, since a node has one advertised host.
+  const gossipProxy = options.proxied ? await createUdpProxy({ host, targetHost: host, targetPort: ports.gossip }) : undefined
+  const peerProxy = options.proxied ? await createTcpProxy({ host, targetHost: host, targetPort: ports.peer }) : undefined
+  const daemon = startDaemonProcess({
+    NODE_ID: nodeId,
+    FLEET: options.fleet,
+    ZONE: zone,
+    FLEET_KEY: 'fleet key of the test bench',
+    CALLER_LISTEN: `${host}:${ports.caller}`,
+    GOSSIP_LISTEN: `${host}:${ports.gossip}`,
+    PEER_LISTEN: `${host}:${ports.peer}`,
+    ADMIN_LISTEN: `${host}:${ports.admin}`,
+    ADVERTISE_HOST: host,
+    ...(gossipProxy ? { ADVERTISE_GOSSIP_PORT: String(gossipProxy.port) } : {}),
+    ...(peerProxy ? { ADVERTISE_PEER_PORT: String(peerProxy.port) } : {}),
+    CONFIGURATION_SERVICE_URL: options.configurationService.url,
+    VM_LIST_URL: options.vmList.url,
+    SEED: String(options.seed + index + 1),
+    ...(options.policy ? { POLICY: options.policy } : {}),
+    ...options.settings?.(index)
+  })
+  const admin = createTRPCClient<AdminRouter>({ links: [httpLink({ url: `http://${host}:${ports.admin}` })] })
+  const isReady = async (): Promise<boolean> => {
+    try {
+      const response = await fetch(`http://${host}:${ports.caller}${READY_PATH}`)
+      await response.arrayBuffer()
+      return response.status === 200
+    } catch {
+      return false
+    }
+  }
+  const waitReady = async (timeoutMs = WAIT_TIMEOUT_MS): Promise<void> => {
+    await waitUntil(`${nodeId} ready`, timeoutMs, async () => {
+      if (!daemon.running()) throw new Error(`${nodeId} exited:\n${daemon.logs().slice(-10).join('\n')}`)
+      return await isReady()
+    })
+  }
+  return {
+    nodeId,
+    zone,
+    host,
+    callerPort: ports.caller,
+    adminPort: ports.admin,
+    gossipPort: ports.gossip,
+    process: daemon,
+    gossipProxy,
+    peerProxy,
+    vm: {
+      vmId: nodeId, role: 'entry', zone, host, port: ports.caller, gossipPort: gossipProxy?.port ?? ports.gossip, peerPort: peerProxy?.port ?? ports.peer, state: 'live'
+    },
+    isReady,
+    waitReady,
+    status: () => admin.status.query(),
+    metrics: async () => (await fetch(`http://${host}:${ports.admin}/metrics`)).text(),
+    stop: () => {
+      daemon.signal('SIGTERM')
+      return daemon.exited
+    },
+    kill: async () => {
+      daemon.signal('SIGKILL')
+      await daemon.exited
+    },
+    pause: () => daemon.signal('SIGSTOP'),
+    resume: () => daemon.signal('SIGCONT')
+  }
+}
+
+const closeNode = async (node: FleetNode): Promise<void> => {
+  if (node.process.running()) {
+    node.process.signal('SIGCONT')
+    node.process.signal('SIGTERM')
+    const timer = setTimeout(() => node.process.signal('SIGKILL'), STOP_TIMEOUT_MS)
+    await node.process.exited
+    clearTimeout(timer)
+  }
+  await Promise.all([node.gossipProxy?.close(), node.peerProxy?.close()])
+}
+
+export const startFleet = async (options: FleetOptions): Promise<Fleet> => {
+  const nodes: FleetNode[] = []
+  const close = async (): Promise<void> => { await Promise.all(nodes.map(closeNode)) }
+  const add = async (): Promise<FleetNode> => {
+    const node = await createNode(options, nodes.length)
+    nodes.push(node)
+    options.vmList.add(node.vm)
+    return node
+  }
+  const partition = (group: readonly FleetNode[]): void => {
+    for (const node of nodes) {
+      const others = group.length === 0 ? [] : nodes.filter(other => group.includes(other) !== group.includes(node))
+      node.gossipProxy?.cutSenders(others.map(other => ({ host: other.host, port: other.gossipPort })))
+      node.peerProxy?.partition(group.includes(node))
+    }
+  }
+  try {
+    for (let index = 0; index < options.count; index++) await add()
+  } catch (error) {
+    await close()
+    throw error
+  }
+  return {
+    nodes,
+    add,
+    waitReady: async timeoutMs => { await Promise.all(nodes.map(node => node.waitReady(timeoutMs))) },
+    partition,
+    close
+  }
+}
--- /dev/null
+++ b/packages/testbench/test/proxy.test.ts
@@ -0,0 +1,91 @@
+/**
+ * Guards against a proxy that injects another fault than the one it names: a
+ * silence that also hits new connections, a cut that loses bytes of a TCP
+ * connection, a partition that hits the wrong sender.
+ */
+import dgram from 'node:dgram'
+import net from 'node:net'
+import { once } from 'node:events'
+import test from 'ava'
+import { createTcpProxy, createUdpProxy, listen } from '../src/index.js'
+
+const startEcho = async () => {
+  const server = net.createServer(socket => { socket.on('error', () => {}).pipe(socket) })
+  return { server, port: await listen(server, '127.0.0.1') }
+}
+
+const connect = async (address: { host: string, port: number }) => {
+  const socket = net.connect(address)
+  socket.on('error', () => {})
+  await once(socket, 'connect')
+  return socket
+}
+
+const echo = async (socket: net.Socket, text: string): Promise<string> => {
+  socket.write(text)
+  const [chunk] = await once(socket, 'data') as [Buffer]
+  return chunk.toString()
+}
+
+const setUp = async (t: import('ava').ExecutionContext) => {
+  const { server, port } = await startEcho()
+  const proxy = await createTcpProxy({ targetHost: '127.0.0.1', targetPort: port })
+  t.teardown(async () => { await proxy.close(); server.close() })
+  return proxy
+}
+
+test('silence hits only the connections that are open', async t => {
+  const proxy = await setUp(t)
+  const old = await connect(proxy)
+  t.is(await echo(old, 'a'), 'a')
+  proxy.silence()
+  let heard = false
+  old.once('data', () => { heard = true })
+  old.write('b')
+  t.is(await echo(await connect(proxy), 'c'), 'c')
+  t.false(heard)
+})
+
+test('bytes held back by a cut arrive after it', async t => {
+  const proxy = await setUp(t)
+  const socket = await connect(proxy)
+  await echo(socket, 'a')
+  proxy.cut(['to-caller'])
+  const answer = echo(socket, 'b')
+  t.is(await Promise.race([answer, new Promise(resolve => { setTimeout(resolve, 50, 'nothing') })]), 'nothing')
+  proxy.cut([])
+  t.is(await answer, 'b')
+})
+
+test('a connection ends in mid-message', async t => {
+  const proxy = await setUp(t)
+  proxy.resetAfter('to-caller', 3)
+  const socket = await connect(proxy)
+  const closed = once(socket, 'close')
+  t.is(await echo(socket, 'abcdef'), 'abc')
+  await closed
+  t.is(socket.bytesRead, 3)
+})
+
+test('a UDP proxy cuts single senders and carries answers back', async t => {
+  const target = dgram.createSocket('udp4')
+  target.on('message', (bytes, from) => target.send(bytes, from.port, from.address))
+  target.bind(0, '127.0.0.1')
+  await once(target, 'listening')
+  const proxy = await createUdpProxy({ targetHost: '127.0.0.1', targetPort: target.address().port })
+  const [one, two] = await Promise.all([1, 2].map(async () => {
+    const socket = dgram.createSocket('udp4')
+    socket.bind(0, '127.0.0.1')
+    await once(socket, 'listening')
+    return socket
+  })) as [dgram.Socket, dgram.Socket]
+  t.teardown(async () => { await proxy.close(); [target, one, two].forEach(socket => socket.close()) })
+  proxy.cutSenders([{ host: '127.0.0.1', port: one.address().port }])
+  let heard = false
+  one.on('message', () => { heard = true })
+  one.send('x', proxy.port, proxy.host)
+  two.send('y', proxy.port, proxy.host)
+  const [answer] = await once(two, 'message') as [Buffer]
+  t.is(answer.toString(), 'y')
+  t.false(heard)
+})
