--- a/packages/testbench/src/configuration.ts
+++ b/packages/testbench/src/configuration.ts
@@ -5,7 +5,7 @@
  */
 import { createHash } from 'node:crypto'
 import { hash32 } from '@wisteriavalve/common'
-import type { FleetSettings, Kind, ServiceConfiguration } from '@wisteriavalve/schema'
+import { isFleetSettings, isServiceConfiguration, type FleetSettings, type Kind, type ServiceConfiguration } from '@wisteriavalve/schema'
 import type { ConfigurationEntry } from './platform/configuration-service.js'
 
 const SHARD_COUNT = 64
@@ -82,3 +82,17 @@
     { key: `${prefix}/head`, bytes: toValue(head).bytes }
   ]
 }
+
+const parse = (entry: ConfigurationEntry): unknown => JSON.parse(Buffer.from(entry.bytes).toString())
+
+/** Service configurations among the entries, by name. */
+export const findServices = (entries: readonly ConfigurationEntry[]): ServiceConfiguration[] =>
+  entries.map(parse).filter((document): document is ServiceConfiguration => isServiceConfiguration(document))
+    .sort((a, b) => a.name < b.name ? -1 : 1)
+
+/** @throws Error when the entries hold no fleet settings */
+export const findFleetSettings = (entries: readonly ConfigurationEntry[]): FleetSettings => {
+  const found = entries.map(parse).find((document): document is FleetSettings => isFleetSettings(document))
+  if (!found) throw new Error('the configuration holds no fleet settings')
+  return found
+}
--- /dev/null
+++ b/packages/testbench/src/deployment.ts
@@ -0,0 +1,135 @@
+/**
+ * A whole deployment on loopback: platform doubles, backend servers, and
+ * daemons as processes. Demo, benches and integration tests start from here.
+ */
+import type { FleetSettings, VmEntry } from '@wisteriavalve/schema'
+import { startBackendProcess } from './backend/process.js'
+import { createBackend } from './backend/server.js'
+import type { Backend, BackendOptions } from './backend/types.js'
+import { createRunRecord, type RunRecord } from './checker.js'
+import { startFleet, type Fleet, type FleetOptions } from './fleet-harness.js'
+import type { Address } from './load/types.js'
+import { createConfigurationService, type ConfigurationEntry, type ConfigurationService } from './platform/configuration-service.js'
+import { createVmList, type VmListDouble } from './platform/vm-list.js'
+import { createTcpProxy, type TcpProxy } from './proxy/tcp.js'
+
+export type ServiceDeployment = {
+  name: string
+  targetCount: number
+  slots: number
+  backend?: Partial<BackendOptions>
+}
+
+export type DeploymentOptions = {
+  settings: Pick<FleetSettings, 'fleet' | 'zones'>
+  entries: readonly ConfigurationEntry[]
+  services: readonly ServiceDeployment[]
+  nodeCount: number
+  seed: number
+  policy?: string
+  /** Backend servers that run as processes of their own. */
+  asProcess?: (vmId: string) => boolean
+  /** Backend servers behind a fault-injecting proxy. */
+  behindProxy?: (vmId: string) => boolean
+  /** Puts proxies between the nodes. */
+  proxied?: boolean
+  nodeSettings?: FleetOptions['settings']
+}
+
+export type DeployedBackend = Pick<Backend, 'id' | 'host' | 'port' | 'behave' | 'stop' | 'kill'> & {
+  vm: VmEntry
+  proxy?: TcpProxy
+}
+
+export type Deployment = {
+  configurationService: ConfigurationService
+  vmList: VmListDouble
+  fleet: Fleet
+  record: RunRecord
+  backend: (vmId: string) => DeployedBackend
+  backends: () => DeployedBackend[]
+  /** Caller addresses of the nodes. */
+  entries: () => Address[]
+  /** Ends everything; to be called whatever happens. */
+  close: () => Promise<void>
+}
+
+type BackendPlan = { vmId: string, zone: string, service: ServiceDeployment, options: BackendOptions }
+
+const planBackends = (options: DeploymentOptions): BackendPlan[] =>
+  options.services.flatMap((service, serviceIndex) => Array.from({ length: service.targetCount }, (_, index) => {
+    const vmId = `${service.name}-${index + 1}`
+    const { zones } = options.settings
+    return {
+      vmId,
+      service,
+      zone: zones[index % zones.length] as string,
+      options: { id: vmId, slots: service.slots, seed: options.seed * 10_000 + serviceIndex * 100 + index, ...service.backend }
+    }
+  }))
+
+const startBackend = async (plan: BackendPlan, options: DeploymentOptions, record: RunRecord): Promise<DeployedBackend> => {
+  const backend = options.asProcess?.(plan.vmId)
+    ? await startBackendProcess(plan.options, record.add)
+    : await createBackend(plan.options, record.add)
+  const proxy = options.behindProxy?.(plan.vmId)
+    ? await createTcpProxy({ targetHost: backend.host, targetPort: backend.port, seed: options.seed })
+    : undefined
+  const { host, port } = proxy ?? backend
+  return { ...backend, proxy, vm: { vmId: plan.vmId, role: 'backend', service: plan.service.name, zone: plan.zone, host, port, state: 'live' } }
+}
+
+export const startDeployment = async (options: DeploymentOptions): Promise<Deployment> => {
+  const record = createRunRecord()
+  const configurationService = await createConfigurationService()
+  const vmList = await createVmList()
+  const backends = new Map<string, DeployedBackend>()
+  let fleet: Fleet | undefined
+
+  const close = async (): Promise<void> => {
+    await fleet?.close()
+    const running = [...backends.values()]
+    await Promise.all(running.map(async backend => {
+      await backend.proxy?.close()
+      await backend.kill()
+    }))
+    await Promise.all([configurationService.close(), vmList.close()])
+  }
+
+  try {
+    configurationService.publish(options.entries)
+    for (const plan of planBackends(options)) backends.set(plan.vmId, await startBackend(plan, options, record))
+    vmList.set([...backends.values()].map(backend => backend.vm))
+    fleet = await startFleet({
+      fleet: options.settings.fleet,
+      zones: options.settings.zones,
+      count: options.nodeCount,
+      configurationService,
+      vmList,
+      seed: options.seed,
+      policy: options.policy,
+      proxied: options.proxied,
+      settings: options.nodeSettings
+    })
+    await fleet.waitReady()
+  } catch (error) {
+    await close()
+    throw error
+  }
+
+  const started = fleet
+  return {
+    configurationService,
+    vmList,
+    fleet: started,
+    record,
+    backend: vmId => {
+      const backend = backends.get(vmId)
+      if (!backend) throw new Error(`no backend server ${vmId}`)
+      return backend
+    },
+    backends: () => [...backends.values()],
+    entries: () => started.nodes.map(node => ({ host: node.host, port: node.callerPort })),
+    close
+  }
+}
