--- a/packages/testbench/src/index.ts
+++ b/packages/testbench/src/index.ts
@@ -1,1 +1,26 @@
-export {}
+/**
+ * Test doubles, fault injection, load and benches. Never imported by the product.
+ */
+export * from './net.js'
+export * from './platform/outage.js'
+export * from './platform/configuration-service.js'
+export * from './platform/vm-list.js'
+export * from './backend/types.js'
+export * from './backend/answer.js'
+export * from './backend/server.js'
+export * from './backend/process.js'
+export * from './proxy/tcp.js'
+export * from './proxy/udp.js'
+export * from './load/types.js'
+export * from './load/caller.js'
+export * from './load/generator.js'
+export * from './load/latency.js'
+export * from './checker.js'
+export * from './configuration.js'
+export * from './wait.js'
+export * from './daemon-process.js'
+export * from './fleet-harness.js'
+export * from './deployment.js'
+export * from './load/kinds.js'
+export * from './generate.js'
+export * from './format-row.js'
