Experiment with routing on a virtual clock and tune the adaptive policy

Cause: the first adaptive policy weighted latency too much. The adaptive policy takes the wait from the expected load only, ages reports within 0.6 of the usual time to first byte, guesses the load of unknown targets at twice the mean, counts overdue own requests as load, and treats latency only above twice the usual as slowness of the target. Hedges are due after 96.5% of the first bytes, since at 95% the budget of 3% is used up before the slowest requests. Ruled out: latency as a factor (weights 0.3, 0.6, 1), longer half-lives, a stronger zone preference, special caution for non-idempotent requests.

--- a/packages/policy/src/constants.ts
+++ b/packages/policy/src/constants.ts
@@ -25,8 +25,11 @@
 /** A target that left is kept in the status for this long. */
 export const GONE_KEPT_MS = 60_000
 
-/** Half-life of the weight of a load report. */
-export const REPORT_HALF_LIFE_MS = 250
+/** Half-life of the weight of a load report in units of the usual time to first byte: queues change with each answer. */
+export const REPORT_HALF_LIFE_SHARE = 0.6
+export const REPORT_HALF_LIFE_MAX_MS = 250
+/** A target without a recent report is taken to have this many times the mean load. */
+export const UNKNOWN_LOAD_FACTOR = 2
 
 export const RETRY_WINDOW_MS = 10_000
 export const RETRY_SHARE = 0.1
--- a/packages/policy/src/load-estimate.ts
+++ b/packages/policy/src/load-estimate.ts
@@ -3,7 +3,9 @@
  * other nodes from the last report, which loses weight with age in favour of
  * the mean over the service.
  */
-import { REPORT_HALF_LIFE_MS } from './constants.js'
+import { REPORT_HALF_LIFE_MAX_MS, REPORT_HALF_LIFE_SHARE, UNKNOWN_LOAD_FACTOR } from './constants.js'
+import { halfLifeWeight } from './half-life.js'
+import { phantomAt } from './target-state.js'
 import type { LoadReport, RoutingState, TargetState } from './types.js'
 
 /** A target cannot claim more than this many times its configured slots. */
@@ -11,9 +13,6 @@
 /** Weight of a new report in the mean over the service. */
 const MEAN_WEIGHT = 0.02
 
-export const halfLifeWeight = (ageMs: number, halfLifeMs: number): number =>
-  ageMs <= 0 ? 1 : 2 ** (-ageMs / halfLifeMs)
-
 /** @param observedMs when the target made the report */
 export const takeReport = (
   state: TargetState, report: LoadReport, routing: RoutingState, slotsPerTarget: number, observedMs: number
@@ -27,8 +26,21 @@
   routing.meanOthersInFlight += MEAN_WEIGHT * (state.othersInFlight - routing.meanOthersInFlight)
 }
 
-/** Requests of other nodes that the target runs now, as far as this node can tell. */
-export const estimateOthers = (state: TargetState, routing: RoutingState, nowMs: number): number => {
-  const weight = halfLifeWeight(nowMs - state.reportMs, REPORT_HALF_LIFE_MS)
-  return weight * state.othersInFlight + (1 - weight) * routing.meanOthersInFlight
+/** Own requests that run longer than usual, in units of the usual time. */
+const overdueLoad = (state: TargetState, usualMs: number, nowMs: number): number => {
+  if (state.inFlight === 0) return 0
+  const ageSumMs = state.inFlight * nowMs - state.startedMsSum
+  return Math.max(0, ageSumMs / usualMs - state.inFlight)
+}
+
+/** Load that other nodes put on the target now; with no recent report a guess above the mean. */
+const othersLoad = (state: TargetState, routing: RoutingState, usualMs: number, nowMs: number): number => {
+  const halfLifeMs = Math.min(REPORT_HALF_LIFE_MAX_MS, REPORT_HALF_LIFE_SHARE * usualMs)
+  const weight = halfLifeWeight(nowMs - state.reportMs, halfLifeMs)
+  return weight * state.othersInFlight + (1 - weight) * UNKNOWN_LOAD_FACTOR * routing.meanOthersInFlight
 }
+
+/** Requests that a further one would meet at the target, as far as this node can tell. */
+export const expectedLoad = (state: TargetState, routing: RoutingState, usualMs: number, nowMs: number): number =>
+  state.inFlight + othersLoad(state, routing, usualMs, nowMs) + overdueLoad(state, usualMs, nowMs) +
+  phantomAt(state, routing.slowLatencyMs, nowMs)
--- a/packages/policy/src/policies/adaptive.ts
+++ b/packages/policy/src/policies/adaptive.ts
@@ -1,38 +1,42 @@
 /**
- * Default policy: the target with the lowest expected time to the first byte,
- * from its latency and the load that this node knows of or estimates. Own
- * availability zone is preferred by the time that the way costs, so it gives
- * way as soon as a queue costs more.
+ * Default policy: the target with the lowest expected time to the first byte.
+ *
+ * Own requests are known exactly; the load from other nodes comes from the last
+ * report and goes over into a guess as the report ages. The guess is deliberately
+ * above the mean, so that a target that just reported free slots is preferred to
+ * one that nobody knows: each node then stays with few targets at a time, and its
+ * reports on them are fresher. Own requests that are overdue count as further
+ * load, since they show a target that turned slow before any report can.
  */
-// eslint-disable-next-line
-import { estimateOthers } from '../load-estimate.js'
-import { phantomAt } from '../target-state.js'
+import { expectedLoad } from '../load-estimate.js'
+import { halfLifeWeight } from '../half-life.js'
 import type { Policy, PolicyContext, TargetState } from '../types.js'
 
 /** Extra time on the way to another availability zone, to and fro. */
 const ZONE_MS = 1
-const SLOW_MS = 100
+/** Sharpness of the bend in the expected wait where the slots are used up. */
+const WAIT_SHARPNESS = 4
+/** Before the first answer any positive time does. */
+const USUAL_DEFAULT_MS = 10
+/** A mean latency up to this many times the usual is ascribed to queues, which the load covers. */
+const SLOW_FROM = 2
+/** A slow target that gets no requests is tried again when this time has passed a few times. */
+const SLOW_HALF_LIFE_MS = 2000
 
-const T = { H: 250, Hl: 300, k: 4, g: 1, age: 0, zone: 1, mean: 1, ...JSON.parse(process.env.TUNE ?? '{}') }
-const softplus = (x: number): number => x > 20 ? x : Math.log1p(Math.exp(x))
-const expectedMs = (state: TargetState, { routing, zone, nowMs }: PolicyContext): number => {
-  const usualMs = routing.usualLatencyMs ?? 1
-  const w = 2 ** (-(nowMs - state.reportMs) / T.H)
-  const others = w * state.othersInFlight + (1 - w) * routing.meanOthersInFlight * T.mean
-  const load = state.inFlight + others + phantomAt(state, SLOW_MS, nowMs)
-  const q = (load + 1 - state.slots) / state.slots
-  const wait = softplus(T.k * q) / T.k
-  const lw = 2 ** (-(nowMs - state.latencyUpdatedMs) / T.Hl)
-  const r = state.latencyMs > 0 ? 1 + (state.latencyMs / usualMs - 1) * lw * T.g : 1
-  const zoneMs = state.target.zone === zone ? 0 : T.zone
-  return zoneMs + usualMs * Math.max(0.1, r) * (1 + wait)
+/** Waiting time for a slot in units of the service time; smooth, because the load is uncertain. */
+const expectedWait = (load: number, slots: number): number =>
+  Math.log1p(Math.exp(Math.min(50, WAIT_SHARPNESS * (load + 1 - slots) / slots))) / WAIT_SHARPNESS
+
+/** How many times the usual time a target takes for reasons other than load. */
+const slowness = (state: TargetState, usualMs: number, nowMs: number): number => {
+  const excess = state.latencyMs / usualMs - SLOW_FROM
+  return excess <= 0 ? 1 : 1 + excess * halfLifeWeight(nowMs - state.latencyUpdatedMs, SLOW_HALF_LIFE_MS)
 }
-const expectedMsOld = (state: TargetState, { routing, zone, nowMs }: PolicyContext): number => {
-  const usualMs = routing.usualLatencyMs ?? 1
-  const latencyMs = state.latencyMs > 0 ? state.latencyMs : usualMs
-  const load = state.inFlight + estimateOthers(state, routing, nowMs) + phantomAt(state, SLOW_MS, nowMs)
-  const zoneMs = state.target.zone === zone ? 0 : ZONE_MS
-  return zoneMs + latencyMs * (1 + (load / state.slots) ** 2)
+
+const expectedMs = (state: TargetState, { routing, zone, nowMs }: PolicyContext): number => {
+  const usualMs = routing.usualLatencyMs ?? USUAL_DEFAULT_MS
+  const wait = expectedWait(expectedLoad(state, routing, usualMs, nowMs), state.slots)
+  return usualMs * slowness(state, usualMs, nowMs) * (1 + wait) + (state.target.zone === zone ? 0 : ZONE_MS)
 }
 
 export const adaptive: Policy = (eligible, context) => {
@@ -48,5 +52,3 @@
   }
   return { state: best, reason: `lowest expected time to the first byte (${Math.round(bestMs)} ms) of ${eligible.length} targets` }
 }
-
-export const unused = expectedMsOld
--- a/packages/policy/src/policies/prequal.ts
+++ b/packages/policy/src/policies/prequal.ts
@@ -5,16 +5,14 @@
  * hot, the fewest requests in flight. Reports on responses take the place of
  * the published probes, since targets with traffic are not probed.
  */
-import { estimateOthers } from '../load-estimate.js'
 import { phantomAt } from '../target-state.js'
 import type { Policy, PolicyContext, TargetState } from '../types.js'
 
 /** Published quantile of requests in flight above which a target is hot. */
 const HOT_QUANTILE = 0.84
-const SLOW_MS = 100
 
 const inFlightOf = (state: TargetState, { routing, nowMs }: PolicyContext): number =>
-  state.inFlight + estimateOthers(state, routing, nowMs) + phantomAt(state, SLOW_MS, nowMs)
+  state.inFlight + state.othersInFlight + phantomAt(state, routing.slowLatencyMs, nowMs)
 
 export const prequal: Policy = (eligible, context) => {
   const loads = new Float64Array(eligible.length)
--- a/packages/policy/src/table-core.ts
+++ b/packages/policy/src/table-core.ts
@@ -21,6 +21,8 @@
   timeoutShare: number
 }
 
+/** Time of a slow answer before any was measured. */
+const SLOW_DEFAULT_MS = 100
 const SERVICE_WINDOW_SIZE = 1024
 const SERVICE_COUNT_MIN = 50
 
@@ -32,6 +34,7 @@
     hasCold: false,
     failOpen: false,
     usualLatencyMs: undefined,
+    slowLatencyMs: SLOW_DEFAULT_MS,
     meanOthersInFlight: 0,
     rotation: { next: 0 },
     scratch: []
--- a/packages/policy/src/target-notes.ts
+++ b/packages/policy/src/target-notes.ts
@@ -6,7 +6,7 @@
 import type { TargetNote } from '@wisteriavalve/schema'
 import { takeReport } from './load-estimate.js'
 import type { TableCore } from './table-core.js'
-import { slowAnswerMs, takeDraining } from './target-outcomes.js'
+import { takeDraining } from './target-outcomes.js'
 import { addPhantom } from './target-state.js'
 import type { TargetState } from './types.js'
 
@@ -21,7 +21,7 @@
   const observedMs = nowMs - note.ageMs
   if (note.observation === 'draining' && !isOutdated(state, observedMs)) takeDraining(core, state, 'peer', observedMs, nowMs)
   if (note.observation === 'dead' && (state.lastAnswerMs ?? -Infinity) < observedMs) {
-    addPhantom(state, state.slots, slowAnswerMs(core), nowMs)
+    addPhantom(state, state.slots, core.routing.slowLatencyMs, nowMs)
   }
   if (note.inFlight !== undefined) {
     takeReport(state, { inFlight: note.inFlight }, core.routing, core.options.slotsPerTarget, observedMs)
--- a/packages/policy/src/target-outcomes.ts
+++ b/packages/policy/src/target-outcomes.ts
@@ -9,16 +9,11 @@
 import { addLatency, addOutcome, addPhantom } from './target-state.js'
 import type { AttemptFailure, AttemptOutcome, DrainSource, ProbeResult, TargetState } from './types.js'
 
-/** Time of a slow answer before any was measured. */
-const SLOW_DEFAULT_MS = 100
 const SLOW_QUANTILE = 0.99
 /** Above this share of timeouts over the service, timeouts are the load's fault and eject nobody. */
 const TIMEOUT_SHARE_MAX = 0.3
 const TIMEOUT_SHARE_WEIGHT = 0.02
 
-/** The slowest time that is still usual for the service. */
-export const slowAnswerMs = (core: TableCore): number => core.firstBytes.quantile(SLOW_QUANTILE) ?? SLOW_DEFAULT_MS
-
 const isTimeout = (outcome: AttemptOutcome): boolean => outcome === 'timeout' || outcome === 'no-progress'
 
 /**
@@ -27,7 +22,7 @@
  */
 const isTargetFailure = (core: TableCore, failure: AttemptFailure, durationMs: number): boolean => {
   if (failure === 'cancelled' || failure === 'refused') return false
-  return !isTimeout(failure) || (durationMs >= slowAnswerMs(core) && core.timeoutShare < TIMEOUT_SHARE_MAX)
+  return !isTimeout(failure) || (durationMs >= core.routing.slowLatencyMs && core.timeoutShare < TIMEOUT_SHARE_MAX)
 }
 
 export const takeFirstByte = (core: TableCore, state: TargetState, firstByteMs: number, nowMs: number): void => {
@@ -36,6 +31,7 @@
   state.firstBytes.add(firstByteMs)
   core.firstBytes.add(firstByteMs)
   routing.usualLatencyMs = core.firstBytes.quantile(0.5) ?? routing.usualLatencyMs ?? firstByteMs
+  routing.slowLatencyMs = core.firstBytes.quantile(SLOW_QUANTILE) ?? routing.slowLatencyMs
   raiseLimit(state, firstByteMs, routing.usualLatencyMs, core.options.connectionShare)
 }
 
@@ -48,7 +44,7 @@
 
 export const takeFailure = (core: TableCore, state: TargetState, failure: AttemptFailure, durationMs: number, nowMs: number): void => {
   if (failure === 'cancelled') return
-  const slowMs = Math.max(durationMs, slowAnswerMs(core))
+  const slowMs = Math.max(durationMs, core.routing.slowLatencyMs)
   if (failure === 'refused') lowerLimit(state, nowMs)
   // A fast failure is scored as a slow answer, so that the target does not look idle.
   addLatency(state, slowMs, nowMs)
--- a/packages/policy/src/target-state.ts
+++ b/packages/policy/src/target-state.ts
@@ -4,17 +4,14 @@
 import type { Target } from '@wisteriavalve/schema'
 import { EJECT_FAILURES_IN_ROW, EJECT_FAILURE_SHARE, OUTCOME_WINDOW, SLOW_START_MS, SLOW_START_SHARE_MIN } from './constants.js'
 import { createLatencyWindow } from './latency-window.js'
-import { halfLifeWeight } from './load-estimate.js'
+import { halfLifeWeight } from './half-life.js'
 import { healthOf, startHealth, type HealthInput } from './target-health.js'
 import type { TargetState } from './types.js'
 
 const LATENCY_WINDOW_SIZE = 256
 const LATENCY_COUNT_MIN = 20
-/** Old latencies lose half their weight in this time. */
-const LATENCY_HALF_LIFE_MS = 200
-/** Least weight of a new latency, so that a single answer cannot replace all older ones. */
-const LATENCY_WEIGHT_MIN = 0.1
-const LATENCY_WEIGHT_MAX = 0.5
+/** Weight of a new latency; about the last ten answers count. */
+const LATENCY_WEIGHT = 0.15
 
 export const createTargetState = (target: Target, slots: number, limit: number, health: HealthInput): TargetState => {
   const lifecycle = startHealth(health)
@@ -23,6 +20,7 @@
     health: healthOf(lifecycle),
     coldSinceMs: health.nowMs,
     inFlight: 0,
+    startedMsSum: 0,
     limit,
     slots,
     othersInFlight: 0,
@@ -45,9 +43,7 @@
 }
 
 export const addLatency = (state: TargetState, latencyMs: number, nowMs: number): void => {
-  const aged = 1 - halfLifeWeight(nowMs - state.latencyUpdatedMs, LATENCY_HALF_LIFE_MS)
-  const weight = state.latencyUpdatedMs === -Infinity ? 1 : Math.min(LATENCY_WEIGHT_MAX, Math.max(LATENCY_WEIGHT_MIN, aged))
-  state.latencyMs += weight * (latencyMs - state.latencyMs)
+  state.latencyMs += (state.latencyUpdatedMs === -Infinity ? 1 : LATENCY_WEIGHT) * (latencyMs - state.latencyMs)
   state.latencyUpdatedMs = nowMs
 }
 
--- a/packages/policy/src/target-table.ts
+++ b/packages/policy/src/target-table.ts
@@ -11,7 +11,7 @@
 import type { TargetState, TargetTable, TargetTableOptions } from './types.js'
 import type { TargetStatus } from '@wisteriavalve/schema'
 
-const HEDGE_QUANTILE = JSON.parse(process.env.TUNE ?? '{}').hq ?? 0.95
+const HEDGE_QUANTILE = 0.965
 
 const toStatus = (core: TableCore, state: TargetState, connections: number, nowMs: number): TargetStatus => {
   const { target, lifecycle, firstBytes } = state
@@ -67,10 +67,14 @@
   return {
     setTargets: (targets, nowMs) => takeTargets(core, targets, nowMs),
     noteDraining: (targetId, source, nowMs) => withState(targetId, state => takeDraining(core, state, source, nowMs, nowMs)),
-    noteStarted: targetId => withState(targetId, state => { state.inFlight++ }),
+    noteStarted: (targetId, nowMs) => withState(targetId, state => {
+      state.inFlight++
+      state.startedMsSum += nowMs
+    }),
     noteFirstByte: (targetId, firstByteMs, nowMs) => withState(targetId, state => takeFirstByte(core, state, firstByteMs, nowMs)),
     noteFinished: (targetId, outcome, durationMs, nowMs) => withState(targetId, state => {
       state.inFlight = Math.max(0, state.inFlight - 1)
+      state.startedMsSum = state.inFlight === 0 ? 0 : state.startedMsSum - (nowMs - durationMs)
       takeOutcome(core, state, outcome, durationMs, nowMs)
     }),
     noteReport: (targetId, report, nowMs) => withState(targetId, state =>
--- a/packages/policy/src/types.ts
+++ b/packages/policy/src/types.ts
@@ -92,6 +92,8 @@
   /** Start of the slow start; used while the target is cold. */
   coldSinceMs: number
   inFlight: number
+  /** Sum of the start times of the requests in flight. */
+  startedMsSum: number
   /** Adaptive concurrency limit; the whole part of it counts. */
   limit: number
   slots: number
@@ -140,6 +142,8 @@
   failOpen: boolean
   /** Usual time to first byte of the service; undefined before the first answer. */
   usualLatencyMs: number | undefined
+  /** Slow but still usual time to first byte of the service. */
+  slowLatencyMs: number
   /** Load that other nodes put on an average target. */
   meanOthersInFlight: number
   /** Position of the rotation, for policies that use one. */
--- a/packages/testbench/src/experiments/deployments.ts
+++ b/packages/testbench/src/experiments/deployments.ts
@@ -9,7 +9,6 @@
   idempotent: boolean
   weight: number
   deadlineMs: number
-  serviceMs: number
 }
 
 export type SimulatedService = { name: string, targets: number, slots: number, connections: number }
@@ -52,11 +51,16 @@
   }
 }
 
+/** Deadlines and weights of the answers in examples/; shares as the load generator has them. */
 export const kinds: SimulatedKind[] = [
-  { name: 'read', share: 0.8, idempotent: true, weight: 2, deadlineMs: 250, serviceMs: 6 },
-  { name: 'order', share: 0.1, idempotent: false, weight: 8, deadlineMs: 1000, serviceMs: 8 },
-  { name: 'report', share: 0.08, idempotent: true, weight: 1, deadlineMs: 500, serviceMs: 8 },
-  { name: 'upload', share: 0.02, idempotent: false, weight: 2, deadlineMs: 2000, serviceMs: 30 }
+  { name: 'page', share: 0.4, idempotent: true, weight: 20, deadlineMs: 800 },
+  { name: 'check', share: 0.4, idempotent: true, weight: 40, deadlineMs: 400 },
+  { name: 'order', share: 0.1, idempotent: false, weight: 90, deadlineMs: 3000 },
+  { name: 'pay', share: 0.1, idempotent: false, weight: 100, deadlineMs: 10_000 }
 ]
 
-export const meanServiceMs = kinds.reduce((sum, kind) => sum + kind.share * kind.serviceMs, 0)
+/** A page takes 10 to 50 ms. */
+export const SERVICE_MEDIAN_MS = 20
+/** Standard deviation of the logarithm of the service time. */
+export const SERVICE_SIGMA = 0.3
+export const meanServiceMs = SERVICE_MEDIAN_MS * Math.exp(SERVICE_SIGMA ** 2 / 2)
--- a/packages/testbench/src/experiments/policy-simulation.ts
+++ b/packages/testbench/src/experiments/policy-simulation.ts
@@ -7,7 +7,7 @@
 import { createRandom, type Random } from '@wisteriavalve/common'
 import { connectionShare, type PolicyName } from '@wisteriavalve/policy'
 import { build, type Histogram } from 'hdr-histogram-js'
-import { deployments, kinds, meanServiceMs, WITHIN_ZONE_MS, type Deployment, type SimulatedKind, type SimulatedService } from './deployments.js'
+import { deployments, kinds, meanServiceMs, SERVICE_MEDIAN_MS, SERVICE_SIGMA, WITHIN_ZONE_MS, type Deployment, type SimulatedKind, type SimulatedService } from './deployments.js'
 import { createNode, createNodeTable, type RequestResult } from './simulated-node.js'
 import { createSimulatedTarget, type Neighbours, type TargetBehaviour } from './simulated-target.js'
 import { createSimulationClock, type SimulationClock } from './simulation-clock.js'
@@ -25,6 +25,8 @@
   durationMs: number
   /** Every selection knows the current load of all targets; shows what perfect reports would give. */
   exactReports: boolean
+  /** Instead of the deployment's. */
+  nodes?: number
 }
 
 export type KindCounts = { requests: number, inTime: number, refused: number }
@@ -49,38 +51,32 @@
 const WARM_UP_MS = 1500
 /** Faults of the straggler and faults scenarios begin here. */
 export const FAULT_MS = 3000
-/** Frequent moderate or rare strong interference; each episode lasts some milliseconds. */
+/** Interference of some milliseconds, shorter and longer than a request. */
 export const neighbourPresets = {
-  moderate: { quietMs: 150, noisyMs: 25, slowdown: 4 },
-  strong: { quietMs: 400, noisyMs: 20, slowdown: 10 }
+  short: { quietMs: 200, noisyMs: 25, slowdown: 4 },
+  long: { quietMs: 667, noisyMs: 83, slowdown: 4 },
+  strong: { quietMs: 667, noisyMs: 83, slowdown: 10 }
 } satisfies Record<string, Neighbours>
 const STRAGGLER_SLOWDOWN = 10
 /** Callers differ in size, so nodes get unequal shares. */
 const NODE_WEIGHT_SPREAD = 0.3
 
-const SERVICE_STAGES = 4
-
-/** Mean speed of a target with these neighbours. */
-const meanSpeed = ({ quietMs, noisyMs, slowdown }: Neighbours): number =>
-  (quietMs + noisyMs / slowdown) / (quietMs + noisyMs)
-
 const exponential = (meanMs: number, random: Random): number => -meanMs * Math.log(1 - random.next())
 
-/** Gamma-distributed with a coefficient of variation of 0.5: handlers differ, but less than an exponential would. */
-const serviceTime = (meanMs: number, random: Random): number => {
-  let sum = 0
-  for (let stage = 0; stage < SERVICE_STAGES; stage++) sum += exponential(meanMs / SERVICE_STAGES, random)
-  return sum
+/** Log-normal. */
+const serviceTime = (random: Random): number => {
+  const normal = Math.sqrt(-2 * Math.log(1 - random.next())) * Math.cos(2 * Math.PI * random.next())
+  return SERVICE_MEDIAN_MS * Math.exp(SERVICE_SIGMA * normal)
 }
 
-const behaviourOf = ({ scenario, neighbours }: SimulationOptions, index: number, slots: number): TargetBehaviour => ({
+const behaviourOf = ({ scenario, neighbours }: SimulationOptions, serviceIndex: number, index: number, slots: number): TargetBehaviour => ({
   slots,
   neighbours,
   slowdown: STRAGGLER_SLOWDOWN,
   slowFromMs: scenario === 'straggler' && index === 1 ? FAULT_MS : Infinity,
-  deadFromMs: scenario === 'faults' && index === 0 ? FAULT_MS : Infinity,
-  drainFromMs: scenario === 'faults' && index === 1 ? FAULT_MS : Infinity,
-  failFastFromMs: scenario === 'faults' && index === 2 ? FAULT_MS : Infinity
+  deadFromMs: scenario === 'faults' && serviceIndex === 0 && index === 0 ? FAULT_MS : Infinity,
+  drainFromMs: scenario === 'faults' && serviceIndex === 0 && index === 1 ? FAULT_MS : Infinity,
+  failFastFromMs: scenario === 'faults' && serviceIndex === 0 && index === 2 ? FAULT_MS : Infinity
 })
 
 const pickKind = (random: Random): SimulatedKind => {
@@ -124,8 +120,6 @@
   result.extraAttempts += Math.max(0, request.attempts - 1)
   if (!request.kind.idempotent && request.runs > 1) result.repeated++
   if (request.outcome === 'not-run' && request.runs > 0) result.wronglyNotRun++
-  // Uploads are bounded by progress and not by their duration.
-  if (request.kind.name === 'upload') return
   result.latencyUs.recordValue(Math.round(latencyMs * 1000))
   result.bySecondUs[Math.floor(request.startedMs / 1000)]?.recordValue(Math.round(latencyMs * 1000))
 }
@@ -133,14 +127,14 @@
 const createTargets = (clock: SimulationClock, options: SimulationOptions, deployment: Deployment, service: SimulatedService, serviceIndex: number) =>
   Array.from({ length: service.targets }, (_, index) => ({
     target: { id: `${service.name}-${index}`, host: '127.0.0.1', port: 9000 + index, zone: deployment.zones[index % deployment.zones.length] as string },
-    simulated: createSimulatedTarget(clock, behaviourOf(options, index, service.slots), options.seed * 1000 + serviceIndex * 100 + index)
+    simulated: createSimulatedTarget(clock, behaviourOf(options, serviceIndex, index, service.slots), options.seed * 1000 + serviceIndex * 100 + index)
   }))
 
 /** Poisson arrivals at one node; the request sequence depends on the seed only. */
 const startArrivals = (clock: SimulationClock, random: Random, ratePerMs: number, accept: (kind: SimulatedKind, workMs: number) => void): void => {
   const next = (): void => {
     const kind = pickKind(random)
-    accept(kind, serviceTime(kind.serviceMs, random))
+    accept(kind, serviceTime(random))
     clock.at(clock.nowMs() + exponential(1 / ratePerMs, random), next)
   }
   clock.at(exponential(1 / ratePerMs, random), next)
@@ -154,7 +148,7 @@
   const random = createRandom(options.seed * 7919 + serviceIndex)
   const weights = Array.from({ length: deployment.nodes }, () => 1 + NODE_WEIGHT_SPREAD * (2 * random.next() - 1))
   const weightSum = weights.reduce((sum, weight) => sum + weight, 0)
-  const ratePerMs = options.loadShare * service.targets * service.slots * meanSpeed(options.neighbours) / meanServiceMs
+  const ratePerMs = options.loadShare * service.targets * service.slots / meanServiceMs
   weights.forEach((weight, node) => {
     const zone = deployment.zones[node % deployment.zones.length] as string
     const table = createNodeTable(service.name, service.slots, connectionShare(service.connections, deployment.entryVmCountMax))
@@ -178,7 +172,7 @@
 
 export const simulate = (options: SimulationOptions): SimulationResult => {
   const clock = createSimulationClock()
-  const deployment = deployments[options.deployment]
+  const deployment: Deployment = { ...deployments[options.deployment], ...(options.nodes ? { nodes: options.nodes } : {}) }
   const result = createResult(options.durationMs)
   const ends = deployment.services.map((_, index) => startService(clock, options, deployment, index, result))
   clock.runUntil(options.durationMs)
--- a/packages/testbench/src/experiments/run-policy-simulation.ts
+++ b/packages/testbench/src/experiments/run-policy-simulation.ts
@@ -7,7 +7,7 @@
 import { deployments } from './deployments.js'
 import { neighbourPresets, simulate, type Scenario, type SimulationResult } from './policy-simulation.js'
 
-type RunOptions = { deployment: string, scenario: Scenario, noise: keyof typeof neighbourPresets, policies: string, hedging: boolean, load: string, seeds: string, seconds: string, detail: boolean, exactReports: boolean }
+type RunOptions = { deployment: string, scenario: Scenario, noise: keyof typeof neighbourPresets, policies: string, hedging: boolean, load: string, seeds: string, seconds: string, detail: boolean, exactReports: boolean, nodes?: string }
 
 const quantileMs = (result: SimulationResult, percentile: number): number =>
   result.latencyUs.getValueAtPercentile(percentile) / 1000
@@ -50,7 +50,8 @@
     neighbours: neighbourPresets[options.noise],
     seed: Number(seed),
     durationMs: Number(options.seconds) * 1000,
-    exactReports: options.exactReports
+    exactReports: options.exactReports,
+    ...(options.nodes ? { nodes: Number(options.nodes) } : {})
   })))
 
 const run = (options: RunOptions): void => {
@@ -69,12 +70,13 @@
 run(new Command()
   .option('--deployment <name>', 'okonkwo, authority or all', 'all')
   .option('--scenario <name>', 'noisy, straggler, faults or overload', 'noisy')
-  .option('--noise <name>', 'moderate or strong neighbours', 'moderate')
+  .option('--noise <name>', 'short, long or strong neighbours', 'short')
   .option('--policies <names>', 'comma-separated', 'two-choices,adaptive')
   .option('--no-hedging', 'no hedges for any policy')
   .option('--load <share>', 'of the mean capacity', '0.7')
   .option('--seeds <list>', 'comma-separated', '1,2,3')
   .option('--seconds <count>', 'of virtual time', '8')
   .option('--exact-reports', 'every selection knows the current load of all targets', false)
+  .option('--nodes <count>', 'instead of the deployment\'s')
   .option('--detail', 'p99 for each second', false)
   .parse().opts())
