--- /dev/null
+++ b/packages/daemon/src/adapters/configuration-service.ts
@@ -0,0 +1,74 @@
+/**
+ * Configuration service: the read part of the Consul KV HTTP interface. Only
+ * the head is watched; values are read once each by their hash.
+ */
+import type { Result } from '@wisteriavalve/common'
+import { createHttpReader, parseJson, type HttpAnswer } from './http-json.js'
+
+export type HeadRead = {
+  /** Position for the next watch; 0 when the service gave none. */
+  index: number
+  /** Undefined when no head is published. */
+  head?: { revision: number, bytes: Uint8Array }
+}
+
+export type ConfigurationService = {
+  /** With an index above 0 the call waits until the head changes or the watch time is over. */
+  readHead: (index: number, signal?: AbortSignal) => Promise<Result<HeadRead, string>>
+  /** Undefined when the value is missing. */
+  readValue: (hash: string, signal?: AbortSignal) => Promise<Result<Uint8Array | undefined, string>>
+  /** Calls made so far; a waiting watch counts once. */
+  readCount: () => number
+  close: () => Promise<void>
+}
+
+/** A value has at most 1 MB, which is 1.4 MB in base64. */
+const ANSWER_BYTES_MAX = 1_600_000
+const READ_TIMEOUT_MS = 2000
+const WATCH_S = 10
+/** Consul adds up to a sixteenth of the wait as jitter. */
+const WATCH_TIMEOUT_MS = WATCH_S * 1000 * 17 / 16 + READ_TIMEOUT_MS
+
+const isEntry = (value: unknown): value is { Value: string, ModifyIndex: number } =>
+  typeof value === 'object' && value !== null &&
+  'Value' in value && typeof value.Value === 'string' &&
+  'ModifyIndex' in value && Number.isSafeInteger(value.ModifyIndex) && (value.ModifyIndex as number) >= 0
+
+const parseEntry = (answer: HttpAnswer): Result<{ revision: number, bytes: Uint8Array } | undefined, string> => {
+  if (answer.status === 404) return { ok: true, value: undefined }
+  if (answer.status !== 200) return { ok: false, error: `status ${answer.status}` }
+  const entries = parseJson(answer.body)
+  const entry: unknown = Array.isArray(entries) ? entries[0] : undefined
+  if (!isEntry(entry)) return { ok: false, error: 'the answer is not a Consul KV entry' }
+  return { ok: true, value: { revision: entry.ModifyIndex, bytes: Buffer.from(entry.Value, 'base64') } }
+}
+
+const parseIndex = (answer: HttpAnswer): number => {
+  const index = Number(answer.headers['x-consul-index'])
+  return Number.isSafeInteger(index) && index > 0 ? index : 0
+}
+
+export const createConfigurationService = (options: { url: string, fleet: string }): ConfigurationService => {
+  const reader = createHttpReader(ANSWER_BYTES_MAX)
+  const base = `${options.url.replace(/\/$/, '')}/v1/kv/wisteriavalve/${encodeURIComponent(options.fleet)}`
+  let readCount = 0
+
+  const readHead: ConfigurationService['readHead'] = async (index, signal) => {
+    readCount++
+    const query = index > 0 ? `?index=${index}&wait=${WATCH_S}s` : ''
+    const answer = await reader.get(`${base}/head${query}`, { timeoutMs: index > 0 ? WATCH_TIMEOUT_MS : READ_TIMEOUT_MS, signal })
+    if (!answer.ok) return answer
+    const head = parseEntry(answer.value)
+    return head.ok ? { ok: true, value: { index: parseIndex(answer.value), head: head.value } } : head
+  }
+
+  const readValue: ConfigurationService['readValue'] = async (hash, signal) => {
+    readCount++
+    const answer = await reader.get(`${base}/value/${hash}`, { timeoutMs: READ_TIMEOUT_MS, signal })
+    if (!answer.ok) return answer
+    const value = parseEntry(answer.value)
+    return value.ok ? { ok: true, value: value.value?.bytes } : value
+  }
+
+  return { readHead, readValue, readCount: () => readCount, close: reader.close }
+}
--- /dev/null
+++ b/packages/daemon/src/adapters/deadline.ts
@@ -0,0 +1,20 @@
+/**
+ * Abort signal with a deadline for one call. AbortSignal.any is not used,
+ * because on Node 20 each combined signal stays reachable from a long-lived
+ * one, and the platform is read every few seconds for months.
+ */
+export const withDeadline = async <T>(
+  timeoutMs: number, outer: AbortSignal | null | undefined, run: (signal: AbortSignal) => Promise<T>
+): Promise<T> => {
+  const controller = new AbortController()
+  const abort = (): void => controller.abort(outer?.reason)
+  const timer = setTimeout(() => controller.abort(new Error(`no answer within ${timeoutMs} ms`)), timeoutMs)
+  if (outer?.aborted) abort()
+  outer?.addEventListener('abort', abort)
+  try {
+    return await run(controller.signal)
+  } finally {
+    clearTimeout(timer)
+    outer?.removeEventListener('abort', abort)
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/adapters/http-json.ts
@@ -0,0 +1,55 @@
+/**
+ * GET of small documents from the platform by undici, bounded in time and size.
+ */
+import { Agent, request } from 'undici'
+import type { Result } from '@wisteriavalve/common'
+import { withDeadline } from './deadline.js'
+
+export type HttpReader = {
+  get: (url: string, options: { timeoutMs: number, signal?: AbortSignal }) => Promise<Result<HttpAnswer, string>>
+  close: () => Promise<void>
+}
+
+export type HttpAnswer = { status: number, headers: Record<string, string | string[] | undefined>, body: Uint8Array }
+
+const readBody = async (body: AsyncIterable<Uint8Array>, bytesMax: number): Promise<Uint8Array> => {
+  const chunks: Uint8Array[] = []
+  let size = 0
+  for await (const chunk of body) {
+    size += chunk.length
+    if (size > bytesMax) throw new Error(`the answer is larger than ${bytesMax} bytes`)
+    chunks.push(chunk)
+  }
+  return Buffer.concat(chunks)
+}
+
+export const describeError = (error: unknown): string => {
+  if (!(error instanceof Error)) return String(error)
+  const code = 'code' in error && typeof error.code === 'string' ? error.code : ''
+  return error.message || code || error.name
+}
+
+/** @param bytesMax largest accepted body */
+export const createHttpReader = (bytesMax: number): HttpReader => {
+  const dispatcher = new Agent({ connections: 8, pipelining: 1, keepAliveTimeout: 15_000, connect: { timeout: 1000 } })
+  const get: HttpReader['get'] = async (url, { timeoutMs, signal }) => {
+    try {
+      return await withDeadline(timeoutMs, signal, async deadline => {
+        const response = await request(url, { dispatcher, signal: deadline })
+        const body = await readBody(response.body, bytesMax)
+        return { ok: true, value: { status: response.statusCode, headers: response.headers, body } }
+      })
+    } catch (error) {
+      return { ok: false, error: describeError(error) }
+    }
+  }
+  return { get, close: () => dispatcher.destroy() }
+}
+
+export const parseJson = (bytes: Uint8Array): unknown => {
+  try {
+    return JSON.parse(Buffer.from(bytes).toString('utf8'))
+  } catch {
+    return undefined
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/adapters/peer-auth.ts
@@ -0,0 +1,42 @@
+/**
+ * Authentication of calls between nodes. Each request carries an HMAC-SHA256
+ * over method, path, body and a nonce, and each response one over the nonce
+ * and its body, with a key derived from the fleet key.
+ *
+ * A bearer derived from the fleet key was weighed: it is simpler, but whoever
+ * reads one request could make any call from then on, and responses would be
+ * unprotected although the order of a configuration comes from them. A time in
+ * the HMAC was weighed: the procedures only read, so a replayed request gives
+ * nothing that was not on the wire before, while a node with a wrong clock
+ * could not get its configuration.
+ */
+import { createHash, createHmac, randomBytes, timingSafeEqual } from 'node:crypto'
+
+export const REQUEST_NONCE_HEADER = 'x-fleet-nonce'
+export const AUTHENTICATION_HEADER = 'x-fleet-auth'
+
+export type SignedRequest = { method: string, path: string, body: string | Uint8Array, nonce: string }
+
+export type PeerAuth = {
+  newNonce: () => string
+  signRequest: (request: SignedRequest) => string
+  signResponse: (nonce: string, status: number, body: string | Uint8Array) => string
+}
+
+const digest = (body: string | Uint8Array): string => createHash('sha256').update(body).digest('hex')
+
+export const createPeerAuth = (fleet: string, fleetKey: string): PeerAuth => {
+  const key = createHmac('sha256', fleetKey).update(`peer\n${fleet}`).digest()
+  const sign = (...parts: string[]): string => createHmac('sha256', key).update(parts.join('\n')).digest('hex')
+  return {
+    newNonce: () => randomBytes(16).toString('hex'),
+    signRequest: ({ method, path, body, nonce }) => sign('request', method, path, nonce, digest(body)),
+    signResponse: (nonce, status, body) => sign('response', nonce, String(status), digest(body))
+  }
+}
+
+export const isSameMac = (expected: string, given: unknown): boolean => {
+  if (typeof given !== 'string') return false
+  const [a, b] = [Buffer.from(expected), Buffer.from(given)]
+  return a.length === b.length && timingSafeEqual(a, b)
+}
--- /dev/null
+++ b/packages/daemon/src/adapters/peer-client.ts
@@ -0,0 +1,75 @@
+/**
+ * Client of the calls between nodes. A response counts only with a valid HMAC
+ * over the nonce of its request.
+ */
+import { createTRPCClient, httpLink, type TRPCClient } from '@trpc/client'
+import { LRUCache } from 'lru-cache'
+import { Agent, request } from 'undici'
+import type { MemberUpdate } from '@wisteriavalve/schema'
+import { withDeadline } from './deadline.js'
+import { AUTHENTICATION_HEADER, isSameMac, REQUEST_NONCE_HEADER, type PeerAuth } from './peer-auth.js'
+import type { PeerRouter } from './peer-rpc.js'
+
+export type PeerAddress = Pick<MemberUpdate, 'host' | 'peerPort'>
+export type PeerClient = TRPCClient<PeerRouter>
+
+export type PeerClients = {
+  to: (address: PeerAddress) => PeerClient
+  callCount: () => number
+  bytesReceived: () => number
+  close: () => Promise<void>
+}
+
+const CLIENTS_MAX = 512
+const CALL_TIMEOUT_MS = 2000
+const RESPONSE_BYTES_MAX = 16_000_000
+
+export const createPeerClients = (auth: PeerAuth): PeerClients => {
+  const dispatcher = new Agent({
+    connections: 2, pipelining: 1, keepAliveTimeout: 4000, connect: { timeout: 1000 }, maxResponseSize: RESPONSE_BYTES_MAX
+  })
+  let callCount = 0
+  let bytesReceived = 0
+
+  const signedFetch = async (url: string | URL, options: { method?: string, body?: unknown, signal?: AbortSignal | null } = {}) => {
+    const { pathname, search } = new URL(url)
+    const method = options.method ?? 'GET'
+    const body = typeof options.body === 'string' ? options.body : ''
+    const nonce = auth.newNonce()
+    callCount++
+    const { status, mac, bytes } = await withDeadline(CALL_TIMEOUT_MS, options.signal, async signal => {
+      const response = await request(url, {
+        dispatcher,
+        signal,
+        method: method as 'GET' | 'POST',
+        body: method === 'POST' ? body : undefined,
+        headers: {
+          'content-type': 'application/json',
+          [REQUEST_NONCE_HEADER]: nonce,
+          [AUTHENTICATION_HEADER]: auth.signRequest({ method, path: pathname + search, body, nonce })
+        }
+      })
+      const bytes = new Uint8Array(await response.body.arrayBuffer())
+      return { status: response.statusCode, mac: response.headers[AUTHENTICATION_HEADER], bytes }
+    })
+    bytesReceived += bytes.length
+    if (!isSameMac(auth.signResponse(nonce, status, bytes), mac)) {
+      throw new Error(`the response is not authentic (status ${status})`)
+    }
+    return new Response(bytes, { status })
+  }
+
+  const open = ({ host, peerPort }: PeerAddress): PeerClient => createTRPCClient<PeerRouter>({
+    links: [httpLink({ url: `http://${host.includes(':') ? `[${host}]` : host}:${peerPort}/peer`, methodOverride: 'POST', fetch: signedFetch })]
+  })
+
+  const clients = new LRUCache<string, PeerClient>({ max: CLIENTS_MAX })
+  const to = (address: PeerAddress): PeerClient => {
+    const key = `${address.host}:${address.peerPort}`
+    const known = clients.get(key) ?? open(address)
+    clients.set(key, known)
+    return known
+  }
+
+  return { to, callCount: () => callCount, bytesReceived: () => bytesReceived, close: () => dispatcher.destroy() }
+}
--- /dev/null
+++ b/packages/daemon/src/adapters/peer-rpc.ts
@@ -0,0 +1,142 @@
+/**
+ * Calls between nodes over TCP: tRPC over HTTP on the peer address. All
+ * procedures only read. Requests without a valid HMAC are answered with 401
+ * before their content is looked at.
+ */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { initTRPC } from '@trpc/server'
+import { fetchRequestHandler } from '@trpc/server/adapters/fetch'
+import type { EventEntry, NodeReport, NodeStatus, VmEntry } from '@wisteriavalve/schema'
+import { parseExplainQuery, type ExplainQuery } from '../admin-api.js'
+import type { ListenAddress } from '../types.js'
+import { AUTHENTICATION_HEADER, isSameMac, REQUEST_NONCE_HEADER, type PeerAuth } from './peer-auth.js'
+
+export type PeerHead = { restoreCount: number, revision: number, bytesBase64: string }
+export type PeerValue = { hash: string, bytesBase64: string }
+/** ageMs: time since a node read the list from the platform. */
+export type PeerVmList = { ageMs: number, vms: VmEntry[] }
+
+/** What a node gives to its peers. */
+export type PeerRpcSource = {
+  head: () => PeerHead | null
+  values: (hashes: readonly string[]) => PeerValue[]
+  vmList: () => PeerVmList | null
+  status: () => NodeStatus
+  explain: (query: ExplainQuery) => EventEntry[]
+  report: () => NodeReport
+}
+
+export const VALUES_PER_CALL_MAX = 64
+/** A call stops adding values above this; the caller asks again for the rest. */
+export const VALUES_BYTES_MAX = 2_000_000
+const REQUEST_BYTES_MAX = 65_536
+const REQUEST_TIMEOUT_MS = 5000
+const ENDPOINT = '/peer'
+
+const parseHashes = (input: unknown): string[] => {
+  if (!Array.isArray(input) || input.length > VALUES_PER_CALL_MAX || !input.every(hash => typeof hash === 'string')) {
+    throw new Error(`hashes must be an array of at most ${VALUES_PER_CALL_MAX} strings`)
+  }
+  return input
+}
+
+const parseAge = (input: unknown): number => {
+  if (typeof input !== 'number' || !(input >= 0)) throw new Error('the age must be a number')
+  return input
+}
+
+export const createPeerRouter = (source: PeerRpcSource) => {
+  const { router, procedure } = initTRPC.create()
+  return router({
+    head: procedure.query(() => source.head()),
+    values: procedure.input(parseHashes).query(({ input }) => source.values(input)),
+    /** Null when the peer's list is not newer than the given age. */
+    vmList: procedure.input(parseAge).query(({ input }) => {
+      const list = source.vmList()
+      return list && list.ageMs < input ? list : null
+    }),
+    status: procedure.query(() => source.status()),
+    explain: procedure.input(parseExplainQuery).query(({ input }) => source.explain(input)),
+    report: procedure.query(() => source.report())
+  })
+}
+
+export type PeerRouter = ReturnType<typeof createPeerRouter>
+
+const readBody = async (request: IncomingMessage): Promise<Buffer | undefined> => {
+  const chunks: Buffer[] = []
+  let size = 0
+  for await (const chunk of request as AsyncIterable<Buffer>) {
+    size += chunk.length
+    if (size > REQUEST_BYTES_MAX) return undefined
+    chunks.push(chunk)
+  }
+  return Buffer.concat(chunks)
+}
+
+const isAuthentic = (auth: PeerAuth, request: IncomingMessage, body: Buffer, nonce: string): boolean => {
+  const expected = auth.signRequest({ method: request.method ?? '', path: request.url ?? '', body, nonce })
+  return nonce.length > 0 && isSameMac(expected, request.headers[AUTHENTICATION_HEADER])
+}
+
+const callRouter = (router: PeerRouter, request: IncomingMessage, body: Buffer): Promise<Response> => fetchRequestHandler({
+  endpoint: ENDPOINT,
+  router,
+  allowMethodOverride: true,
+  req: new Request(`http://peer${request.url ?? ''}`, {
+    method: request.method,
+    headers: { 'content-type': 'application/json' },
+    ...(request.method === 'POST' && { body: new Uint8Array(body) })
+  })
+})
+
+export type PeerServer = { port: number, rejectedCount: () => number, bytesSent: () => number, close: () => Promise<void> }
+
+const listen = (server: Server, { host, port }: ListenAddress): Promise<void> => new Promise((resolve, reject) => {
+  server.once('error', reject)
+  server.listen(port, host, () => {
+    server.off('error', reject)
+    resolve()
+  })
+})
+
+/** @throws the system's error when the address cannot be bound */
+export const openPeerServer = async (address: ListenAddress, auth: PeerAuth, source: PeerRpcSource): Promise<PeerServer> => {
+  const router = createPeerRouter(source)
+  let rejectedCount = 0
+  let bytesSent = 0
+
+  const answer = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+    const body = await readBody(request)
+    const nonce = String(request.headers[REQUEST_NONCE_HEADER] ?? '')
+    if (body === undefined || !isAuthentic(auth, request, body, nonce)) {
+      rejectedCount++
+      response.writeHead(body === undefined ? 413 : 401, { connection: 'close' }).end()
+      return
+    }
+    const result = await callRouter(router, request, body)
+    const bytes = Buffer.from(await result.arrayBuffer())
+    bytesSent += bytes.length
+    response.writeHead(result.status, {
+      'content-type': 'application/json',
+      'content-length': bytes.length,
+      [AUTHENTICATION_HEADER]: auth.signResponse(nonce, result.status, bytes)
+    }).end(bytes)
+  }
+
+  const server = createServer({ requestTimeout: REQUEST_TIMEOUT_MS, headersTimeout: REQUEST_TIMEOUT_MS, maxHeaderSize: 16_384 },
+    (request, response) => { answer(request, response).catch(() => response.destroy()) })
+  server.maxConnections = 256
+  await listen(server, address)
+  server.on('error', () => {})
+  return {
+    port: (server.address() as AddressInfo).port,
+    rejectedCount: () => rejectedCount,
+    bytesSent: () => bytesSent,
+    close: () => new Promise(resolve => {
+      server.close(() => resolve())
+      server.closeAllConnections()
+    })
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/adapters/vm-list.ts
@@ -0,0 +1,33 @@
+/**
+ * VM list of the platform. An answer that does not pass the schema is an
+ * error, so the caller keeps the last list.
+ */
+import type { Result } from '@wisteriavalve/common'
+import { explainErrors, isVmList, type VmList } from '@wisteriavalve/schema'
+import { createHttpReader, parseJson } from './http-json.js'
+
+export type VmListReader = {
+  read: (signal?: AbortSignal) => Promise<Result<VmList, string>>
+  readCount: () => number
+  close: () => Promise<void>
+}
+
+/** A list of 20,000 VMs has about 4 MB. */
+const LIST_BYTES_MAX = 8_000_000
+const READ_TIMEOUT_MS = 1500
+
+export const createVmListReader = (url: string): VmListReader => {
+  const reader = createHttpReader(LIST_BYTES_MAX)
+  let readCount = 0
+  const read: VmListReader['read'] = async signal => {
+    readCount++
+    const answer = await reader.get(url, { timeoutMs: READ_TIMEOUT_MS, signal })
+    if (!answer.ok) return answer
+    if (answer.value.status !== 200) return { ok: false, error: `status ${answer.value.status}` }
+    const list = parseJson(answer.value.body)
+    if (isVmList(list)) return { ok: true, value: list }
+    const fault = explainErrors(isVmList)[0]
+    return { ok: false, error: `the list is not valid: ${fault?.path ?? ''} ${fault?.message ?? ''}` }
+  }
+  return { read, readCount: () => readCount, close: reader.close }
+}
--- /dev/null
+++ b/packages/daemon/src/fleet/backoff.ts
@@ -0,0 +1,16 @@
+/**
+ * Waiting times after failures: doubled each time up to a bound, and random
+ * below it, so that nodes do not return to a recovered service together.
+ */
+import type { Random } from '@wisteriavalve/common'
+
+export type Backoff = { next: () => number, reset: () => void, failureCount: () => number }
+
+export const createBackoff = (options: { firstMs: number, maxMs: number, random: Random }): Backoff => {
+  let failureCount = 0
+  const next = (): number => {
+    const boundMs = Math.min(options.maxMs, options.firstMs * 2 ** Math.min(20, failureCount++))
+    return boundMs / 2 + options.random.next() * boundMs / 2
+  }
+  return { next, reset: () => { failureCount = 0 }, failureCount: () => failureCount }
+}
--- /dev/null
+++ b/packages/daemon/src/fleet/datagram-codec.ts
@@ -0,0 +1,136 @@
+/**
+ * Bytes of gossip datagrams: MessagePack arrays in the order of the fields of
+ * GossipEnvelope and GossipMessage, without field names, so that three times
+ * as many member updates fit into one datagram. The MAC is checked before the
+ * payload is decoded, and both are checked against the schema.
+ */
+import { createHmac, timingSafeEqual } from 'node:crypto'
+import { decode, encode } from '@msgpack/msgpack'
+import type { Result } from '@wisteriavalve/common'
+import { DATAGRAM_BYTES_MAX } from '@wisteriavalve/fleet'
+import { isGossipEnvelope, isGossipMessage, type GossipEnvelope, type GossipMessage, type MemberUpdate, type TargetNote } from '@wisteriavalve/schema'
+
+export type RejectReason = 'too-large' | 'malformed' | 'other-fleet' | 'not-authentic' | 'replayed' | 'late'
+
+export type Datagram = { from: string, bootId: number, sequence: number, message: GossipMessage }
+
+export type DatagramCodec = {
+  encode: (message: GossipMessage, sequence: number) => Uint8Array
+  decode: (bytes: Uint8Array) => Result<Datagram, RejectReason>
+  /** Size of the datagram that carries a message. */
+  sizeBytes: (message: GossipMessage) => number
+}
+
+export type CodecOptions = { fleet: string, fleetKey: string, nodeId: string, bootId: number }
+
+const TYPES = ['ping', 'ack', 'ping-request'] as const
+const STATES = ['alive', 'leaving', 'suspect', 'dead'] as const
+const OBSERVATIONS = ['draining', 'dead', 'answering'] as const
+/** MAC, boot id, sequence and the headers of arrays and strings; fleet and node id come on top. */
+const ENVELOPE_BYTES = 68
+
+const packUpdate = (update: MemberUpdate): unknown[] => [
+  update.nodeId, update.incarnation, STATES.indexOf(update.state), update.zone, update.host,
+  update.callerPort, update.gossipPort, update.peerPort, update.loadPercent ?? null
+]
+
+const packNote = (note: TargetNote): unknown[] => [
+  note.service, note.targetId, OBSERVATIONS.indexOf(note.observation), note.ageMs, note.inFlight ?? null, note.byProbe ?? null
+]
+
+const packMessage = (message: GossipMessage): unknown[] => {
+  const { configuration } = message
+  return [
+    TYPES.indexOf(message.type), message.nonce, message.subject ?? null, packUpdate(message.sender),
+    message.updates.map(packUpdate), message.notes.map(packNote),
+    configuration ? [configuration.restoreCount, configuration.revision, Buffer.from(configuration.headHash, 'hex')] : null
+  ]
+}
+
+/** Absent fields are left out, because the schema has no null. */
+const present = (fields: Record<string, unknown>): Record<string, unknown> =>
+  Object.fromEntries(Object.entries(fields).filter(([, value]) => value !== null && value !== undefined))
+
+const asArray = (value: unknown): unknown[] => {
+  if (!Array.isArray(value)) throw new TypeError('not an array')
+  return value
+}
+
+const unpackUpdate = (value: unknown): Record<string, unknown> => {
+  const [nodeId, incarnation, state, zone, host, callerPort, gossipPort, peerPort, loadPercent] = asArray(value)
+  return present({ nodeId, incarnation, state: STATES[state as number], zone, host, callerPort, gossipPort, peerPort, loadPercent })
+}
+
+const unpackNote = (value: unknown): Record<string, unknown> => {
+  const [service, targetId, observation, ageMs, inFlight, byProbe] = asArray(value)
+  return present({ service, targetId, observation: OBSERVATIONS[observation as number], ageMs, inFlight, byProbe })
+}
+
+const unpackOrder = (value: unknown): Record<string, unknown> => {
+  const [restoreCount, revision, hash] = asArray(value)
+  return { restoreCount, revision, headHash: hash instanceof Uint8Array ? Buffer.from(hash).toString('hex') : undefined }
+}
+
+const unpackMessage = (value: unknown): Record<string, unknown> => {
+  const [type, nonce, subject, sender, updates, notes, configuration] = asArray(value)
+  return present({
+    type: TYPES[type as number],
+    nonce,
+    subject,
+    sender: unpackUpdate(sender),
+    updates: asArray(updates).map(unpackUpdate),
+    notes: asArray(notes).map(unpackNote),
+    configuration: configuration === null ? null : unpackOrder(configuration)
+  })
+}
+
+const tryDecode = <T>(read: () => T): T | undefined => {
+  try {
+    return read()
+  } catch {
+    return undefined
+  }
+}
+
+const unpackEnvelope = (bytes: Uint8Array): GossipEnvelope | undefined => {
+  const parts = tryDecode(() => asArray(decode(bytes)))
+  if (!parts || parts.length !== 6) return undefined
+  const [fleet, from, bootId, sequence, payload, mac] = parts
+  const envelope = { fleet, from, bootId, sequence, payload, mac }
+  return isGossipEnvelope(envelope) && payload instanceof Uint8Array && mac instanceof Uint8Array ? envelope : undefined
+}
+
+export const createDatagramCodec = ({ fleet, fleetKey, nodeId, bootId }: CodecOptions): DatagramCodec => {
+  const key = createHmac('sha256', fleetKey).update('gossip').digest()
+
+  const sign = (envelope: GossipEnvelope): Buffer => createHmac('sha256', key)
+    .update(encode([envelope.fleet, envelope.from, envelope.bootId, envelope.sequence]))
+    .update(envelope.payload as Uint8Array)
+    .digest()
+
+  const isAuthentic = (envelope: GossipEnvelope): boolean => {
+    const given = envelope.mac as Uint8Array
+    const expected = sign(envelope)
+    return given.length === expected.length && timingSafeEqual(given, expected)
+  }
+
+  const decodeDatagram = (bytes: Uint8Array): Result<Datagram, RejectReason> => {
+    if (bytes.length > DATAGRAM_BYTES_MAX) return { ok: false, error: 'too-large' }
+    const envelope = unpackEnvelope(bytes)
+    if (!envelope) return { ok: false, error: 'malformed' }
+    if (envelope.fleet !== fleet) return { ok: false, error: 'other-fleet' }
+    if (!isAuthentic(envelope)) return { ok: false, error: 'not-authentic' }
+    const message = tryDecode(() => unpackMessage(decode(envelope.payload as Uint8Array)))
+    if (!isGossipMessage(message) || message.sender.nodeId !== envelope.from) return { ok: false, error: 'malformed' }
+    return { ok: true, value: { from: envelope.from, bootId: envelope.bootId, sequence: envelope.sequence, message } }
+  }
+
+  return {
+    encode: (message, sequence) => {
+      const envelope: GossipEnvelope = { fleet, from: nodeId, bootId, sequence, payload: encode(packMessage(message)) }
+      return encode([fleet, nodeId, bootId, sequence, envelope.payload, sign(envelope)])
+    },
+    decode: decodeDatagram,
+    sizeBytes: message => encode(packMessage(message)).length + ENVELOPE_BYTES + fleet.length + nodeId.length
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/fleet/fleet-runtime.ts
@@ -0,0 +1,220 @@
+/**
+ * The part of the daemon that acts together with other nodes and reads the
+ * platform: wires membership, configuration, VM list, probes and the calls
+ * between nodes to each other and to the rest of the daemon.
+ */
+import { answerEntry, createTargetUnion, type AdoptedConfiguration } from '@wisteriavalve/fleet'
+import type { ProbeResult } from '@wisteriavalve/policy'
+import type { EntryAnswer, MemberState, MemberUpdate, TargetNote, VmEntry } from '@wisteriavalve/schema'
+import { shuffle } from '@wisteriavalve/common'
+import { createConfigurationService } from '../adapters/configuration-service.js'
+import { createPeerAuth } from '../adapters/peer-auth.js'
+import { createPeerClients, type PeerAddress } from '../adapters/peer-client.js'
+import { openPeerServer, type PeerServer } from '../adapters/peer-rpc.js'
+import { createVmListReader } from '../adapters/vm-list.js'
+import type { DaemonContext, FleetRuntime, PeerSource, ServiceTargets } from '../types.js'
+import { createConfigurationDriver } from './configuration-driver.js'
+import { gather } from './gather.js'
+import { createGossipDriver } from './gossip-driver.js'
+import { createProbeDriver } from './probe-driver.js'
+import { createVmListDriver } from './vm-list-driver.js'
+
+const STARTUP_PEERS = 3
+/** Used before a configuration is in force. */
+const ENTRY_DEFAULTS = { entryAddressCount: 4, entryLifetimeMs: 10_000 }
+
+const createListeners = <A extends unknown[]>() => {
+  const listeners: Array<(...values: A) => void> = []
+  return {
+    add: (listener: (...values: A) => void): void => { listeners.push(listener) },
+    call: (...values: A): void => { for (const listener of listeners) listener(...values) }
+  }
+}
+
+export const createFleetRuntime = (context: DaemonContext): FleetRuntime => {
+  const { clock, random, settings } = context
+  const auth = createPeerAuth(settings.fleet, settings.fleetKey)
+  const clients = createPeerClients(auth)
+  const service = createConfigurationService({ url: settings.configurationServiceUrl, fleet: settings.fleet })
+  const vmListReader = createVmListReader(settings.vmListUrl)
+  const union = createTargetUnion()
+  const onConfiguration = createListeners<[AdoptedConfiguration]>()
+  const onTargets = createListeners<[string, ServiceTargets]>()
+  const onNotes = createListeners<[TargetNote[]]>()
+  const onProbe = createListeners<[string, string, ProbeResult]>()
+  let lastAnswerMs: (service: string, targetId: string) => number | undefined = () => undefined
+  let peerServer: PeerServer | undefined
+  let peerSource: PeerSource | undefined
+
+  const members = (): MemberUpdate[] => gossip.membership()?.members() ?? []
+  const peers = (): MemberUpdate[] => members().filter(({ nodeId }) => nodeId !== settings.nodeId)
+
+  const publishTargets = (): void => {
+    for (const [name, targets] of union.takeChanges(clock.nowMs())) {
+      probes.setTargets(name, targets)
+      onTargets.call(name, targets)
+    }
+  }
+
+  const observe = (notes: TargetNote[]): void => {
+    for (const note of notes) union.noteObservation(note, clock.nowMs())
+    probes.noteObservations(notes)
+    publishTargets()
+  }
+
+  const onMember = (member: MemberUpdate, previous: MemberState | undefined): void => {
+    context.log('member_state', { node: member.nodeId, state: member.state, previous: previous ?? 'unknown', incarnation: member.incarnation })
+    context.events.add({
+      atMs: clock.nowMs(),
+      wallMs: Date.now(),
+      event: 'member_state',
+      automatic: true,
+      text: `Node ${member.nodeId} is ${member.state}, before: ${previous ?? 'unknown'}.`
+    })
+    configuration.noteMembers()
+  }
+
+  const gossip = createGossipDriver(context, {
+    onMember,
+    onNotes: notes => {
+      observe(notes)
+      onNotes.call(notes)
+    },
+    onConfigurationSeen: (from, order) => configuration.noteSeen(from, order)
+  })
+
+  const onVmList = (vms: readonly VmEntry[]): void => {
+    gossip.learn(vms)
+    const leaving = union.setVms(vms, clock.nowMs())
+    // Nodes that wait for their copy of the list learn of leaving VMs by gossip.
+    gossip.membership()?.queueNotes(leaving.map(vm => ({ service: vm.service as string, targetId: vm.vmId, observation: 'draining', ageMs: 0 })), clock.nowMs())
+    publishTargets()
+  }
+
+  const vmList = createVmListDriver({
+    context,
+    reader: vmListReader,
+    clients,
+    isWatcher: () => configuration.isWatcher(),
+    randomPeer: () => {
+      const known = peers().filter(({ state }) => state === 'alive')
+      const near = known.filter(({ zone }) => zone === settings.zone)
+      const pool = near.length > 0 ? near : known
+      return pool[random.int(Math.max(1, pool.length))]
+    },
+    onList: onVmList
+  })
+
+  const startupPeers = async (): Promise<PeerAddress[]> => {
+    await vmList.ready()
+    const listed = vmList.vms().filter(({ role, vmId, peerPort, state }) =>
+      role === 'entry' && vmId !== settings.nodeId && peerPort !== undefined && state === 'live')
+    const known = [...listed.map(({ host, peerPort }) => ({ host, peerPort: peerPort as number })), ...peers()]
+    return shuffle(known, random).slice(0, STARTUP_PEERS)
+  }
+
+  const configuration = createConfigurationDriver({
+    context,
+    service,
+    clients,
+    members,
+    startupPeers,
+    onAdopted: adopted => {
+      gossip.membership()?.setConfiguration(adopted.order)
+      union.setServices(adopted.services)
+      probes.setConfiguration(adopted)
+      onConfiguration.call(adopted)
+      publishTargets()
+    }
+  })
+
+  const probes = createProbeDriver({
+    context,
+    lastAnswerMs: (name, targetId) => lastAnswerMs(name, targetId),
+    onResult: (name, targetId, result) => {
+      onProbe.call(name, targetId, result)
+      if (!result.ok) return
+      const observation = result.state === 'draining' ? 'draining' as const : 'answering' as const
+      const inFlight = result.load.inFlight
+      gossip.membership()?.queueNotes([{ service: name, targetId, observation, ageMs: 0, byProbe: true, ...(inFlight !== undefined && { inFlight }) }], clock.nowMs())
+    }
+  })
+
+  const shareNotes = (notes: TargetNote[]): void => {
+    const nowMs = clock.nowMs()
+    const marked = notes.map(note => note.observation === 'answering' && probes.isProbeAnswer(note.service, note.targetId, nowMs - note.ageMs)
+      ? { ...note, byProbe: true }
+      : note)
+    gossip.membership()?.queueNotes(marked.map(note => ({ ...note, ageMs: Math.max(0, Math.round(note.ageMs)) })), nowMs)
+    observe(marked)
+  }
+
+  const start = async (source: PeerSource): Promise<void> => {
+    peerSource = source
+    peerServer = await openPeerServer(settings.peerListen, auth, {
+      head: configuration.head, values: configuration.values, vmList: vmList.shared, ...source
+    })
+    try {
+      await gossip.start({ peerPort: peerServer.port })
+    } catch (error) {
+      await peerServer.close()
+      throw error
+    }
+    configuration.noteMembers()
+    vmList.start()
+    configuration.start()
+    probes.start()
+  }
+
+  const entryAnswer = (zone?: string): EntryAnswer =>
+    answerEntry({ members: members(), settings: configuration.adopted()?.settings ?? ENTRY_DEFAULTS }, { zone }, random)
+
+  const ownSource = (): PeerSource => {
+    if (!peerSource) throw new Error('the fleet runtime was not started')
+    return peerSource
+  }
+
+  const counters = (): Record<string, number> => ({
+    ...gossip.counters(),
+    ...probes.counters(),
+    configuration_service_reads: service.readCount(),
+    vm_list_reads: vmListReader.readCount(),
+    peer_calls: clients.callCount(),
+    peer_bytes_received: clients.bytesReceived(),
+    peer_bytes_sent: peerServer?.bytesSent() ?? 0,
+    peer_rejected: peerServer?.rejectedCount() ?? 0
+  })
+
+  const stop = async (): Promise<void> => {
+    configuration.stop()
+    vmList.stop()
+    await Promise.all([gossip.stop(), probes.stop(), peerServer?.close(), clients.close(), service.close(), vmListReader.close()])
+  }
+
+  return {
+    start,
+    onConfiguration: onConfiguration.add,
+    onTargets: onTargets.add,
+    onNotes: onNotes.add,
+    onProbe: onProbe.add,
+    setAnswerSource: source => { lastAnswerMs = source },
+    shareNotes,
+    setLoadPercent: loadPercent => gossip.membership()?.setLoadPercent(loadPercent),
+    entryAnswer,
+    members,
+    configuration: configuration.adopted,
+    configurationStatus: configuration.report,
+    gatherStatus: () => gather(ownSource().status(), peers(), peer => clients.to(peer).status.query()),
+    gatherExplain: query => gather(
+      { nodeId: settings.nodeId, events: ownSource().explain(query) }, peers(),
+      async peer => ({ nodeId: peer.nodeId, events: await clients.to(peer).explain.query(query) })),
+    gatherReport: () => gather(ownSource().report(), peers(), peer => clients.to(peer).report.query()),
+    leave: gossip.leave,
+    wake: gapMs => {
+      gossip.wake(gapMs)
+      probes.wake(gapMs)
+    },
+    counters,
+    stop
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/fleet/gossip-driver.ts
@@ -0,0 +1,146 @@
+/**
+ * Connects membership to the gossip socket: ticks, datagrams in and out, and
+ * the count of datagrams that were dropped. A datagram is sent in the same
+ * turn of the event loop in which it was decided.
+ */
+import {
+  createMembership, createReplayGuard, PAUSE_GAP_MS, type GossipAddress, type Membership, type MembershipAction
+} from '@wisteriavalve/fleet'
+import type { ConfigurationOrder, MemberState, MemberUpdate, TargetNote, VmEntry } from '@wisteriavalve/schema'
+import { openGossipSocket, type GossipSocket } from '../adapters/gossip-udp.js'
+import type { DaemonContext } from '../types.js'
+import { createDatagramCodec, type Datagram, type RejectReason } from './datagram-codec.js'
+
+export type GossipHandlers = {
+  onMember: (member: MemberUpdate, previous: MemberState | undefined) => void
+  onNotes: (notes: TargetNote[]) => void
+  onConfigurationSeen: (from: string, order: ConfigurationOrder) => void
+}
+
+export type GossipDriver = {
+  /** Binds the socket. */
+  start: (ports: { peerPort: number }) => Promise<void>
+  membership: () => Membership | undefined
+  learn: (vms: readonly VmEntry[]) => void
+  leave: () => void
+  wake: (gapMs: number) => void
+  counters: () => Record<string, number>
+  stop: () => Promise<void>
+}
+
+const TICK_MS = 100
+const REJECT_LOG_INTERVAL_MS = 10_000
+/** What the socket buffered during a pause arrives within this time after it. */
+const BACKLOG_MS = 50
+/** Boot ids of two starts within one ms differ by a random part. */
+const BOOT_ID_FACTOR = 1000
+
+const createRejectLog = (context: DaemonContext) => {
+  const counts = new Map<RejectReason, number>()
+  const unlogged = new Map<RejectReason, number>()
+  let nextLogMs = -Infinity
+  const note = (reason: RejectReason): void => {
+    counts.set(reason, (counts.get(reason) ?? 0) + 1)
+    unlogged.set(reason, (unlogged.get(reason) ?? 0) + 1)
+    if (context.clock.nowMs() < nextLogMs) return
+    nextLogMs = context.clock.nowMs() + REJECT_LOG_INTERVAL_MS
+    context.log('gossip_rejected', Object.fromEntries([...unlogged].map(([name, count]) => [name.replaceAll('-', '_'), count])))
+    unlogged.clear()
+  }
+  return { note, counts }
+}
+
+const selfUpdate = ({ settings }: DaemonContext, gossipPort: number, peerPort: number): MemberUpdate => ({
+  nodeId: settings.nodeId,
+  // A restart within the same second is sorted out by refutation.
+  incarnation: Math.floor(Date.now() / 1000),
+  state: 'alive',
+  zone: settings.zone,
+  host: settings.advertiseHost,
+  callerPort: settings.advertiseCallerPort ?? settings.callerListen.port,
+  gossipPort: settings.advertiseGossipPort ?? gossipPort,
+  peerPort: settings.advertisePeerPort ?? peerPort,
+  loadPercent: 0
+})
+
+export const createGossipDriver = (context: DaemonContext, handlers: GossipHandlers): GossipDriver => {
+  const { clock, random, settings } = context
+  const codec = createDatagramCodec({
+    fleet: settings.fleet, fleetKey: settings.fleetKey, nodeId: settings.nodeId, bootId: Date.now() * BOOT_ID_FACTOR + random.int(BOOT_ID_FACTOR)
+  })
+  const guard = createReplayGuard()
+  const rejects = createRejectLog(context)
+  const counters = { gossip_sent: 0, gossip_sent_bytes: 0, gossip_received: 0, gossip_received_bytes: 0 }
+  let socket: GossipSocket | undefined
+  let membership: Membership | undefined
+  let cancelTick = (): void => {}
+  let lastTickMs = 0
+  let backlogEndMs = -Infinity
+  let sequence = 0
+
+  const run = (actions: readonly MembershipAction[], datagram?: Datagram): void => {
+    for (const action of actions) {
+      if (action.type === 'send') {
+        const bytes = codec.encode(action.message, sequence++)
+        counters.gossip_sent++
+        counters.gossip_sent_bytes += bytes.length
+        socket?.send(bytes, action.to)
+      } else if (action.type === 'member-changed') handlers.onMember(action.member, action.previous)
+      else if (action.type === 'notes-received') handlers.onNotes(action.notes)
+      else if (action.type === 'configuration-seen') handlers.onConfigurationSeen(action.from, action.order)
+      else if (action.type === 'member-forgotten') guard.forget(action.nodeId)
+      else if (datagram) guard.verify(datagram.from, datagram.bootId, datagram.sequence)
+    }
+  }
+
+  const isBacklog = (nowMs: number): boolean => nowMs - lastTickMs > PAUSE_GAP_MS || nowMs < backlogEndMs
+
+  const onDatagram = (bytes: Uint8Array, from: GossipAddress): void => {
+    counters.gossip_received++
+    counters.gossip_received_bytes += bytes.length
+    const nowMs = clock.nowMs()
+    if (isBacklog(nowMs)) return rejects.note('late')
+    const decoded = codec.decode(bytes)
+    if (!decoded.ok) return rejects.note(decoded.error)
+    const { value } = decoded
+    const freshness = guard.accept(value.from, value.bootId, value.sequence)
+    if (freshness === 'replayed') return rejects.note('replayed')
+    run(membership?.receive(value.message, from, nowMs, freshness === 'verified') ?? [], value)
+  }
+
+  const tick = (): void => {
+    const nowMs = clock.nowMs()
+    if (nowMs - lastTickMs > PAUSE_GAP_MS) backlogEndMs = nowMs + BACKLOG_MS
+    lastTickMs = nowMs
+    run(membership?.tick(nowMs) ?? [])
+    cancelTick = clock.after(TICK_MS, tick)
+  }
+
+  const start = async ({ peerPort }: { peerPort: number }): Promise<void> => {
+    socket = await openGossipSocket(settings.gossipListen, onDatagram)
+    membership = createMembership({ self: selfUpdate(context, socket.port, peerPort), random, sizeBytes: codec.sizeBytes })
+    lastTickMs = clock.nowMs()
+    tick()
+  }
+
+  return {
+    start,
+    membership: () => membership,
+    learn: vms => run(membership?.learn(vms, clock.nowMs()) ?? []),
+    leave: () => run(membership?.leave(clock.nowMs()) ?? []),
+    wake: gapMs => {
+      lastTickMs = clock.nowMs()
+      backlogEndMs = lastTickMs + BACKLOG_MS
+      run(membership?.wake(gapMs, lastTickMs) ?? [])
+    },
+    counters: () => ({
+      ...counters,
+      ...Object.fromEntries([...rejects.counts].map(([reason, count]) => [`gossip_rejected_${reason.replaceAll('-', '_')}`, count]))
+    }),
+    stop: async () => {
+      cancelTick()
+      await socket?.close()
+      socket = undefined
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/fleet/probe-runner.ts
@@ -0,0 +1,50 @@
+/**
+ * Sends one health probe: GET of the health path on a connection of its own,
+ * bounded in time and size. Probes never use the connections of requests.
+ */
+import { Agent, request } from 'undici'
+import type { ProbeResult } from '@wisteriavalve/policy'
+import { isBackendHealth, type Target } from '@wisteriavalve/schema'
+import { withDeadline } from '../adapters/deadline.js'
+import { parseJson } from '../adapters/http-json.js'
+
+export type ProbeRunner = {
+  probe: (target: Target, healthPath: string) => Promise<ProbeResult>
+  close: () => Promise<void>
+}
+
+const TIMEOUT_MS = 1000
+const BODY_BYTES_MAX = 16_384
+const CONNECT_ERRORS = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EHOSTDOWN', 'UND_ERR_CONNECT_TIMEOUT'])
+
+const failureOf = (error: unknown): ProbeResult => {
+  const code = error instanceof Error && 'code' in error ? String(error.code) : ''
+  if (CONNECT_ERRORS.has(code)) return { ok: false, failure: 'connect-failed' }
+  return { ok: false, failure: code.startsWith('ECONN') || code === 'EPIPE' || code === 'UND_ERR_SOCKET' ? 'reset' : 'timeout' }
+}
+
+const hostOf = (host: string): string => host.includes(':') ? `[${host}]` : host
+
+export const createProbeRunner = (nowMs: () => number): ProbeRunner => {
+  const dispatcher = new Agent({ connections: 1, pipelining: 1, connect: { timeout: TIMEOUT_MS }, maxResponseSize: BODY_BYTES_MAX })
+
+  const readHealth = async (url: string, signal: AbortSignal): Promise<ProbeResult> => {
+    const startMs = nowMs()
+    const response = await request(url, { dispatcher, signal, reset: true })
+    const body = new Uint8Array(await response.body.arrayBuffer())
+    const health = parseJson(body)
+    if (response.statusCode !== 200 || !isBackendHealth(health)) return { ok: false, failure: 'error-status' }
+    return { ok: true, state: health.state, load: { inFlight: health.inFlight, slots: health.slots }, latencyMs: nowMs() - startMs }
+  }
+
+  return {
+    probe: async (target, healthPath) => {
+      try {
+        return await withDeadline(TIMEOUT_MS, undefined, signal => readHealth(`http://${hostOf(target.host)}:${target.port}${healthPath}`, signal))
+      } catch (error) {
+        return failureOf(error)
+      }
+    },
+    close: () => dispatcher.destroy()
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/fleet/service-watch.ts
@@ -0,0 +1,102 @@
+/**
+ * Reads of the head on the configuration service. A watcher keeps a blocking
+ * query open; every other node reads the head rarely, at a rate that shrinks
+ * as the fleet grows, in case all watchers of its zone are cut off from the
+ * service.
+ */
+import type { Clock, Random, Result } from '@wisteriavalve/common'
+import type { ConfigurationService, HeadRead } from '../adapters/configuration-service.js'
+import { createBackoff } from './backoff.js'
+import type { ReadLimit } from './read-limit.js'
+import { wait } from './wait.js'
+
+export type ServiceWatchOptions = {
+  clock: Clock
+  random: Random
+  service: ConfigurationService
+  limit: ReadLimit
+  memberCount: () => number
+  onRead: (read: Result<HeadRead, string>) => void
+}
+
+export type ServiceWatch = {
+  start: () => void
+  setWatching: (isWatching: boolean) => void
+  stop: () => void
+}
+
+/** Least time between two answers of a watch, in case the service does not hold it back. */
+const ANSWER_SPACING_MS = 500
+/** A change restarts the watch sooner, so that several changes in a row arrive quickly. */
+const CHANGE_SPACING_MS = 100
+const START_JITTER_MS = 500
+const POLL_MS_MIN = 60_000
+/** All nodes together poll at most every 2 s. */
+const POLL_MS_PER_MEMBER = 2000
+
+export const createServiceWatch = (options: ServiceWatchOptions): ServiceWatch => {
+  const { clock, random, service, limit } = options
+  const backoff = createBackoff({ firstMs: 500, maxMs: 15_000, random })
+  const stopped = new AbortController()
+  let role = new AbortController()
+  let isWatching = false
+  let isStarted = false
+
+  const jittered = (ms: number): number => ms * (0.8 + 0.4 * random.next())
+
+  const readOnce = async (index: number, signal: AbortSignal): Promise<Result<HeadRead, string> | undefined> => {
+    await limit.acquire(signal)
+    if (signal.aborted) return undefined
+    const read = await service.readHead(index, signal)
+    if (signal.aborted) return undefined
+    options.onRead(read)
+    if (read.ok) backoff.reset()
+    return read
+  }
+
+  const watch = async (signal: AbortSignal): Promise<void> => {
+    let index = 0
+    let revision: number | undefined
+    await wait(clock, random.next() * START_JITTER_MS, signal)
+    while (!signal.aborted) {
+      const read = await readOnce(index, signal)
+      if (!read) return
+      if (!read.ok) {
+        index = 0
+        await wait(clock, backoff.next(), signal)
+        continue
+      }
+      // An index that went back belongs to another copy of the data; waiting on the old one could miss changes.
+      index = read.value.index < index ? 0 : read.value.index
+      const isNew = read.value.head?.revision !== revision
+      revision = read.value.head?.revision
+      await wait(clock, jittered(isNew ? CHANGE_SPACING_MS : ANSWER_SPACING_MS), signal)
+    }
+  }
+
+  const poll = async (signal: AbortSignal): Promise<void> => {
+    while (!signal.aborted) {
+      await wait(clock, jittered(Math.max(POLL_MS_MIN, POLL_MS_PER_MEMBER * options.memberCount())), signal)
+      if (!signal.aborted) await readOnce(0, signal)
+    }
+  }
+
+  const start = (): void => {
+    isStarted = true
+    role = new AbortController()
+    const signal = AbortSignal.any([role.signal, stopped.signal])
+    const loop = isWatching ? watch(signal) : poll(signal)
+    loop.catch(() => {})
+  }
+
+  return {
+    start,
+    setWatching: next => {
+      if (next === isWatching) return
+      isWatching = next
+      role.abort()
+      if (isStarted && !stopped.signal.aborted) start()
+    },
+    stop: () => stopped.abort()
+  }
+}
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,2 +1,3 @@
 export * from './types.js'
 export * from './admin-api.js'
+export { createFleetRuntime } from './fleet/fleet-runtime.js'
--- a/packages/daemon/src/types.ts
+++ b/packages/daemon/src/types.ts
@@ -3,6 +3,7 @@
  */
 import type { Clock, EventRecord, Random } from '@wisteriavalve/common'
 import type { AdoptedConfiguration } from '@wisteriavalve/fleet'
+import type { ProbeResult } from '@wisteriavalve/policy'
 import type {
   ConfigurationOrder, EntryAnswer, EventEntry, LogEventName, MemberUpdate, NodeReport, NodeStatus, Target, TargetNote
 } from '@wisteriavalve/schema'
@@ -62,6 +63,10 @@
   onConfiguration: (listener: (configuration: AdoptedConfiguration) => void) => void
   onTargets: (listener: (service: string, targets: ServiceTargets) => void) => void
   onNotes: (listener: (notes: TargetNote[]) => void) => void
+  /** Result of a health probe of this node. */
+  onProbe: (listener: (service: string, targetId: string, result: ProbeResult) => void) => void
+  /** Where the probe planner asks for the last answer to a request of this node, monotonic ms. */
+  setAnswerSource: (lastAnswerMs: (service: string, targetId: string) => number | undefined) => void
   shareNotes: (notes: TargetNote[]) => void
   setLoadPercent: (loadPercent: number) => void
   entryAnswer: (zone?: string) => EntryAnswer
--- /dev/null
+++ b/packages/daemon/test/fleet-nodes.ts
@@ -0,0 +1,110 @@
+/** Starts fleet runtimes on loopback ports for tests. */
+import { createEventRecord, createRandom, createSystemClock } from '@wisteriavalve/common'
+import type { AdoptedConfiguration } from '@wisteriavalve/fleet'
+import type { LogEventName, NodeStatus, TargetNote, VmEntry } from '@wisteriavalve/schema'
+import { createFleetRuntime, type DaemonSettings, type FleetRuntime, type ServiceTargets } from '../src/index.js'
+import { createSocket } from 'node:dgram'
+import { createServer, type AddressInfo } from 'node:net'
+
+export type TestNode = {
+  id: string
+  settings: DaemonSettings
+  runtime: FleetRuntime
+  vm: VmEntry
+  adopted: AdoptedConfiguration[]
+  targets: Map<string, ServiceTargets>
+  notes: TargetNote[]
+  logs: Array<{ event: LogEventName, fields: Record<string, unknown> }>
+}
+
+const freeTcpPort = (): Promise<number> => new Promise(resolve => {
+  const server = createServer().listen(0, '127.0.0.1', () => {
+    const { port } = server.address() as AddressInfo
+    server.close(() => resolve(port))
+  })
+})
+
+const freeUdpPort = (): Promise<number> => new Promise(resolve => {
+  const socket = createSocket('udp4').bind(0, '127.0.0.1', () => {
+    const { port } = socket.address()
+    socket.close(() => resolve(port))
+  })
+})
+
+const host = '127.0.0.1'
+
+export const nodeSettings = async (index: number, platformUrl: string, change: Partial<DaemonSettings> = {}): Promise<DaemonSettings> => ({
+  nodeId: `entry-${index}`,
+  fleet: 'okonkwo',
+  zone: ['lagos-a', 'lagos-b', 'ibadan-c'][index % 3] as string,
+  fleetKey: 'a-test-key-of-the-fleet',
+  callerListen: { host, port: 20_000 + index },
+  gossipListen: { host, port: await freeUdpPort() },
+  peerListen: { host, port: await freeTcpPort() },
+  adminListen: { host, port: 1 },
+  advertiseHost: host,
+  configurationServiceUrl: platformUrl,
+  vmListUrl: `${platformUrl}/v1/vms`,
+  services: [],
+  policy: 'adaptive',
+  seed: index + 1,
+  logLevel: 'info',
+  stopTimeoutMs: 0,
+  ...change
+})
+
+export const entryVm = (settings: DaemonSettings): VmEntry => ({
+  vmId: settings.nodeId,
+  role: 'entry',
+  zone: settings.zone,
+  host,
+  port: settings.callerListen.port,
+  gossipPort: settings.gossipListen.port,
+  peerPort: settings.peerListen.port,
+  state: 'live'
+})
+
+const statusOf = (runtime: FleetRuntime, settings: DaemonSettings): NodeStatus => ({
+  nodeId: settings.nodeId,
+  fleet: settings.fleet,
+  zone: settings.zone,
+  phase: 'serving',
+  uptimeMs: 1,
+  policy: settings.policy,
+  configurationState: runtime.configurationStatus().state,
+  configurationReason: runtime.configurationStatus().reason ?? '',
+  members: runtime.members(),
+  targets: [],
+  counters: runtime.counters()
+})
+
+export const startNode = async (settings: DaemonSettings): Promise<TestNode> => {
+  const logs: TestNode['logs'] = []
+  const runtime = createFleetRuntime({
+    settings,
+    clock: createSystemClock(),
+    random: createRandom(settings.seed),
+    log: (event, fields = {}) => { logs.push({ event, fields }) },
+    events: createEventRecord(1000)
+  })
+  const node: TestNode = { id: settings.nodeId, settings, runtime, vm: entryVm(settings), adopted: [], targets: new Map(), notes: [], logs }
+  runtime.onConfiguration(configuration => { node.adopted.push(configuration) })
+  runtime.onTargets((service, targets) => { node.targets.set(service, targets) })
+  runtime.onNotes(notes => { node.notes.push(...notes) })
+  await runtime.start({
+    status: () => statusOf(runtime, settings),
+    explain: () => [],
+    report: () => ({ nodeId: settings.nodeId, zone: settings.zone, sinceWallMs: 0, buckets: [], events: [] })
+  })
+  return node
+}
+
+/** Waits until a condition holds; checks every 10 ms. */
+export const until = async (what: string, holds: () => boolean, timeoutMs = 10_000): Promise<number> => {
+  const startMs = performance.now()
+  while (!holds()) {
+    if (performance.now() - startMs > timeoutMs) throw new Error(`not within ${timeoutMs} ms: ${what}`)
+    await new Promise(resolve => { setTimeout(resolve, 10) })
+  }
+  return performance.now() - startMs
+}
--- /dev/null
+++ b/packages/fleet/src/adoption-machine.ts
@@ -0,0 +1,37 @@
+/**
+ * Lifecycle of a head on its way into force. Values are collected in two
+ * rounds because the services' hashes are known only from the shards.
+ */
+import { assign, createActor, setup } from 'xstate'
+import type { ConfigurationFault } from './types.js'
+
+type AdoptionEvent =
+  | { type: 'roots-complete' }
+  | { type: 'services-complete' }
+  | { type: 'fault', fault: ConfigurationFault }
+  | { type: 'superseded' }
+
+export const adoptionMachine = setup({
+  types: { context: {} as { fault?: ConfigurationFault }, events: {} as AdoptionEvent },
+  actions: { keepFault: assign({ fault: ({ event }) => event.type === 'fault' ? event.fault : undefined }) }
+}).createMachine({
+  id: 'adoption',
+  context: {},
+  initial: 'collecting-roots',
+  on: { superseded: '.replaced' },
+  states: {
+    'collecting-roots': {
+      on: { 'roots-complete': 'collecting-services', fault: { target: 'rejected', actions: 'keepFault' } }
+    },
+    'collecting-services': {
+      on: { 'services-complete': 'in-force', fault: { target: 'rejected', actions: 'keepFault' } }
+    },
+    'in-force': {},
+    replaced: { type: 'final' },
+    rejected: { type: 'final' }
+  }
+})
+
+export const createAdoption = () => createActor(adoptionMachine).start()
+
+export type Adoption = ReturnType<typeof createAdoption>
--- /dev/null
+++ b/packages/fleet/src/configuration-documents.ts
@@ -0,0 +1,91 @@
+/**
+ * Reads the documents of a configuration from their bytes and checks them in
+ * full. A document that fails any check keeps the whole configuration from
+ * being adopted.
+ */
+import { createHash } from 'node:crypto'
+import { hash32 } from '@wisteriavalve/common'
+import {
+  explainErrors, isFleetSettings, isHead, isServiceConfiguration, isShard,
+  type FleetSettings, type Head, type ServiceConfiguration, type Shard
+} from '@wisteriavalve/schema'
+import { SHARD_COUNT } from './constants.js'
+import type { ConfigurationFault, ParseResult } from './types.js'
+
+type Validator<T> = { (value: unknown): value is T, errors?: Parameters<typeof explainErrors>[0]['errors'] }
+
+const decoder = new TextDecoder('utf-8', { fatal: true })
+
+export const hashBytes = (bytes: Uint8Array): string => createHash('sha256').update(bytes).digest('hex')
+
+/** Shard of a service: two decimal digits. */
+export const shardOf = (service: string): string => String(hash32(service) % SHARD_COUNT).padStart(2, '0')
+
+const fault = (code: ConfigurationFault['code'], message: string): { ok: false, error: ConfigurationFault } =>
+  ({ ok: false, error: { code, message } })
+
+const parseDocument = <T>(name: string, bytes: Uint8Array, validate: Validator<T>): ParseResult<T> => {
+  let value: unknown
+  try {
+    value = JSON.parse(decoder.decode(bytes))
+  } catch {
+    return fault('value-invalid', `${name} is not JSON`)
+  }
+  if (validate(value)) return { ok: true, value }
+  const first = explainErrors(validate)[0]
+  return fault('value-invalid', `${name}: ${first?.path ?? ''} ${first?.message ?? 'is not valid'}`)
+}
+
+export const parseHead = (bytes: Uint8Array, fleet: string, restoreCount: number): ParseResult<Head> => {
+  const head = parseDocument('head', bytes, isHead)
+  if (!head.ok) return head
+  if (head.value.fleet !== fleet) return fault('fleet-mismatch', `head belongs to fleet ${head.value.fleet}`)
+  if (head.value.restoreCount !== restoreCount) return fault('value-invalid', 'restore count differs from the one in the head')
+  return head
+}
+
+export const parseFleetSettings = (bytes: Uint8Array, fleet: string): ParseResult<FleetSettings> => {
+  const settings = parseDocument('fleet settings', bytes, isFleetSettings)
+  if (settings.ok && settings.value.fleet !== fleet) return fault('fleet-mismatch', `fleet settings belong to fleet ${settings.value.fleet}`)
+  return settings
+}
+
+export const parseShard = (bytes: Uint8Array, shardId: string): ParseResult<Shard> => {
+  const shard = parseDocument(`shard ${shardId}`, bytes, isShard)
+  if (!shard.ok) return shard
+  const foreign = Object.keys(shard.value.services).find(service => shardOf(service) !== shardId)
+  return foreign === undefined ? shard : fault('value-invalid', `service ${foreign} does not belong to shard ${shardId}`)
+}
+
+const findDuplicate = (values: readonly string[]): string | undefined =>
+  new Set(values).size === values.length ? undefined : values.find((value, index) => values.indexOf(value) !== index)
+
+export const parseService = (bytes: Uint8Array, name: string): ParseResult<ServiceConfiguration> => {
+  const service = parseDocument(`service ${name}`, bytes, isServiceConfiguration)
+  if (!service.ok) return service
+  if (service.value.name !== name) return fault('value-invalid', `service ${name} holds the configuration of ${service.value.name}`)
+  const target = findDuplicate(service.value.targets.map(({ id }) => id))
+  if (target !== undefined) return fault('value-invalid', `service ${name} lists target ${target} twice`)
+  const kind = findDuplicate(service.value.kinds.map(kind => kind.name))
+  return kind === undefined ? service : fault('value-invalid', `service ${name} lists kind ${kind} twice`)
+}
+
+/** Checks between services: a request must select one service only. */
+export const checkServices = (services: Iterable<ServiceConfiguration>): ConfigurationFault | undefined => {
+  const all = [...services]
+  const prefix = findDuplicate(all.map(({ pathPrefix }) => pathPrefix))
+  if (prefix !== undefined) return { code: 'value-invalid', message: `two services have the path prefix ${prefix}` }
+  const host = findDuplicate(all.flatMap(({ hosts }) => [...new Set(hosts)]))
+  return host === undefined ? undefined : { code: 'value-invalid', message: `two services have the host ${host}` }
+}
+
+/** Restore count that a head states; 0 when it cannot be read, which the check of the head then reports. */
+export const restoreCountOf = (bytes: Uint8Array): number => {
+  try {
+    const value: unknown = JSON.parse(decoder.decode(bytes))
+    const count = typeof value === 'object' && value !== null && 'restoreCount' in value ? value.restoreCount : undefined
+    return typeof count === 'number' && Number.isInteger(count) && count >= 0 ? count : 0
+  } catch {
+    return 0
+  }
+}
--- /dev/null
+++ b/packages/fleet/src/configuration-reads.ts
@@ -0,0 +1,26 @@
+/**
+ * Which nodes read the configuration service. In each availability zone the
+ * first two nodes by rendezvous hashing over the own view keep a watch, so the
+ * number of reads depends on the zones and not on the fleet, and each side of
+ * a partition has watchers of its own.
+ */
+import { rendezvousOrder } from '@wisteriavalve/common'
+import type { MemberUpdate } from '@wisteriavalve/schema'
+import { PULL_PEERS_MAX, WATCHERS_PER_ZONE } from './constants.js'
+import type { ConfigurationReads, ConfigurationView } from './types.js'
+
+const orderPeers = (selfId: string, members: readonly MemberUpdate[]): MemberUpdate[] => {
+  const byId = new Map(members.map(member => [member.nodeId, member]))
+  return rendezvousOrder(`pull/${selfId}`, [...byId.keys()]).map(id => byId.get(id) as MemberUpdate)
+}
+
+export const planConfigurationReads = (view: ConfigurationView): ConfigurationReads => {
+  const watchCandidates = view.members
+    .filter(({ nodeId, zone, state }) => zone === view.zone && state === 'alive' && nodeId !== view.selfId)
+    .map(({ nodeId }) => nodeId)
+  const watchers = rendezvousOrder(`watch/${view.zone}`, [...watchCandidates, view.selfId]).slice(0, WATCHERS_PER_ZONE)
+  const peers = view.members.filter(({ nodeId, state }) => nodeId !== view.selfId && (state === 'alive' || state === 'leaving'))
+  const near = orderPeers(view.selfId, peers.filter(({ zone }) => zone === view.zone))
+  const far = orderPeers(view.selfId, peers.filter(({ zone }) => zone !== view.zone))
+  return { watch: watchers.includes(view.selfId), pullFrom: [...near, ...far].slice(0, PULL_PEERS_MAX) }
+}
--- /dev/null
+++ b/packages/fleet/src/failure-detector.ts
@@ -0,0 +1,64 @@
+/**
+ * Failure detection of SWIM: one ping per protocol period to the next member
+ * of a shuffled round, indirect pings through other members when the ack does
+ * not come in time, and suspicion at the end of the period.
+ */
+import { shuffle, type Random } from '@wisteriavalve/common'
+import { DIRECT_TIMEOUT_MS } from './constants.js'
+
+export type DetectorStep =
+  | { step: 'ping', nodeId: string }
+  | { step: 'ask-others', nodeId: string }
+  | { step: 'suspect', nodeId: string }
+
+export type FailureDetector = {
+  step: (nowMs: number, memberIds: () => string[]) => DetectorStep[]
+  /** An ack proves that a member runs. */
+  noteAck: (nodeId: string) => void
+  /** Drops the ping under way and starts a new period. */
+  restart: (nowMs: number) => void
+}
+
+type Probe = { nodeId: string, sentMs: number, isAcked: boolean, askedOthers: boolean }
+
+export const createFailureDetector = (random: Random, periodMs: number): FailureDetector => {
+  let round: string[] = []
+  let probe: Probe | undefined
+  let periodEndMs: number | undefined
+
+  const nextMember = (memberIds: () => string[]): string | undefined => {
+    const present = new Set(memberIds())
+    for (let refills = 0; refills < 2; refills++) {
+      for (let next = round.pop(); next !== undefined; next = round.pop()) if (present.has(next)) return next
+      round = shuffle([...present], random)
+    }
+    return undefined
+  }
+
+  const startPeriod = (nowMs: number, memberIds: () => string[]): DetectorStep[] => {
+    periodEndMs = nowMs + periodMs
+    const nodeId = nextMember(memberIds)
+    probe = nodeId === undefined ? undefined : { nodeId, sentMs: nowMs, isAcked: false, askedOthers: false }
+    return nodeId === undefined ? [] : [{ step: 'ping', nodeId }]
+  }
+
+  const step = (nowMs: number, memberIds: () => string[]): DetectorStep[] => {
+    periodEndMs ??= nowMs + random.next() * periodMs
+    if (nowMs >= periodEndMs) {
+      const failed: DetectorStep[] = probe && !probe.isAcked ? [{ step: 'suspect', nodeId: probe.nodeId }] : []
+      return [...failed, ...startPeriod(nowMs, memberIds)]
+    }
+    if (!probe || probe.isAcked || probe.askedOthers || nowMs - probe.sentMs < DIRECT_TIMEOUT_MS) return []
+    probe.askedOthers = true
+    return [{ step: 'ask-others', nodeId: probe.nodeId }]
+  }
+
+  return {
+    step,
+    noteAck: nodeId => { if (probe?.nodeId === nodeId) probe.isAcked = true },
+    restart: nowMs => {
+      probe = undefined
+      periodEndMs = nowMs + random.next() * periodMs
+    }
+  }
+}
--- /dev/null
+++ b/packages/fleet/src/membership.ts
@@ -0,0 +1,260 @@
+/**
+ * Membership by SWIM (Das, Gupta and Motivala, 2002) with the additions of the
+ * design page: candidates that answer a nonce, dead members that are pinged
+ * now and then so that partitions merge, and a new incarnation after a pause.
+ * Calls return what has to be sent; nothing is sent from here.
+ */
+import type { ConfigurationOrder, GossipMessage, MemberUpdate, TargetNote, VmEntry } from '@wisteriavalve/schema'
+import { createBurstLimit } from './burst-limit.js'
+import { createCandidates, type Candidate } from './candidates.js'
+import {
+  BURST_FANOUT, CANDIDATE_PINGS_PER_PERIOD, DEAD_MEMORY_MS, INDIRECT_PROBE_COUNT, PAUSE_GAP_MS, PROTOCOL_PERIOD_MS,
+  RECONNECT_INTERVAL_MS, RELAYS_MAX, SUSPICION_PERIODS_MIN, UPDATES_QUEUED_MAX
+} from './constants.js'
+import { createFailureDetector, type DetectorStep } from './failure-detector.js'
+import { createMemberTable, type MemberChange } from './member-table.js'
+import { createMessageWriter, pickSome, type MessageParts } from './message-writer.js'
+import { createNoteExchange } from './note-exchange.js'
+import { createPingTracker, type PendingPing } from './ping-tracker.js'
+import { createSelfState } from './self-state.js'
+import { createSendQueue } from './send-queue.js'
+import type { GossipAddress, Membership, MembershipAction, MembershipOptions } from './types.js'
+
+/** Periods that a ping waits for its ack before the nonce expires. */
+const NONCE_PERIODS = 3
+
+export const suspicionPeriods = (memberCount: number): number =>
+  Math.max(SUSPICION_PERIODS_MIN, Math.ceil(2 * Math.log2(Math.max(1, memberCount))))
+
+const addressOf = ({ host, gossipPort }: GossipAddress): GossipAddress => ({ host, gossipPort })
+
+export const createMembership = (options: MembershipOptions): Membership => {
+  const { random } = options
+  const periodMs = options.periodMs ?? PROTOCOL_PERIOD_MS
+  const self = createSelfState(options.self)
+  const table = createMemberTable()
+  const updates = createSendQueue<MemberUpdate>(UPDATES_QUEUED_MAX)
+  const notes = createNoteExchange()
+  const candidates = createCandidates()
+  const pings = createPingTracker(random)
+  const detector = createFailureDetector(random, periodMs)
+  const bursts = createBurstLimit()
+  let configuration: ConfigurationOrder | undefined
+  let lastTickMs: number | undefined
+  let nextReconnectMs: number | undefined
+  let nextCandidatesMs = -Infinity
+
+  const write = createMessageWriter({
+    self: self.get, configuration: () => configuration, table, updates, notes, random, sizeBytes: options.sizeBytes
+  })
+
+  const send = (to: GossipAddress, parts: MessageParts, nowMs: number): MembershipAction =>
+    ({ type: 'send', to: addressOf(to), message: write(parts, nowMs) })
+
+  const ping = (to: GossipAddress & { nodeId: string }, nowMs: number, relay?: PendingPing['relay']): MembershipAction => {
+    const nonce = pings.start({ to: to.nodeId, sentMs: nowMs, relay })
+    return send(to, { type: 'ping', nonce, receiverId: to.nodeId }, nowMs)
+  }
+
+  const presentIds = (): string[] =>
+    [...table.records()].filter(({ update }) => update.state !== 'dead').map(({ update }) => update.nodeId)
+
+  const announce = (change: MemberChange): MembershipAction[] => {
+    const { record, previous } = change
+    updates.add(record.update.nodeId, record.update)
+    candidates.delete(record.update.nodeId)
+    return record.update.state === previous ? [] : [{ type: 'member-changed', member: record.update, previous }]
+  }
+
+  /** Takes over what a member says about another one. */
+  const applyUpdate = (update: MemberUpdate, nowMs: number): MembershipAction[] => {
+    if (update.nodeId === self.get().nodeId) {
+      self.refute(update)
+      return []
+    }
+    // Dead members are not learned from others; otherwise they would never be forgotten.
+    if (!table.get(update.nodeId)) return update.state === 'dead' ? [] : announce(table.add(update, nowMs))
+    const change = table.apply(update, nowMs)
+    return change ? announce(change) : []
+  }
+
+  const applySender = (sender: MemberUpdate, nowMs: number): MembershipAction[] => {
+    const actions = applyUpdate(sender, nowMs)
+    const record = table.get(sender.nodeId)
+    // The load of a member changes without a new incarnation; its own messages carry the newest.
+    if (record && record.update.incarnation === sender.incarnation && record.update.state === sender.state) record.update = sender
+    return actions
+  }
+
+  const suspect = (nodeId: string, nowMs: number): MembershipAction[] => {
+    const record = table.get(nodeId)
+    return record ? applyUpdate({ ...record.update, state: 'suspect' }, nowMs) : []
+  }
+
+  const askOthers = (nodeId: string, nowMs: number): MembershipAction[] => {
+    const others = [...table.records()].filter(({ update }) => update.state === 'alive' && update.nodeId !== nodeId)
+    return pickSome(others, INDIRECT_PROBE_COUNT, random).map(({ update }) => {
+      const nonce = pings.start({ to: nodeId, sentMs: nowMs })
+      return send(update, { type: 'ping-request', nonce, subject: nodeId, receiverId: update.nodeId }, nowMs)
+    })
+  }
+
+  const runDetector = (step: DetectorStep, nowMs: number): MembershipAction[] => {
+    const record = table.get(step.nodeId)
+    if (!record) return []
+    if (step.step === 'ping') return [ping(record.update, nowMs)]
+    return step.step === 'suspect' ? suspect(step.nodeId, nowMs) : askOthers(step.nodeId, nowMs)
+  }
+
+  const pingCandidate = (candidate: Candidate, nowMs: number): MembershipAction => {
+    candidates.notePing(candidate, nowMs)
+    return ping(candidate, nowMs)
+  }
+
+  const pingCandidates = (nowMs: number): MembershipAction[] => {
+    if (nowMs < nextCandidatesMs) return []
+    const due = candidates.due(CANDIDATE_PINGS_PER_PERIOD, nowMs, periodMs)
+    if (due.length > 0) nextCandidatesMs = nowMs + periodMs
+    return due.map(candidate => pingCandidate(candidate, nowMs))
+  }
+
+  /** Pings one node that is dead or silent, so that the sides of a healed partition find each other. */
+  const reconnect = (nowMs: number): MembershipAction[] => {
+    nextReconnectMs ??= nowMs + random.next() * RECONNECT_INTERVAL_MS
+    if (nowMs < nextReconnectMs) return []
+    nextReconnectMs = nowMs + RECONNECT_INTERVAL_MS
+    const dead = [...table.records()].map(({ update }) => update).filter(({ state }) => state === 'dead')
+    return pickSome([...dead, ...candidates.silent()], 1, random).map(lost => ping(lost, nowMs))
+  }
+
+  const burst = (nowMs: number): MembershipAction[] => {
+    if (!bursts.take(nowMs)) return []
+    const present = [...table.records()].filter(({ update }) => update.state === 'alive' || update.state === 'suspect')
+    return pickSome(present, BURST_FANOUT, random).map(({ update }) => ping(update, nowMs))
+  }
+
+  const expire = (nowMs: number): MembershipAction[] => {
+    pings.expire(nowMs - NONCE_PERIODS * periodMs)
+    const timeoutMs = suspicionPeriods(table.presentCount() + 1) * periodMs
+    const died = table.expireSuspicions(timeoutMs, nowMs).flatMap(announce)
+    const forgotten = table.forgetDead(DEAD_MEMORY_MS, nowMs)
+    return [...died, ...forgotten.map(nodeId => ({ type: 'member-forgotten' as const, nodeId }))]
+  }
+
+  const renewAfterPause = (nowMs: number): void => {
+    lastTickMs = nowMs
+    pings.clear()
+    updates.clear()
+    notes.clear()
+    detector.restart(nowMs)
+    table.markStale(nowMs)
+    self.renew()
+    bursts.request()
+  }
+
+  const tick = (nowMs: number): MembershipAction[] => {
+    if (lastTickMs !== undefined && nowMs - lastTickMs > PAUSE_GAP_MS) renewAfterPause(nowMs)
+    lastTickMs = nowMs
+    self.announceLoad(nowMs)
+    return [
+      ...expire(nowMs),
+      ...detector.step(nowMs, presentIds).flatMap(step => runDetector(step, nowMs)),
+      ...reconnect(nowMs),
+      ...pingCandidates(nowMs),
+      ...burst(nowMs)
+    ]
+  }
+
+  /** Answers of a member other than the sender come through a relay. */
+  const takeAck = (message: GossipMessage, nowMs: number): { ping?: PendingPing, actions: MembershipAction[] } => {
+    if (message.type !== 'ack') return { actions: [] }
+    const answerer = message.subject ?? message.sender.nodeId
+    const answered = pings.answer(message.nonce, answerer)
+    if (!answered) return { actions: [] }
+    detector.noteAck(answerer)
+    const relay = answered.relay
+    const actions = relay ? [send(relay.requester, { type: 'ack', nonce: relay.nonce, subject: answerer, receiverId: relay.requesterId }, nowMs)] : []
+    return { ping: answered, actions }
+  }
+
+  const takeNews = (message: GossipMessage, nowMs: number): MembershipAction[] => {
+    const from = message.sender.nodeId
+    const actions = [...applySender(message.sender, nowMs), ...message.updates.flatMap(update => applyUpdate(update, nowMs))]
+    const news = notes.accept(message.notes, nowMs)
+    if (news.some(({ observation }) => observation !== 'answering')) bursts.request()
+    if (news.length > 0) actions.push({ type: 'notes-received', from, notes: news })
+    if (message.configuration) actions.push({ type: 'configuration-seen', from, order: message.configuration })
+    return actions
+  }
+
+  const reply = (message: GossipMessage, from: GossipAddress, nowMs: number): MembershipAction[] => {
+    const receiverId = message.sender.nodeId
+    if (message.type === 'ping') return [send(from, { type: 'ack', nonce: message.nonce, receiverId }, nowMs)]
+    const subject = message.type === 'ping-request' && message.subject !== undefined ? table.get(message.subject) : undefined
+    if (!subject || pings.relayCount() >= RELAYS_MAX) return []
+    return [ping(subject.update, nowMs, { requester: from, requesterId: receiverId, nonce: message.nonce })]
+  }
+
+  /** From a process that has not answered a nonce, only its ping and what it says about this node are taken. */
+  const receiveUnverified = (message: GossipMessage, from: GossipAddress, nowMs: number): MembershipAction[] => {
+    const { sender } = message
+    for (const update of message.updates) if (update.nodeId === self.get().nodeId) self.refute(update)
+    candidates.learnSender(sender)
+    const candidate = candidates.get(sender.nodeId)
+    const actions = message.type === 'ping' ? reply(message, from, nowMs) : []
+    if (candidate && nowMs - candidate.lastPingMs >= periodMs) actions.push(pingCandidate(candidate, nowMs))
+    return actions
+  }
+
+  const receive: Membership['receive'] = (message, from, nowMs, isVerified) => {
+    const senderId = message.sender.nodeId
+    if (senderId === self.get().nodeId) return []
+    const ack = takeAck(message, nowMs)
+    const provedNow = ack.ping !== undefined && message.subject === undefined
+    if (!isVerified && !provedNow) return receiveUnverified(message, from, nowMs)
+    candidates.delete(senderId)
+    return [
+      ...(isVerified ? [] : [{ type: 'sender-verified' as const, nodeId: senderId }]),
+      ...takeNews(message, nowMs),
+      ...ack.actions,
+      ...reply(message, from, nowMs)
+    ]
+  }
+
+  const learn = (vms: readonly VmEntry[], nowMs: number): MembershipAction[] => {
+    const unknown = vms.filter(({ vmId, role, gossipPort, state }) =>
+      role === 'entry' && state === 'live' && gossipPort !== undefined && vmId !== self.get().nodeId && !table.get(vmId))
+    candidates.learnVms(unknown.map(({ vmId, host, gossipPort }) => ({ nodeId: vmId, host, gossipPort: gossipPort as number })))
+    return pingCandidates(nowMs)
+  }
+
+  const queueNotes = (observed: readonly TargetNote[], nowMs: number): void => {
+    const news = notes.accept(observed, nowMs)
+    if (news.some(({ observation }) => observation !== 'answering')) bursts.request()
+  }
+
+  const setConfiguration = (order: ConfigurationOrder): void => {
+    configuration = order
+    bursts.request()
+  }
+
+  return {
+    tick,
+    receive,
+    learn,
+    leave: nowMs => {
+      self.renew('leaving')
+      bursts.request()
+      return burst(nowMs)
+    },
+    wake: (_gapMs, nowMs) => {
+      renewAfterPause(nowMs)
+      return burst(nowMs)
+    },
+    setLoadPercent: self.setLoadPercent,
+    setConfiguration,
+    queueNotes,
+    self: self.get,
+    members: () => [self.get(), ...[...table.records()].map(({ update }) => update).filter(({ state }) => state !== 'dead')]
+  }
+}
--- a/packages/fleet/src/types.ts
+++ b/packages/fleet/src/types.ts
@@ -12,7 +12,7 @@
 export type MembershipOptions = {
   self: MemberUpdate
   random: Random
-  /** Encoded size of a message, so that a datagram stays below its limit. */
+  /** Size of the datagram that carries a message. */
   sizeBytes: (message: GossipMessage) => number
   periodMs?: number
 }
@@ -23,10 +23,17 @@
   | { type: 'member-changed', member: MemberUpdate, previous: MemberState | undefined }
   | { type: 'notes-received', from: string, notes: TargetNote[] }
   | { type: 'configuration-seen', from: string, order: ConfigurationOrder }
+  /** The sender of the message answered a nonce of this node, so its process is known to run now. */
+  | { type: 'sender-verified', nodeId: string }
+  | { type: 'member-forgotten', nodeId: string }
 
 export type Membership = {
   tick: (nowMs: number) => MembershipAction[]
-  receive: (message: GossipMessage, from: GossipAddress, nowMs: number) => MembershipAction[]
+  /**
+   * @param isVerified whether the sending process has answered a nonce before;
+   *   from others only nonces and pings are taken, since they can be replays
+   */
+  receive: (message: GossipMessage, from: GossipAddress, nowMs: number, isVerified: boolean) => MembershipAction[]
   /** Takes over entry VMs of the VM list as candidates. */
   learn: (vms: readonly VmEntry[], nowMs: number) => MembershipAction[]
   leave: (nowMs: number) => MembershipAction[]
@@ -76,6 +83,10 @@
   offerHead: (candidate: HeadCandidate) => ConfigurationStep
   /** Gives the bytes of a value that a fetch step asked for. */
   provideValue: (hash: string, bytes: Uint8Array) => ConfigurationStep
+  /** Values that the heads under way still miss, those of the newest head first. */
+  pendingHashes: () => string[]
+  /** Orders of the heads under way, newest first. */
+  pendingOrders: () => ConfigurationOrder[]
   adopted: () => AdoptedConfiguration | undefined
   /** Bytes of the head in force and of the values that it needs, for peers. */
   headBytes: () => Uint8Array | undefined
@@ -109,13 +120,21 @@
   random: Random
 }
 
-export type ProbeCandidate = { targetId: string, /** Last answer to any node, as far as known. */ lastAnswerMs?: number }
+export type ProbeCandidate = {
+  targetId: string
+  /** Last answer to a request of any node, as far as known. */
+  lastAnswerMs?: number
+  /** Last answer to a probe of any node, as far as known. */
+  lastProbeAnswerMs?: number
+}
 
 export type ProbePlanner = {
   /** Targets to probe now; takes their tokens. */
   next: (candidates: readonly ProbeCandidate[], nowMs: number) => string[]
   /** Tokens gain nothing over a pause. */
   wake: (gapMs: number, nowMs: number) => void
+  /** Takes over new bounds; tokens that were saved stay as they are. */
+  reconfigure: (rates: Pick<ProbePlannerOptions, 'probesPerTargetPerS' | 'entryVmCountMax'>) => void
 }
 
 /** Order of two configurations: above 0 when a goes before b. */
--- /dev/null
+++ b/packages/fleet/test/testing.ts
@@ -0,0 +1,2 @@
+/** Parts of the tests that tests and benches of other packages use. */
+export * from './sample-configuration.js'
