--- /dev/null
+++ b/packages/daemon/src/adapters/backend-http.ts
@@ -0,0 +1,185 @@
+/**
+ * HTTP/1.1 towards backend servers through undici, specified in section 2 of
+ * docs/interfaces.md.
+ *
+ * undici puts a request back into the queue of its Client, and writes it again
+ * on a new connection, when the socket closes with an informational error
+ * while the request runs. Three rules prevent a second write: each Client gets
+ * exactly one socket, it is destroyed with its socket, and a request that is
+ * started for the second time is aborted before it is written.
+ */
+import { connect, type Socket } from 'node:net'
+import type { Readable } from 'node:stream'
+import { Client } from 'undici'
+import { BACKEND_IDLE_MS, CONNECT_TIMEOUT_MS, RESPONSE_HEADER_BYTES_MAX } from '../constants.js'
+import { rawHeader } from '../headers.js'
+
+export type BackendRequest = {
+  method: string
+  path: string
+  /** Raw header list; content-length is included when the body has one. */
+  headers: string[]
+  body: Buffer | Readable | null
+}
+
+export type BackendSocket = { client: Client, socket: Socket }
+
+export type SendFailure =
+  /** Nothing was written: the connection was lost before, or mayWrite refused. */
+  | { kind: 'not-sent', message: string }
+  /** undici does not accept the request; nothing was written. */
+  | { kind: 'request-invalid', message: string }
+  | { kind: 'second-start', message: string }
+  /** Lost after the request was written and before the response head. */
+  | { kind: 'lost', message: string }
+  /** Lost after the response head. */
+  | { kind: 'broken', message: string }
+
+export type SendHandler = {
+  /** Final check, made in the same turn of the event loop as the first write. */
+  mayWrite: () => boolean
+  onWritten: () => void
+  /** Bytes of the request body were accepted by the socket. */
+  onBodyProgress: () => void
+  onHead: (status: number, rawHeaders: string[], statusText: string) => void
+  /** False stops reading until resume is called. */
+  onData: (chunk: Buffer) => boolean
+  onEnd: (rawTrailers: string[]) => void
+  onFailure: (failure: SendFailure) => void
+}
+
+export type Sending = {
+  /** Continues to read after onData returned false. */
+  resume: () => void
+  /** Ends the attempt without a further call of the handler; nothing more is written. */
+  abort: () => void
+}
+
+/** Opens a connection and reports it once, either way. */
+export const openBackendSocket = (
+  target: { host: string, port: number }, onOpen: (opened: BackendSocket) => void, onFail: (message: string) => void
+): void => {
+  const socket = connect({ host: target.host, port: target.port, noDelay: true, keepAlive: true, keepAliveInitialDelay: 10_000 })
+  const fail = (message: string): void => {
+    socket.removeAllListeners()
+    socket.on('error', () => undefined)
+    socket.destroy()
+    onFail(message)
+  }
+  const onError = (error: Error): void => fail(error.message)
+  socket.setTimeout(CONNECT_TIMEOUT_MS, () => fail(`no connection within ${CONNECT_TIMEOUT_MS} ms`))
+  socket.once('error', onError)
+  socket.once('connect', () => {
+    socket.setTimeout(0)
+    socket.removeAllListeners('timeout')
+    socket.off('error', onError)
+    onOpen({ client: createClient(target, socket), socket })
+  })
+}
+
+const origin = ({ host, port }: { host: string, port: number }): string => `http://${host.includes(':') ? `[${host}]` : host}:${port}`
+
+const createClient = (target: { host: string, port: number }, socket: Socket): Client => {
+  let used = false
+  return new Client(origin(target), {
+    pipelining: 1,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+    keepAliveTimeout: BACKEND_IDLE_MS,
+    maxHeaderSize: RESPONSE_HEADER_BYTES_MAX,
+    connect: (_options, callback) => {
+      const isFirst = !used
+      used = true
+      // undici expects the callback in a later step; a microtask stays in this turn of the event loop.
+      queueMicrotask(() => isFirst ? callback(null, socket) : callback(new Error('the connection was closed'), null))
+    }
+  })
+}
+
+const decode = (raw: readonly (Buffer | string)[]): string[] =>
+  raw.map(item => typeof item === 'string' ? item : item.toString('latin1'))
+
+/**
+ * The end of such a response cannot be told from a connection that broke, so
+ * it would be possible to pass on a part of a response as a whole one.
+ */
+const isDelimitedByClose = (method: string, status: number, headers: readonly string[]): boolean => {
+  if (method === 'HEAD' || status === 204 || status === 304 || rawHeader(headers, 'content-length') !== undefined) return false
+  return !/\bchunked\s*$/i.test(rawHeader(headers, 'transfer-encoding') ?? '')
+}
+
+export const sendRequest = ({ client, socket }: BackendSocket, request: BackendRequest, handler: SendHandler): Sending => {
+  let startCount = 0
+  let isWritten = false
+  let hasHead = false
+  let isOver = false
+  let resumeReading: () => void = () => undefined
+  const stream = request.body !== null && !Buffer.isBuffer(request.body) ? request.body : undefined
+
+  const destroy = (): void => {
+    isOver = true
+    socket.resetAndDestroy()
+    client.destroy().catch(() => undefined)
+    stream?.destroy()
+  }
+
+  const fail = (failure: SendFailure): void => {
+    if (isOver) return
+    destroy()
+    handler.onFailure(failure)
+  }
+
+  /** Decides directly before the first byte is written. */
+  const allowWrite = (): boolean => {
+    if (isOver) return false
+    if (isWritten) return true
+    if (!handler.mayWrite()) {
+      fail({ kind: 'not-sent', message: 'the request was no longer to be sent' })
+      return false
+    }
+    isWritten = true
+    handler.onWritten()
+    return true
+  }
+
+  const onConnect = (abort: (error?: Error) => void): void => {
+    startCount++
+    if (startCount > 1) fail({ kind: 'second-start', message: 'the HTTP client started the request a second time' })
+    // undici writes the head of a streamed request together with its first
+    // chunk, and these listeners run directly before its own ones do that.
+    else if (stream) stream.on('data', allowWrite).on('end', allowWrite).pause()
+    else allowWrite()
+    if (isOver) abort(new Error('the request was given up'))
+  }
+
+  const onHeaders = (status: number, raw: Buffer[], resume: () => void, statusText: string): boolean => {
+    if (isOver || status < 200) return true
+    const headers = decode(raw)
+    hasHead = true
+    resumeReading = resume
+    if (isDelimitedByClose(request.method, status, headers)) fail({ kind: 'broken', message: 'the response has neither a content-length nor chunked encoding' })
+    else handler.onHead(status, headers, statusText)
+    return true
+  }
+
+  const onComplete = (trailers: readonly (Buffer | string)[] | null): void => {
+    if (isOver) return
+    isOver = true
+    handler.onEnd(decode(trailers ?? []))
+  }
+
+  const onError = (error: Error & { code?: string }): void => {
+    if (error.code === 'UND_ERR_INVALID_ARG' || error.code === 'UND_ERR_NOT_SUPPORTED') fail({ kind: 'request-invalid', message: error.message })
+    else if (!isWritten) fail({ kind: 'not-sent', message: error.message })
+    else fail({ kind: hasHead ? 'broken' : 'lost', message: error.message })
+  }
+
+  const onBodySent = (): void => { if (!isOver) handler.onBodyProgress() }
+  const onData = (chunk: Buffer): boolean => isOver || handler.onData(chunk)
+
+  client.dispatch(
+    { method: request.method as 'GET', path: request.path, headers: request.headers, body: request.body },
+    { onConnect, onHeaders, onData, onComplete, onError, onBodySent }
+  )
+  return { resume: () => { if (!isOver) resumeReading() }, abort: () => { if (!isOver) destroy() } }
+}
--- /dev/null
+++ b/packages/daemon/src/adapters/caller-http.ts
@@ -0,0 +1,169 @@
+/**
+ * HTTP/1.1 towards callers, specified in section 1 of docs/interfaces.md.
+ * node:http refuses conflicting framing (content-length together with
+ * transfer-encoding, or two different lengths) before a request is seen here.
+ */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { Duplex } from 'node:stream'
+import type { Socket } from 'node:net'
+import { resultCode, type FailureBody, type ResultName } from '@wisteriavalve/schema'
+import { CALLER_IDLE_MS, HEADER_BYTES_MAX, HEAD_TIMEOUT_MS, LINGER_BYTES_MAX, LINGER_MS } from '../constants.js'
+
+/** One request of a caller together with its response. */
+export type Call = {
+  req: IncomingMessage
+  res: ServerResponse
+  /** IP address of the caller. */
+  address: string
+  expectsContinue: boolean
+  /** Called when the response has ended or the caller has gone. */
+  onClosed?: () => void
+}
+
+export type CallerServerOptions = {
+  onCall: (call: Call) => void
+  /** False refuses the connection. */
+  acceptConnection: (address: string) => boolean
+  onConnectionClosed: (address: string) => void
+  /** A request that could not be read as HTTP. */
+  onMalformed: (result: ResultName, address: string, reason: string) => void
+}
+
+export type CallerServer = {
+  server: Server
+  connectionCount: () => number
+}
+
+export const hasBody = (req: IncomingMessage): boolean =>
+  req.headers['transfer-encoding'] !== undefined || (req.headers['content-length'] !== undefined && req.headers['content-length'] !== '0')
+
+const failureBody = (name: ResultName, detail?: string): string => {
+  const { code, class: resultClass, message } = resultCode(name)
+  const body: FailureBody = { resultCode: code, resultClass: resultClass as FailureBody['resultClass'], message: detail === undefined ? message : `${message}: ${detail}` }
+  return JSON.stringify(body)
+}
+
+const retryAfterSeconds = (retryAfterMs: number | undefined): string => String(Math.max(1, Math.ceil((retryAfterMs ?? 1_000) / 1_000)))
+
+/**
+ * Reads and drops what is still coming of a refused body for a bounded time.
+ * Closing with unread bytes would reset the connection, and the caller could
+ * lose the answer that it has not read yet.
+ */
+const linger = ({ req, res }: Call): void => {
+  let droppedBytes = 0
+  const close = (): void => {
+    clearTimeout(timer)
+    res.end()
+  }
+  const timer = setTimeout(close, LINGER_MS)
+  req.on('data', (chunk: Buffer) => {
+    droppedBytes += chunk.length
+    if (droppedBytes > LINGER_BYTES_MAX) close()
+  }).once('end', close).once('error', close)
+  req.resume()
+}
+
+const answer = (call: Call, status: number, headers: string[], body: string): void => {
+  const { req, res } = call
+  const mustClose = hasBody(req) && !req.complete
+  if (mustClose) res.shouldKeepAlive = false
+  res.writeHead(status, [...headers, 'content-length', String(Buffer.byteLength(body))])
+  if (mustClose && req.method !== 'HEAD') {
+    res.write(body)
+    linger(call)
+  } else {
+    res.end(body)
+  }
+}
+
+export const answerJson = (call: Call, status: number, value: unknown, headers: string[] = []): void =>
+  answer(call, status, ['content-type', 'application/json', 'cache-control', 'no-store', ...headers], JSON.stringify(value))
+
+export type FailureAnswer = { requestId?: string, retryAfterMs?: number, detail?: string }
+
+/** Answers with a result code, or resets the caller when a response has begun. */
+export const answerFailure = (call: Call, name: ResultName, { requestId, retryAfterMs, detail }: FailureAnswer): void => {
+  if (call.res.headersSent) {
+    resetCaller(call)
+    return
+  }
+  const { code, class: resultClass, status = 500 } = resultCode(name)
+  const headers = ['content-type', 'application/json', 'x-result-code', code, 'x-result-class', resultClass]
+  if (requestId !== undefined) headers.push('x-request-id', requestId)
+  if (status === 429 || status === 503) headers.push('retry-after', retryAfterSeconds(retryAfterMs))
+  answer(call, status, headers, failureBody(name, detail))
+}
+
+/** Breaks the caller's connection, so that a part of a response never looks like a whole one. */
+export const resetCaller = ({ req }: Call): void => { req.socket.resetAndDestroy() }
+
+const PARSE_RESULTS: Record<string, ResultName> = { HPE_HEADER_OVERFLOW: 'header-too-large', ERR_HTTP_REQUEST_TIMEOUT: 'caller-too-slow' }
+
+/** Response for a connection on which node:http did not create one. */
+const rawFailure = (name: ResultName): string => {
+  const { code, class: resultClass, status = 400 } = resultCode(name)
+  const body = failureBody(name)
+  const retryAfter = status === 429 || status === 503 ? 'retry-after: 1\r\n' : ''
+  return `HTTP/1.1 ${status} Refused\r\nconnection: close\r\ncontent-type: application/json\r\n${retryAfter}x-result-code: ${code}\r\nx-result-class: ${resultClass}\r\ncontent-length: ${body.length}\r\n\r\n${body}`
+}
+
+const endWith = (socket: Duplex, text: string): void => {
+  socket.end(text, () => { setTimeout(() => socket.destroy(), LINGER_MS) })
+}
+
+/** Without a listener node:http would close the connection in the middle of other requests' responses. */
+const listenForMalformed = (server: Server, openCalls: WeakMap<Duplex, number>, onMalformed: CallerServerOptions['onMalformed']): void => {
+  server.on('clientError', (error: Error & { code?: string }, socket) => {
+    const name = PARSE_RESULTS[error.code ?? ''] ?? 'request-malformed'
+    if (error.code !== 'ECONNRESET' && error.code !== 'EPIPE') onMalformed(name, (socket as Socket).remoteAddress ?? '', error.message)
+    if (!socket.writable || error.code === 'ECONNRESET' || (openCalls.get(socket) ?? 0) > 0) socket.destroy()
+    else endWith(socket, rawFailure(name))
+  })
+  server.on('connect', (_req, socket) => endWith(socket, rawFailure('request-malformed')))
+}
+
+/**
+ * A caller that closes its side of the connection has gone: node:http reports
+ * it as an aborted request, and the request is cancelled. Waiting for a caller
+ * that only half-closed would keep the requests of all others that left.
+ */
+export const createCallerServer = ({ onCall, acceptConnection, onConnectionClosed, onMalformed }: CallerServerOptions): CallerServer => {
+  const openCalls = new WeakMap<Duplex, number>()
+  let connectionCount = 0
+  const server = createServer({
+    maxHeaderSize: HEADER_BYTES_MAX,
+    headersTimeout: HEAD_TIMEOUT_MS,
+    requestTimeout: 0,
+    keepAliveTimeout: CALLER_IDLE_MS,
+    connectionsCheckingInterval: 1_000,
+    noDelay: true
+  })
+
+  const accept = (req: IncomingMessage, res: ServerResponse, expectsContinue: boolean): void => {
+    const { socket } = req
+    const call: Call = { req, res, address: socket.remoteAddress ?? '', expectsContinue }
+    openCalls.set(socket, (openCalls.get(socket) ?? 0) + 1)
+    res.once('close', () => {
+      openCalls.set(socket, (openCalls.get(socket) ?? 1) - 1)
+      call.onClosed?.()
+    })
+    onCall(call)
+  }
+
+  server.on('request', (req, res) => accept(req, res, false))
+  server.on('checkContinue', (req, res) => accept(req, res, true))
+  server.on('checkExpectation', (req, res) => answerFailure({ req, res, address: '', expectsContinue: false }, 'request-malformed', { detail: 'the expectation is not supported' }))
+  server.on('connection', (socket: Socket) => {
+    const address = socket.remoteAddress ?? ''
+    connectionCount++
+    const isAccepted = acceptConnection(address)
+    socket.once('close', () => {
+      connectionCount--
+      if (isAccepted) onConnectionClosed(address)
+    })
+    if (!isAccepted) endWith(socket, rawFailure('caller-limit'))
+  })
+  listenForMalformed(server, openCalls, onMalformed)
+  return { server, connectionCount: () => connectionCount }
+}
--- /dev/null
+++ b/packages/daemon/src/attempts.ts
@@ -0,0 +1,254 @@
+/**
+ * Attempts of an exchange: target, connection, the write, and what follows
+ * from each way in which an attempt can end.
+ */
+import { planHedge, planRetry, selectTarget, splitRetryAllowance, type AttemptFailure } from '@wisteriavalve/policy'
+import type { ResultName } from '@wisteriavalve/schema'
+import { sendRequest, type SendFailure, type SendHandler } from './adapters/backend-http.js'
+import type { BackendConnection } from './backend-connections.js'
+import { abandonAttempt, isWritten, type Attempt, type Exchange } from './exchange.js'
+import type { AttemptPurpose, PipelineContext } from './pipeline-context.js'
+import { dropData, endResponse, onResponseHead, relayData } from './response-relay.js'
+import { contain, failExchange, onDeadline } from './settlement.js'
+
+/** Times that an attempt takes another connection after one was lost before the write. */
+const REACQUIRE_MAX = 2
+
+const isDeadlineBounded = ({ deadlineMs }: Exchange): boolean => deadlineMs !== Infinity
+
+/** Waits until some request of the service ends; the deadline still applies. */
+const block = (context: PipelineContext, exchange: Exchange, purpose: AttemptPurpose, lastResult: ResultName | undefined): void => {
+  exchange.retryBlocked = () => {
+    if (exchange.phase === 'running') contain(context, exchange, () => startAttempt(context, exchange, purpose, lastResult))
+  }
+  exchange.runtime.blocked.add(exchange.retryBlocked)
+}
+
+const takeAllowance = (exchange: Exchange): number => {
+  const { passOn, keep } = splitRetryAllowance(exchange.allowance)
+  exchange.allowance = keep
+  return passOn
+}
+
+export const startAttempt = (context: PipelineContext, exchange: Exchange, purpose: AttemptPurpose, lastResult?: ResultName): void => {
+  const { runtime, kind, tried } = exchange
+  const nowMs = context.clock.nowMs()
+  const selection = selectTarget(context.policy, runtime.table, { zone: context.zone, exclude: tried, idempotent: kind.idempotent }, nowMs, context.random)
+  const target = selection.ok ? runtime.table.target(selection.targetId) : undefined
+  if (!selection.ok || !target) {
+    if (purpose === 'hedge') return
+    if (!selection.ok && selection.error === 'all-busy') block(context, exchange, purpose, lastResult)
+    else failExchange(context, exchange, exchange.unknownResult ?? lastResult ?? 'no-target')
+    return
+  }
+  const attempt: Attempt = {
+    exchange,
+    targetId: target.id,
+    reason: selection.reason,
+    table: runtime.table,
+    pool: context.runtimes.connectionsTo(runtime, target),
+    epoch: context.pause.epoch(nowMs),
+    startedMs: nowMs,
+    isFinished: false,
+    isDropped: false,
+    droppedBytes: 0,
+    isFlushed: false,
+    status: 0,
+    passOn: takeAllowance(exchange),
+    reacquireCount: 0
+  }
+  tried.add(target.id)
+  exchange.attempts.push(attempt)
+  exchange.attemptCount++
+  attempt.table.noteStarted(target.id, nowMs)
+  context.recorder.routed(attempt, purpose)
+  acquire(context, attempt)
+}
+
+const acquire = (context: PipelineContext, attempt: Attempt): void => {
+  attempt.waiter = {
+    idempotent: attempt.exchange.kind.idempotent,
+    use: connection => {
+      attempt.waiter = undefined
+      contain(context, attempt.exchange, () => send(context, attempt, connection))
+    },
+    fail: message => {
+      attempt.waiter = undefined
+      contain(context, attempt.exchange, () => onAttemptFailed(context, attempt, 'connect-failed', 'connect-failed', message))
+    }
+  }
+  attempt.pool.acquire(attempt.waiter)
+}
+
+const controlHeaders = (exchange: Exchange, passOn: number, nowMs: number): string[] => {
+  const headers = ['x-retry-allowance', String(passOn), 'x-call-depth', String(exchange.depth + 1)]
+  if (isDeadlineBounded(exchange)) headers.push('x-request-timeout-ms', String(Math.max(1, Math.floor(exchange.deadlineMs - nowMs))))
+  return headers
+}
+
+const send = (context: PipelineContext, attempt: Attempt, connection: BackendConnection): void => {
+  const { exchange } = attempt
+  attempt.connection = connection
+  connection.onSilent = () => contain(context, exchange, () => onSilent(context, attempt))
+  connection.isHeldByCaller = () => exchange.body.isWaitingForCaller() || exchange.call.res.writableNeedDrain
+  attempt.sending = sendRequest(connection, {
+    method: exchange.method,
+    path: exchange.path,
+    headers: exchange.headers.concat(controlHeaders(exchange, attempt.passOn, context.clock.nowMs())),
+    body: exchange.body.open()
+  }, createSendHandler(context, attempt))
+}
+
+/** The single check before the bytes are written. */
+const mayWrite = (context: PipelineContext, attempt: Attempt): boolean => {
+  const { exchange } = attempt
+  const nowMs = context.clock.nowMs()
+  return context.pause.epoch(nowMs) === attempt.epoch && !attempt.isFinished && exchange.phase === 'running' &&
+    nowMs < exchange.deadlineMs && !exchange.runtime.draining.has(attempt.targetId)
+}
+
+const createSendHandler = (context: PipelineContext, attempt: Attempt): SendHandler => {
+  const { exchange } = attempt
+  const noteProgress = (): void => {
+    const nowMs = context.clock.nowMs()
+    exchange.lastProgressMs = nowMs
+    if (attempt.connection) attempt.connection.lastProgressMs = nowMs
+  }
+  return {
+    mayWrite: () => mayWrite(context, attempt),
+    onWritten: () => {
+      const nowMs = context.clock.nowMs()
+      attempt.writtenMs = nowMs
+      if (attempt.connection) attempt.connection.sentMs = nowMs
+      scheduleHedge(context, attempt)
+    },
+    onBodyProgress: noteProgress,
+    onHead: (status, headers, statusText) => contain(context, exchange, () => {
+      noteProgress()
+      const step = onResponseHead(context, attempt, { status, headers, statusText }, () => takesRetryAfterStatus(context, attempt))
+      if (step.step === 'failed') onAttemptFailed(context, attempt, 'reset', 'answer-broken', step.message)
+      else if (step.step === 'refused') retryOrFail(context, exchange, 'refused', 'backend-refused')
+      else if (step.step === 'retry') startAttempt(context, exchange, 'retry', 'answer-broken')
+    }),
+    onData: chunk => {
+      noteProgress()
+      return attempt.isDropped ? dropData(attempt, chunk) : relayData(attempt, chunk)
+    },
+    onEnd: trailers => contain(context, exchange, () => endResponse(context, attempt, trailers)),
+    onFailure: failure => contain(context, exchange, () => onSendFailure(context, attempt, failure))
+  }
+}
+
+const SEND_FAILURES: Record<Exclude<SendFailure['kind'], 'not-sent'>, ResultName> = {
+  'request-invalid': 'request-malformed',
+  'second-start': 'resend-prevented',
+  lost: 'connection-lost',
+  broken: 'answer-broken'
+}
+
+const onSendFailure = (context: PipelineContext, attempt: Attempt, failure: SendFailure): void => {
+  if (attempt.isFinished) {
+    if (attempt.connection) attempt.pool.discard(attempt.connection)
+    return
+  }
+  if (failure.kind === 'not-sent') onNotSent(context, attempt, failure.message)
+  else if (failure.kind === 'request-invalid') failExchange(context, attempt.exchange, 'request-malformed', { detail: failure.message })
+  else onAttemptFailed(context, attempt, 'reset', SEND_FAILURES[failure.kind], failure.message)
+}
+
+/** Nothing was written: another connection, or another target when the decision does not hold any more. */
+const onNotSent = (context: PipelineContext, attempt: Attempt, message: string): void => {
+  const { exchange } = attempt
+  const nowMs = context.clock.nowMs()
+  if (attempt.connection) attempt.pool.discard(attempt.connection)
+  attempt.connection = undefined
+  attempt.sending = undefined
+  const isPaused = context.pause.epoch(nowMs) !== attempt.epoch
+  if (nowMs >= exchange.deadlineMs) onDeadline(context, exchange)
+  else if (!exchange.body.canOpen()) failExchange(context, exchange, exchange.unknownResult ?? (isPaused ? 'process-paused' : 'connect-failed'), { detail: message })
+  else if (isPaused || exchange.runtime.draining.has(attempt.targetId)) reroute(context, attempt, nowMs)
+  else if (attempt.reacquireCount++ < REACQUIRE_MAX) acquire(context, attempt)
+  else onAttemptFailed(context, attempt, 'connect-failed', 'connect-failed', message)
+}
+
+const reroute = (context: PipelineContext, attempt: Attempt, nowMs: number): void => {
+  const { exchange } = attempt
+  abandonAttempt(attempt, 'cancelled', nowMs)
+  exchange.tried.delete(attempt.targetId)
+  exchange.attemptCount--
+  exchange.allowance += attempt.passOn
+  startAttempt(context, exchange, 'first')
+}
+
+const onAttemptFailed = (context: PipelineContext, attempt: Attempt, failure: AttemptFailure, result: ResultName, detail: string): void => {
+  const { exchange } = attempt
+  abandonAttempt(attempt, failure, context.clock.nowMs())
+  if (exchange.phase === 'settled') return
+  if (isWritten(attempt)) exchange.unknownResult ??= result
+  else exchange.allowance += attempt.passOn
+  if (exchange.responder === attempt) failExchange(context, exchange, result, { detail })
+  else if (exchange.attempts.length === 0) retryOrFail(context, exchange, failure, result, detail)
+}
+
+const hasOtherTarget = ({ runtime, tried }: Exchange, nowMs: number): boolean =>
+  runtime.table.routing(nowMs).candidates.some(({ target }) => !tried.has(target.id))
+
+const takesRetry = (context: PipelineContext, exchange: Exchange, failure: AttemptFailure): boolean => {
+  const nowMs = context.clock.nowMs()
+  if (!hasOtherTarget(exchange, nowMs)) return false
+  const { decision } = planRetry({
+    idempotent: exchange.kind.idempotent,
+    bodyReplayable: exchange.body.canOpen(),
+    responseStarted: exchange.responder !== undefined,
+    deadlineMs: exchange.deadlineMs,
+    attempts: exchange.attemptCount,
+    allowance: exchange.allowance
+  }, failure, nowMs)
+  if (decision !== 'retry' || !exchange.runtime.retryBudget.tryTake('retry', nowMs)) return false
+  exchange.allowance -= 1
+  return true
+}
+
+const retryOrFail = (context: PipelineContext, exchange: Exchange, failure: AttemptFailure, result: ResultName, detail?: string): void => {
+  if (takesRetry(context, exchange, failure)) startAttempt(context, exchange, 'retry', result)
+  else failExchange(context, exchange, exchange.unknownResult ?? result, { detail })
+}
+
+/** Whether a complete response with an error status is given up for another attempt. */
+const takesRetryAfterStatus = (context: PipelineContext, attempt: Attempt): boolean =>
+  attempt.exchange.attempts.length === 1 && takesRetry(context, attempt.exchange, 'error-status')
+
+/** A silent connection is left to its request until the deadline unless the request can go elsewhere. */
+const onSilent = (context: PipelineContext, attempt: Attempt): void => {
+  const { exchange } = attempt
+  if (exchange.phase === 'settled' || attempt.isFinished || exchange.responder || exchange.attempts.length > 1) return
+  if (!takesRetry(context, exchange, 'no-progress')) return
+  abandonAttempt(attempt, 'no-progress', context.clock.nowMs())
+  exchange.unknownResult ??= 'no-progress'
+  startAttempt(context, exchange, 'retry', 'no-progress')
+}
+
+const scheduleHedge = (context: PipelineContext, attempt: Attempt): void => {
+  const { exchange } = attempt
+  const { kind, runtime, responder } = exchange
+  if (!kind.idempotent || exchange.isHedged || exchange.attempts.length !== 1 || responder) return
+  const nowMs = context.clock.nowMs()
+  const decision = planHedge({
+    idempotent: true,
+    bodyReplayable: exchange.body.canOpen(),
+    firstByteSeen: false,
+    hedged: false,
+    startedMs: attempt.writtenMs ?? nowMs,
+    deadlineMs: exchange.deadlineMs,
+    allowance: exchange.allowance
+  }, runtime.table.hedgeDelayMs(), runtime.retryBudget, nowMs)
+  if (decision.decision === 'wait') {
+    exchange.hedgeCheck = context.wheel.schedule(decision.untilMs, () => contain(context, exchange, () => {
+      if (!attempt.isFinished && exchange.phase === 'running') scheduleHedge(context, attempt)
+    }))
+  } else if (decision.decision === 'hedge') {
+    exchange.isHedged = true
+    exchange.allowance -= 1
+    startAttempt(context, exchange, 'hedge')
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/backend-connections.ts
@@ -0,0 +1,170 @@
+/**
+ * Connections to one target. A request waits here for a connection and is
+ * never attached to one that is still opening, so taking a request out of the
+ * queue is enough to be sure that it is not sent.
+ */
+import type { Clock } from '@wisteriavalve/common'
+import { chooseConnection, findSilentConnections, type ConnectionView } from '@wisteriavalve/policy'
+import type { Target } from '@wisteriavalve/schema'
+import { openBackendSocket, type BackendSocket } from './adapters/backend-http.js'
+
+export type BackendConnection = ConnectionView & BackendSocket & {
+  isClosed: boolean
+  /** Tells the request on the connection that the connection was retired. */
+  onSilent?: () => void
+  /** True while the request waits for its caller, so that a pause says nothing about the connection. */
+  isHeldByCaller?: () => boolean
+}
+
+export type ConnectionWaiter = {
+  idempotent: boolean
+  /** Called once with a connection that is marked as busy. */
+  use: (connection: BackendConnection) => void
+  /** Called instead when no connection could be opened. */
+  fail: (message: string) => void
+}
+
+export type TargetConnections = {
+  target: Target
+  acquire: (waiter: ConnectionWaiter) => void
+  cancel: (waiter: ConnectionWaiter) => void
+  /** Takes back a connection after a complete response. */
+  release: (connection: BackendConnection) => void
+  discard: (connection: BackendConnection) => void
+  closeIdle: () => void
+  /** Retires connections that went silent; returns them. */
+  retireSilent: (firstByteP99Ms: number | undefined) => BackendConnection[]
+  count: () => number
+  busyCount: () => number
+}
+
+export type TargetConnectionsOptions = {
+  target: Target
+  /** Most connections that this node holds to the target. */
+  share: () => number
+  clock: Clock
+  nextId: () => number
+}
+
+export const createTargetConnections = ({ target, share, clock, nextId }: TargetConnectionsOptions): TargetConnections => {
+  const connections: BackendConnection[] = []
+  const waiters: ConnectionWaiter[] = []
+  let openingCount = 0
+
+  const remove = (connection: BackendConnection): void => {
+    if (connection.isClosed) return
+    connection.isClosed = true
+    connections.splice(connections.indexOf(connection), 1)
+  }
+
+  const discard = (connection: BackendConnection): void => {
+    remove(connection)
+    connection.socket.resetAndDestroy()
+    connection.client.destroy().catch(() => undefined)
+    serve()
+  }
+
+  const closeQuietly = (connection: BackendConnection): void => {
+    remove(connection)
+    connection.client.destroy().catch(() => undefined)
+  }
+
+  const assign = (connection: BackendConnection, waiter: ConnectionWaiter): void => {
+    connection.busy = true
+    waiter.use(connection)
+  }
+
+  const onOpen = (opened: BackendSocket): void => {
+    openingCount--
+    const nowMs = clock.nowMs()
+    const connection: BackendConnection = { ...opened, id: nextId(), openedMs: nowMs, lastProgressMs: nowMs, busy: false, retired: false, isClosed: false }
+    connections.push(connection)
+    opened.client.on('disconnect', () => {
+      closeQuietly(connection)
+      serve()
+    })
+    // A new connection goes to the request that waits the longest; an idle older one may not be fresh enough for it.
+    const waiter = waiters.shift()
+    if (waiter) assign(connection, waiter)
+    serve()
+  }
+
+  const onOpenFailed = (message: string): void => {
+    openingCount--
+    waiters.shift()?.fail(message)
+    serve()
+  }
+
+  const open = (): void => {
+    openingCount++
+    openBackendSocket(target, onOpen, onOpenFailed)
+  }
+
+  /** Finds a connection for one request; false when it has to wait. */
+  const tryAssign = (waiter: ConnectionWaiter): boolean => {
+    const choice = chooseConnection(connections, { idempotent: waiter.idempotent, share: share() }, clock.nowMs())
+    if (choice.choice === 'reuse') {
+      const connection = connections.find(({ id }) => id === choice.id)
+      if (!connection) return false
+      waiters.splice(waiters.indexOf(waiter), 1)
+      assign(connection, waiter)
+      return true
+    }
+    if (openingCount >= waiters.length) return false
+    if (choice.choice === 'wait') {
+      const idle = connections.find(({ id }) => id === choice.closeFirst)
+      if (!idle) return false
+      closeQuietly(idle)
+    }
+    if (connections.length + openingCount < share()) open()
+    return false
+  }
+
+  const serve = (): void => {
+    for (const waiter of [...waiters]) tryAssign(waiter)
+  }
+
+  return {
+    target,
+    acquire: waiter => {
+      waiters.push(waiter)
+      tryAssign(waiter)
+    },
+    cancel: waiter => {
+      const index = waiters.indexOf(waiter)
+      if (index >= 0) waiters.splice(index, 1)
+    },
+    release: connection => {
+      const nowMs = clock.nowMs()
+      connection.sentMs = undefined
+      connection.onSilent = undefined
+      connection.isHeldByCaller = undefined
+      connection.lastProgressMs = nowMs
+      connection.lastAnsweredMs = nowMs
+      // undici closes a connection that cannot be reused right after it reports the end of the response.
+      queueMicrotask(() => {
+        connection.busy = false
+        if (connection.retired || connection.socket.destroyed) closeQuietly(connection)
+        if (waiters.length > 0) serve()
+      })
+    },
+    discard,
+    closeIdle: () => {
+      for (const connection of connections.filter(({ busy }) => !busy)) closeQuietly(connection)
+    },
+    retireSilent: firstByteP99Ms => {
+      const nowMs = clock.nowMs()
+      for (const connection of connections) if (connection.isHeldByCaller?.()) connection.lastProgressMs = nowMs
+      const silent = new Set(findSilentConnections(connections, nowMs, firstByteP99Ms))
+      const found = connections.filter(({ id, retired }) => silent.has(id) && !retired)
+      for (const connection of found) {
+        connection.retired = true
+        if (!connection.busy) closeQuietly(connection)
+      }
+      if (found.length > 0) serve()
+      return found
+    },
+    count: () => connections.length + openingCount,
+    busyCount: () => connections.reduce((sum, { busy }) => sum + (busy ? 1 : 0), 0)
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/daemon.ts
@@ -0,0 +1,194 @@
+/**
+ * Wiring of one node: the request path, the part that acts together with other
+ * nodes, the admin address and the life of the process.
+ */
+import { createRandom } from '@wisteriavalve/common'
+import type { AdoptedConfiguration } from '@wisteriavalve/fleet'
+import type { PolicyName } from '@wisteriavalve/policy'
+import type { NodeReport, NodeStatus } from '@wisteriavalve/schema'
+import { createCallerServer } from './adapters/caller-http.js'
+import type { ExplainQuery } from './admin-api.js'
+import { createAdminServer } from './admin-server.js'
+import { createBurnBuckets } from './burn-buckets.js'
+import { BEAT_MS, PAUSE_GAP_MS, WHEEL_TICK_MS } from './constants.js'
+import { createDeadlineWheel } from './deadline-wheel.js'
+import { depart } from './departure.js'
+import { createLifecycle, type Phase } from './lifecycle.js'
+import { bindFault, boundPort, listen } from './listening.js'
+import { createMetrics } from './metrics.js'
+import { createNodeEvents } from './node-events.js'
+import { createPauseDetector } from './pause-detector.js'
+import type { PipelineContext } from './pipeline-context.js'
+import { createRequestIds } from './request-ids.js'
+import { createRequestPipeline } from './request-pipeline.js'
+import { createRequestRecorder } from './request-recorder.js'
+import { createServiceRuntimes } from './service-runtimes.js'
+import type { DaemonContext, FleetRuntime, PeerSource } from './types.js'
+import { answerWellKnown } from './well-known.js'
+
+const ENTRY_LIFETIME_DEFAULT_MS = 10_000
+/** Load is told to peers this often; entry answers use it as a weight. */
+const LOAD_INTERVAL_MS = 500
+const REPORT_WINDOW_MS = 3_600_000
+
+export type Daemon = {
+  /** @throws StartFault when an address cannot be bound */
+  start: () => Promise<void>
+  /** Planned stop; resolves when everything in flight has ended. */
+  leave: () => Promise<void>
+  phase: () => Phase
+  callerPort: () => number
+  adminPort: () => number
+}
+
+export const createDaemon = ({ settings, clock, random, log, events }: DaemonContext, fleet: FleetRuntime): Daemon => {
+  const startedMs = clock.nowMs()
+  const startedWallMs = Date.now()
+  const lifecycle = createLifecycle(() => undefined)
+  const burn = createBurnBuckets()
+  const nodeEvents = createNodeEvents({ clock, events, log })
+  const metrics = createMetrics(() => ({
+    caller_connections: callers.connectionCount(),
+    in_flight: pipeline.inFlightCount(),
+    load_percent: runtimes.loadPercent(clock.nowMs()),
+    ...fleet.counters()
+  }))
+
+  const runtimes = createServiceRuntimes({
+    clock,
+    onHealth: nodeEvents.targetHealth,
+    onSilent: (service, targetId, retired) => {
+      for (let count = 0; count < retired.length; count++) metrics.add('retired_connections')
+      nodeEvents.connectionsRetired(service, targetId, retired.length)
+      for (const connection of retired) connection.onSilent?.()
+    }
+  })
+
+  const onPause = (gapMs: number, nowMs: number): void => {
+    metrics.add('pauses')
+    nodeEvents.paused(gapMs)
+    runtimes.wake(gapMs, nowMs)
+    fleet.wake(gapMs)
+  }
+
+  let loadToldMs = -Infinity
+  const onBeat = (nowMs: number): void => {
+    runtimes.maintain(nowMs)
+    const notes = runtimes.takeNotes(nowMs)
+    if (notes.length > 0) fleet.shareNotes(notes)
+    if (nowMs - loadToldMs < LOAD_INTERVAL_MS) return
+    loadToldMs = nowMs
+    fleet.setLoadPercent(runtimes.loadPercent(nowMs))
+  }
+
+  const pause = createPauseDetector({ clock, beatMs: BEAT_MS, gapMs: PAUSE_GAP_MS, onPause, onBeat })
+  const recorder = createRequestRecorder({ clock, events, log, metrics, burn })
+  const isLeaving = (): boolean => lifecycle.phase() === 'leaving'
+  const context: PipelineContext = {
+    clock,
+    random: createRandom(random.int(0x7fffffff)),
+    zone: settings.zone,
+    policy: settings.policy as PolicyName,
+    wheel: createDeadlineWheel(clock, WHEEL_TICK_MS),
+    pause,
+    runtimes,
+    recorder,
+    nextRequestId: createRequestIds(),
+    isLeaving
+  }
+  const pipeline = createRequestPipeline(context)
+  const wellKnown = {
+    isServing: () => lifecycle.phase() === 'serving' || isLeaving(),
+    entryAnswer: fleet.entryAnswer
+  }
+  const callers = createCallerServer({
+    onCall: call => {
+      if (isLeaving()) call.res.shouldKeepAlive = false
+      if (!answerWellKnown(call, wellKnown)) pipeline.handle(call)
+    },
+    acceptConnection: address => pipeline.callerLimits.tryOpenConnection(address),
+    onConnectionClosed: address => pipeline.callerLimits.noteConnectionClosed(address),
+    onMalformed: (result, address, reason) => recorder.unreadable(result, address, reason)
+  })
+
+  const onConfiguration = (adopted: AdoptedConfiguration): void => {
+    runtimes.applyConfiguration(adopted)
+    lifecycle.send('configured')
+  }
+
+  const status = (): NodeStatus => {
+    const { order, state, reason = '' } = fleet.configurationStatus()
+    const nowMs = clock.nowMs()
+    return {
+      nodeId: settings.nodeId,
+      fleet: settings.fleet,
+      zone: settings.zone,
+      phase: lifecycle.phase(),
+      uptimeMs: Math.round(nowMs - startedMs),
+      policy: settings.policy,
+      ...(order ? { configuration: order } : {}),
+      configurationState: state,
+      configurationReason: reason,
+      members: fleet.members(),
+      targets: runtimes.status(nowMs),
+      counters: metrics.counters()
+    }
+  }
+
+  const report = (): NodeReport => ({
+    nodeId: settings.nodeId,
+    zone: settings.zone,
+    sinceWallMs: startedWallMs,
+    buckets: burn.list(Date.now()),
+    events: nodeEvents.find({ automaticOnly: true, withinMs: REPORT_WINDOW_MS })
+  })
+
+  const peerSource: PeerSource = { status, explain: (query: ExplainQuery) => nodeEvents.find(query), report }
+  const admin = createAdminServer({
+    status,
+    explain: peerSource.explain,
+    fleetStatus: fleet.gatherStatus,
+    fleetExplain: fleet.gatherExplain,
+    fleetReport: fleet.gatherReport
+  }, metrics.text)
+
+  const start = async (): Promise<void> => {
+    fleet.onTargets(runtimes.applyTargets)
+    fleet.onNotes(runtimes.applyNotes)
+    fleet.onProbe(runtimes.applyProbe)
+    fleet.setAnswerSource((service, targetId) => runtimes.get(service)?.table.lastAnswerMs(targetId))
+    fleet.onConfiguration(onConfiguration)
+    await listen(callers.server, settings.callerListen, '--caller-listen')
+    await listen(admin, settings.adminListen, '--admin-listen')
+    await fleet.start(peerSource).catch((error: unknown) => { throw bindFault(error) })
+    log('daemon_started', {
+      node: settings.nodeId,
+      zone: settings.zone,
+      caller_address: `${settings.callerListen.host}:${boundPort(callers.server)}`,
+      admin_address: `${settings.adminListen.host}:${boundPort(admin)}`
+    })
+  }
+
+  const leave = async (): Promise<void> => {
+    lifecycle.send('stop-requested')
+    fleet.leave()
+    log('daemon_leaving', { in_flight: pipeline.inFlightCount() })
+    await depart({
+      clock,
+      server: callers.server,
+      connectionCount: callers.connectionCount,
+      inFlightCount: pipeline.inFlightCount,
+      entryLifetimeMs: fleet.configuration()?.settings.entryLifetimeMs ?? ENTRY_LIFETIME_DEFAULT_MS,
+      stopTimeoutMs: settings.stopTimeoutMs
+    })
+    pause.stop()
+    runtimes.closeIdle()
+    await fleet.stop()
+    admin.close()
+    admin.closeAllConnections()
+    lifecycle.send('finished')
+    log('daemon_stopped', { uptime_ms: Math.round(clock.nowMs() - startedMs) })
+  }
+
+  return { start, leave, phase: lifecycle.phase, callerPort: () => boundPort(callers.server), adminPort: () => boundPort(admin) }
+}
--- /dev/null
+++ b/packages/daemon/src/listening.ts
@@ -0,0 +1,31 @@
+/**
+ * Binding of listening addresses.
+ */
+import type { Server } from 'node:net'
+import { startFault, type StartFault } from './settings.js'
+import type { ListenAddress } from './types.js'
+
+export const isStartFault = (error: unknown): error is StartFault =>
+  typeof error === 'object' && error !== null && 'name' in error && 'code' in error && String(error.code).startsWith('WV-')
+
+/** @throws StartFault when the address cannot be bound */
+export const listen = (server: Server, { host, port }: ListenAddress, flag: string): Promise<void> => new Promise((resolve, reject) => {
+  const onError = (error: Error): void => reject(startFault('address-in-use', `The address ${host}:${port} of the setting ${flag} cannot be bound: ${error.message}.`))
+  server.once('error', onError)
+  server.listen({ host, port }, () => {
+    server.off('error', onError)
+    resolve()
+  })
+})
+
+/** Port that the system chose when the setting gave 0. */
+export const boundPort = (server: Server): number => {
+  const address = server.address()
+  return typeof address === 'object' && address !== null ? address.port : 0
+}
+
+/** Start fault for an error of the gossip or peer address; other errors stay as they are. */
+export const bindFault = (error: unknown): unknown => {
+  if (!(error instanceof Error) || !('syscall' in error) || !['bind', 'listen'].includes(String(error.syscall))) return error
+  return startFault('address-in-use', `The address of the setting --gossip-listen or --peer-listen cannot be bound: ${error.message}.`)
+}
--- /dev/null
+++ b/packages/daemon/src/logs.ts
@@ -0,0 +1,25 @@
+/**
+ * Log lines: pino decides about levels and serializes, and a destination
+ * rewrites each line as key=value pairs.
+ */
+import logfmt from 'logfmt'
+import { pino, type DestinationStream } from 'pino'
+import { LOG_EVENTS, type LogEventName } from '@wisteriavalve/schema'
+import type { Log } from './types.js'
+
+const levels = new Map<LogEventName, (typeof LOG_EVENTS)[number]['level']>(LOG_EVENTS.map(row => [row.event, row.level]))
+
+/** @param writeLine takes one line without its line break */
+export const createLogfmtDestination = (writeLine: (line: string) => void): DestinationStream => ({
+  write: json => writeLine(logfmt.stringify(JSON.parse(json) as object))
+})
+
+export const createLog = (level: string, writeLine: (line: string) => void): Log => {
+  const logger = pino({
+    level,
+    base: null,
+    timestamp: () => `,"time":"${new Date().toISOString()}"`,
+    formatters: { level: label => ({ level: label }) }
+  }, createLogfmtDestination(writeLine))
+  return (event, fields) => logger[levels.get(event) ?? 'info']({ event, ...fields })
+}
--- /dev/null
+++ b/packages/daemon/src/metrics.ts
@@ -0,0 +1,109 @@
+/**
+ * Counts and histograms of the request path, and their text in the Prometheus
+ * format. Counting is a plain addition; prom-client only renders.
+ */
+import { build, type Histogram } from 'hdr-histogram-js'
+import { Counter, Gauge, Registry } from 'prom-client'
+import type { Kind } from '@wisteriavalve/schema'
+
+const QUANTILES = [50, 90, 99, 99.9]
+const US_PER_MS = 1_000
+
+export type KindCounts = { service: string, kind: string, byResult: Map<string, number> }
+
+export type Metrics = {
+  countResult: (service: string, kind: Kind, result: string) => void
+  /** Time from the arrival of a request to its answer, and to its first write. */
+  recordAnswer: (durationMs: number) => void
+  recordDispatch: (durationMs: number) => void
+  add: (counter: CounterName) => void
+  counters: () => Record<string, number>
+  text: () => Promise<string>
+}
+
+export type CounterName = 'retries' | 'hedges' | 'refused' | 'pauses' | 'retired_connections'
+
+export type Gauges = () => Record<string, number>
+
+const createHistogram = (): Histogram => build({
+  bitBucketSize: 32, autoResize: true, lowestDiscernibleValue: 1, highestTrackableValue: 3_600_000 * US_PER_MS, numberOfSignificantValueDigits: 2, useWebAssembly: false
+})
+
+const record = (histogram: Histogram, durationMs: number): void =>
+  histogram.recordValue(Math.max(1, Math.round(durationMs * US_PER_MS)))
+
+const addSummary = (registry: Registry, name: string, help: string, histogram: Histogram): void => {
+  const gauge = new Gauge({
+    name,
+    help,
+    labelNames: ['quantile'],
+    registers: [registry],
+    collect: () => {
+      for (const quantile of QUANTILES) gauge.set({ quantile: String(quantile / 100) }, histogram.getValueAtPercentile(quantile) / US_PER_MS)
+    }
+  })
+}
+
+const addResults = (registry: Registry, results: ReadonlyMap<string, KindCounts>): void => {
+  const counter = new Counter({
+    name: 'wisteriavalve_requests_total',
+    help: 'Requests by service, kind and result; answered, or a result code.',
+    labelNames: ['service', 'kind', 'result'],
+    registers: [registry],
+    collect: () => {
+      counter.reset()
+      for (const { service, kind, byResult } of results.values()) {
+        for (const [result, count] of byResult) counter.inc({ service, kind, result }, count)
+      }
+    }
+  })
+}
+
+const addGauges = (registry: Registry, gauges: Gauges): void => {
+  const gauge = new Gauge({
+    name: 'wisteriavalve_node',
+    help: 'State and counts of this node, by name.',
+    labelNames: ['name'],
+    registers: [registry],
+    collect: () => {
+      for (const [name, value] of Object.entries(gauges())) gauge.set({ name }, value)
+    }
+  })
+}
+
+/** @param gauges further values of the node, read when metrics are asked for */
+export const createMetrics = (gauges: Gauges): Metrics => {
+  const results = new Map<string, KindCounts>()
+  const counts: Record<CounterName, number> = { retries: 0, hedges: 0, refused: 0, pauses: 0, retired_connections: 0 }
+  const answers = createHistogram()
+  const dispatches = createHistogram()
+  const registry = new Registry()
+
+  const countResult = (service: string, kind: Kind, result: string): void => {
+    const key = `${service} ${kind.name}`
+    let entry = results.get(key)
+    if (!entry) results.set(key, entry = { service, kind: kind.name, byResult: new Map() })
+    entry.byResult.set(result, (entry.byResult.get(result) ?? 0) + 1)
+  }
+
+  const resultTotals = (): Record<string, number> => {
+    const totals: Record<string, number> = {}
+    for (const { byResult } of results.values()) {
+      for (const [result, count] of byResult) totals[`result_${result}`] = (totals[`result_${result}`] ?? 0) + count
+    }
+    return totals
+  }
+
+  addResults(registry, results)
+  addSummary(registry, 'wisteriavalve_request_duration_ms', 'Time from arrival of a request to the end of its answer.', answers)
+  addSummary(registry, 'wisteriavalve_dispatch_delay_ms', 'Time from arrival of a request to its first byte towards a backend server.', dispatches)
+  addGauges(registry, () => ({ ...counts, ...gauges() }))
+  return {
+    countResult,
+    recordAnswer: durationMs => record(answers, durationMs),
+    recordDispatch: durationMs => record(dispatches, durationMs),
+    add: counter => { counts[counter]++ },
+    counters: () => ({ ...resultTotals(), ...counts, ...gauges() }),
+    text: () => registry.metrics()
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/node-events.ts
@@ -0,0 +1,55 @@
+/**
+ * What this node did or saw apart from single requests, as a log line and as a
+ * sentence for explain.
+ */
+import type { Clock, EventRecord } from '@wisteriavalve/common'
+import type { TargetHealth } from '@wisteriavalve/policy'
+import type { EventEntry } from '@wisteriavalve/schema'
+import type { ExplainQuery } from './admin-api.js'
+import type { Log } from './types.js'
+
+export type NodeEvents = {
+  targetHealth: (service: string, targetId: string, health: TargetHealth, reason: string) => void
+  connectionsRetired: (service: string, targetId: string, count: number) => void
+  paused: (gapMs: number) => void
+  find: (query: ExplainQuery) => EventEntry[]
+}
+
+export type NodeEventsOptions = { clock: Clock, events: EventRecord, log: Log }
+
+const matcher = ({ requestId, service, targetId, withinMs, automaticOnly }: ExplainQuery, nowMs: number) => (entry: EventEntry): boolean =>
+  (requestId === undefined || entry.requestId === requestId) &&
+  (service === undefined || entry.service === service) &&
+  (targetId === undefined || entry.targetId === targetId) &&
+  (withinMs === undefined || entry.atMs >= nowMs - withinMs) &&
+  (automaticOnly !== true || entry.automatic === true)
+
+const HEALTH_TEXT: Record<TargetHealth, string> = {
+  cold: 'starts with few requests',
+  ready: 'gets its full share of requests',
+  draining: 'gets no new requests',
+  ejected: 'was taken out for a while',
+  probation: 'is tested with a few requests',
+  gone: 'is not used any more'
+}
+
+export const createNodeEvents = ({ clock, startedMs, events, log }: NodeEventsOptions): NodeEvents => {
+  const add = (entry: Omit<EventEntry, 'atMs' | 'wallMs' | 'automatic'>): void =>
+    events.add({ atMs: Math.round(clock.nowMs()), wallMs: Date.now(), automatic: true, ...entry })
+
+  return {
+    targetHealth: (service, targetId, health, reason) => {
+      log('target_state', { service, target: targetId, state: health, reason })
+      add({ event: 'target_state', service, targetId, text: `Target ${targetId} of ${service} ${HEALTH_TEXT[health]}: ${reason}.` })
+    },
+    connectionsRetired: (service, targetId, count) => {
+      log('connections_retired', { service, target: targetId, count })
+      add({ event: 'connections_retired', service, targetId, text: `${count} connections to ${targetId} of ${service} went silent while a younger one answered, and get no new requests.` })
+    },
+    paused: gapMs => {
+      log('process_paused', { gap_ms: Math.round(gapMs) })
+      add({ event: 'process_paused', text: `This process did not run for ${Math.round(gapMs)} ms; what was decided before and not sent is decided anew.` })
+    },
+    find: query => events.find(matcher(query, clock.nowMs()))
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/pause-detector.ts
@@ -0,0 +1,48 @@
+/**
+ * Notices that the process did not run for a while: stopped, starved of
+ * processor time, or blocked. Each pause begins a new epoch. Whoever decides
+ * something remembers the epoch and compares it before acting, because after a
+ * pause a socket event may run before any timer.
+ */
+import type { Cancel, Clock } from '@wisteriavalve/common'
+
+export type PauseDetector = {
+  /** Epoch at this time; notices a pause that ended just now. */
+  epoch: (nowMs: number) => number
+  stop: () => void
+}
+
+export type PauseDetectorOptions = {
+  clock: Clock
+  beatMs: number
+  gapMs: number
+  onPause: (gapMs: number, nowMs: number) => void
+  /** Called on each beat. */
+  onBeat: (nowMs: number) => void
+}
+
+export const createPauseDetector = ({ clock, beatMs, gapMs, onPause, onBeat }: PauseDetectorOptions): PauseDetector => {
+  let lastBeatMs = clock.nowMs()
+  let epoch = 0
+  let cancel: Cancel
+
+  const check = (nowMs: number): number => {
+    const elapsedMs = nowMs - lastBeatMs
+    if (elapsedMs <= gapMs) return epoch
+    lastBeatMs = nowMs
+    epoch++
+    onPause(elapsedMs, nowMs)
+    return epoch
+  }
+
+  const beat = (): void => {
+    const nowMs = clock.nowMs()
+    check(nowMs)
+    lastBeatMs = nowMs
+    onBeat(nowMs)
+    cancel = clock.after(beatMs, beat)
+  }
+
+  cancel = clock.after(beatMs, beat)
+  return { epoch: check, stop: () => cancel() }
+}
--- /dev/null
+++ b/packages/daemon/src/pipeline-context.ts
@@ -0,0 +1,39 @@
+/**
+ * What the steps of the request path share.
+ */
+import type { Clock, Random } from '@wisteriavalve/common'
+import type { PolicyName } from '@wisteriavalve/policy'
+import type { Call } from './adapters/caller-http.js'
+import type { ResultName } from '@wisteriavalve/schema'
+import type { DeadlineWheel } from './deadline-wheel.js'
+import type { Attempt, Exchange } from './exchange.js'
+import type { PauseDetector } from './pause-detector.js'
+import type { ServiceRuntimes } from './service-runtimes.js'
+
+/** Takes note of what happened to requests, for logs, metrics, explain and the report. */
+export type RequestRecorder = {
+  routed: (attempt: Attempt, purpose: AttemptPurpose) => void
+  answered: (exchange: Exchange, attempt: Attempt, nowMs: number) => void
+  failed: (exchange: Exchange, result: ResultName, targetId: string | undefined, detail: string | undefined) => void
+  /** A request that did not become an exchange. */
+  refused: (call: Call, result: ResultName, detail: string | undefined) => void
+  /** Bytes of a caller that are not a request. */
+  unreadable: (result: ResultName, address: string, reason: string) => void
+  /** An error in this program. */
+  fault: (error: unknown, requestId: string | undefined) => void
+}
+
+export type AttemptPurpose = 'first' | 'retry' | 'hedge'
+
+export type PipelineContext = {
+  clock: Clock
+  random: Random
+  zone: string
+  policy: PolicyName
+  wheel: DeadlineWheel
+  pause: PauseDetector
+  runtimes: ServiceRuntimes
+  recorder: RequestRecorder
+  nextRequestId: () => string
+  isLeaving: () => boolean
+}
--- /dev/null
+++ b/packages/daemon/src/request-ids.ts
@@ -0,0 +1,11 @@
+/**
+ * Ids for requests that come without one: a random part for the process and a
+ * counter, which is cheaper than a random id for each request.
+ */
+import { randomBytes } from 'node:crypto'
+
+export const createRequestIds = (): () => string => {
+  const prefix = randomBytes(8).toString('hex')
+  let count = 0
+  return () => `${prefix}-${(++count).toString(36)}`
+}
--- /dev/null
+++ b/packages/daemon/src/request-pipeline.ts
@@ -0,0 +1,157 @@
+/**
+ * The request path: intake, admission, attempts, settlement. See section 5 of
+ * docs/design.md.
+ */
+import { createCallerLimits, type CallerLimits } from '@wisteriavalve/policy'
+import type { ResultName } from '@wisteriavalve/schema'
+import { answerFailure, type Call } from './adapters/caller-http.js'
+import { startAttempt } from './attempts.js'
+import { CALLER_LIMITS } from './constants.js'
+import type { Exchange } from './exchange.js'
+import { forwardedRequestHeaders } from './headers.js'
+import { examineCall, type Examined } from './intake.js'
+import type { PipelineContext } from './pipeline-context.js'
+import { createRequestBody } from './request-body.js'
+import type { ServiceRuntime } from './service-runtimes.js'
+import { contain, failExchange, onBodyTooLarge, onCallerGone, onDeadline, onNoProgress } from './settlement.js'
+
+export type RequestPipeline = {
+  handle: (call: Call) => void
+  callerLimits: CallerLimits
+  inFlightCount: () => number
+}
+
+type Accepted = Extract<Examined, { ok: true }>
+
+const forwardedHeaders = ({ req, address }: Call, id: string): string[] => {
+  const headers = forwardedRequestHeaders(req.rawHeaders, req.headers.connection)
+  const forwardedFor = req.headers['x-forwarded-for']
+  headers.push('x-request-id', id, 'x-forwarded-for', forwardedFor === undefined ? address : `${String(forwardedFor)}, ${address}`)
+  return headers
+}
+
+const deadlineOf = ({ kind, control: { timeoutMs = Infinity } }: Accepted, nowMs: number): number =>
+  nowMs + (kind.boundedBy === 'progress' ? timeoutMs : Math.min(timeoutMs, kind.deadlineMs))
+
+const createExchange = (context: PipelineContext, call: Call, accepted: Accepted, runtime: ServiceRuntime): Exchange => {
+  const { kind, control, path } = accepted
+  const nowMs = context.clock.nowMs()
+  const givenId = call.req.headers['x-request-id']
+  const id = typeof givenId === 'string' ? givenId : context.nextRequestId()
+  const exchange: Exchange = {
+    id,
+    call,
+    method: call.req.method ?? 'GET',
+    path,
+    runtime,
+    kind,
+    body: createRequestBody({
+      call,
+      collectUnknown: kind.idempotent && kind.boundedBy === 'deadline',
+      bytesMax: kind.bodyBytesMax,
+      onTooLarge: () => contain(context, exchange, () => onBodyTooLarge(context, exchange)),
+      onProgress: () => { exchange.lastProgressMs = context.clock.nowMs() }
+    }),
+    headers: forwardedHeaders(call, id),
+    depth: control.depth,
+    allowance: control.allowance,
+    arrivedMs: nowMs,
+    admittedMs: nowMs,
+    deadlineMs: deadlineOf(accepted, nowMs),
+    queueId: '',
+    phase: 'collecting',
+    tried: new Set(),
+    attempts: [],
+    attemptCount: 0,
+    isHedged: false,
+    lastProgressMs: nowMs
+  }
+  return exchange
+}
+
+/** Bounds the time without a byte instead of the whole time. */
+const watchProgress = (context: PipelineContext, exchange: Exchange): void => {
+  const limitMs = exchange.kind.deadlineMs
+  exchange.progressCheck = context.wheel.schedule(exchange.lastProgressMs + limitMs, () => contain(context, exchange, () => {
+    if (context.clock.nowMs() - exchange.lastProgressMs >= limitMs) onNoProgress(context, exchange)
+    else watchProgress(context, exchange)
+  }))
+}
+
+const watchTime = (context: PipelineContext, exchange: Exchange): void => {
+  if (exchange.deadlineMs !== Infinity) exchange.expiry = context.wheel.schedule(exchange.deadlineMs, () => contain(context, exchange, () => onDeadline(context, exchange)))
+  if (exchange.kind.boundedBy === 'progress') watchProgress(context, exchange)
+}
+
+const run = (context: PipelineContext, exchange: Exchange): void => {
+  exchange.phase = 'running'
+  exchange.admittedMs = context.clock.nowMs()
+  startAttempt(context, exchange, 'first')
+}
+
+/** The queue needs a deadline; without one, a request waits as long as it may go without progress. */
+const queueDeadline = ({ deadlineMs, arrivedMs, kind }: Exchange): number =>
+  deadlineMs === Infinity ? arrivedMs + kind.deadlineMs : deadlineMs
+
+const admit = (context: PipelineContext, exchange: Exchange): void => {
+  if (exchange.phase === 'settled') return
+  const { runtime, kind } = exchange
+  const nowMs = context.clock.nowMs()
+  if (runtime.table.routing(nowMs).candidates.length === 0) {
+    failExchange(context, exchange, 'no-target')
+    return
+  }
+  exchange.phase = 'queued'
+  exchange.queueId = context.nextRequestId()
+  const outcome = runtime.admission.offer({
+    id: exchange.queueId,
+    weight: kind.weight,
+    deadlineMs: queueDeadline(exchange),
+    run: () => contain(context, exchange, () => run(context, exchange)),
+    refuse: ({ result, retryAfterMs }) => failExchange(context, exchange, result, { retryAfterMs })
+  }, nowMs)
+  if (outcome.decision === 'run') run(context, exchange)
+  else if (outcome.decision === 'refused') failExchange(context, exchange, outcome.refusal.result, { retryAfterMs: outcome.refusal.retryAfterMs })
+}
+
+export const createRequestPipeline = (context: PipelineContext): RequestPipeline => {
+  const callerLimits = createCallerLimits(CALLER_LIMITS)
+  let inFlightCount = 0
+
+  const refuse = (call: Call, result: ResultName, detail?: string, retryAfterMs?: number): void => {
+    answerFailure(call, result, { detail, retryAfterMs })
+    context.recorder.refused(call, result, detail)
+  }
+
+  const begin = (call: Call, accepted: Accepted, runtime: ServiceRuntime): void => {
+    const exchange = createExchange(context, call, accepted, runtime)
+    inFlightCount++
+    call.onClosed = () => {
+      inFlightCount--
+      contain(context, exchange, () => onCallerGone(context, exchange))
+    }
+    runtime.retryBudget.noteRequest(exchange.arrivedMs)
+    contain(context, exchange, () => {
+      watchTime(context, exchange)
+      exchange.body.prepare(() => contain(context, exchange, () => admit(context, exchange)))
+    })
+  }
+
+  const handle = (call: Call): void => {
+    const limit = callerLimits.tryRequest(call.address, context.clock.nowMs())
+    if (!limit.ok) {
+      refuse(call, 'caller-limit', undefined, limit.retryAfterMs)
+      return
+    }
+    const examined = examineCall(call, context.runtimes.index())
+    if (!examined.ok) {
+      refuse(call, examined.result, examined.detail)
+      return
+    }
+    const runtime = context.runtimes.get(examined.service.name)
+    if (runtime) begin(call, examined, runtime)
+    else refuse(call, 'service-unknown')
+  }
+
+  return { handle, callerLimits, inFlightCount: () => inFlightCount }
+}
--- /dev/null
+++ b/packages/daemon/src/request-recorder.ts
@@ -0,0 +1,130 @@
+/**
+ * Writes down what happened to requests: sentences for explain, a log line for
+ * a failure, counts for metrics and the report. Routes are sampled, failures
+ * are all recorded, and the number of log lines is bounded.
+ */
+import type { Clock, EventRecord } from '@wisteriavalve/common'
+import { resultCode, type EventEntry, type ResultName } from '@wisteriavalve/schema'
+import type { Call } from './adapters/caller-http.js'
+import type { BurnBuckets } from './burn-buckets.js'
+import { FAILURE_LINES_PER_S, ROUTE_EVENTS_PER_S } from './constants.js'
+import type { Attempt, Exchange } from './exchange.js'
+import type { Metrics } from './metrics.js'
+import type { AttemptPurpose, RequestRecorder } from './pipeline-context.js'
+import type { Log } from './types.js'
+
+export type RequestRecorderOptions = { clock: Clock, events: EventRecord, log: Log, metrics: Metrics, burn: BurnBuckets }
+
+type PerSecond = { take: (nowMs: number) => boolean, takeSkipped: () => number }
+
+const createPerSecond = (max: number): PerSecond => {
+  let startMs = -Infinity
+  let count = 0
+  let skipped = 0
+  return {
+    take: nowMs => {
+      if (nowMs - startMs >= 1_000) {
+        startMs = nowMs
+        count = 0
+      }
+      if (count++ < max) return true
+      skipped++
+      return false
+    },
+    takeSkipped: () => {
+      const before = skipped
+      skipped = 0
+      return before
+    }
+  }
+}
+
+const PURPOSES: Record<AttemptPurpose, string> = { first: 'was sent', retry: 'was sent again', hedge: 'was also sent' }
+
+const requestOf = ({ method, path, runtime }: Exchange): string => `${method} ${path.split('?', 1)[0]} of ${runtime.configuration.name}`
+
+/** Sentence about a failure that an operator can act on. */
+const failureText = (exchange: Exchange, result: ResultName, targetId: string | undefined, detail: string | undefined): string => {
+  const { class: resultClass, message } = resultCode(result)
+  const where = targetId === undefined ? '' : ` on ${targetId}`
+  const outcome = resultClass === 'not-run' ? 'was not run' : `may have run${where}`
+  const attempts = exchange.attemptCount > 1 ? ` after ${exchange.attemptCount} attempts` : ''
+  return `${requestOf(exchange)} ${outcome}${attempts}: ${message}${detail === undefined ? '' : ` (${detail})`}.`
+}
+
+export const createRequestRecorder = ({ clock, events, log, metrics, burn }: RequestRecorderOptions): RequestRecorder => {
+  const routes = createPerSecond(ROUTE_EVENTS_PER_S)
+  const lines = createPerSecond(FAILURE_LINES_PER_S)
+
+  const add = (nowMs: number, entry: Omit<EventEntry, 'atMs' | 'wallMs'>): void =>
+    events.add({ atMs: Math.round(nowMs), wallMs: Date.now(), ...entry })
+
+  const writeLine = (nowMs: number, fields: Record<string, string | number>): void => {
+    if (!lines.take(nowMs)) return
+    const skipped = lines.takeSkipped()
+    log('request_failed', skipped > 0 ? { ...fields, skipped_lines: skipped } : fields)
+  }
+
+  const routed = (attempt: Attempt, purpose: AttemptPurpose): void => {
+    const { exchange, targetId, reason, startedMs: nowMs } = attempt
+    if (purpose === 'retry') metrics.add('retries')
+    if (purpose === 'hedge') metrics.add('hedges')
+    if (purpose === 'first' && !routes.take(nowMs)) return
+    add(nowMs, {
+      event: 'request_routed',
+      requestId: exchange.id,
+      service: exchange.runtime.configuration.name,
+      kind: exchange.kind.name,
+      targetId,
+      text: `${requestOf(exchange)} ${PURPOSES[purpose]} to ${targetId}: ${reason}.`
+    })
+  }
+
+  const causeOf = (exchange: Exchange, status: number, nowMs: number): string | undefined =>
+    status >= 500 ? `status-${status}` : nowMs > exchange.deadlineMs ? 'late' : undefined
+
+  const answered = (exchange: Exchange, attempt: Attempt, nowMs: number): void => {
+    const { configuration } = exchange.runtime
+    metrics.countResult(configuration.name, exchange.kind, 'answered')
+    metrics.recordAnswer(nowMs - exchange.arrivedMs)
+    metrics.recordDispatch((attempt.writtenMs ?? nowMs) - exchange.arrivedMs)
+    burn.count(configuration.name, exchange.kind, causeOf(exchange, attempt.status, nowMs), attempt.targetId, Date.now())
+  }
+
+  const failed = (exchange: Exchange, result: ResultName, targetId: string | undefined, detail: string | undefined): void => {
+    const nowMs = clock.nowMs()
+    const { code, class: resultClass } = resultCode(result)
+    const service = exchange.runtime.configuration.name
+    metrics.countResult(service, exchange.kind, code)
+    burn.count(service, exchange.kind, code, targetId, Date.now())
+    const text = failureText(exchange, result, targetId, detail)
+    add(nowMs, { event: 'request_failed', requestId: exchange.id, service, kind: exchange.kind.name, targetId, resultCode: code, text })
+    writeLine(nowMs, {
+      request_id: exchange.id,
+      service,
+      kind: exchange.kind.name,
+      target: targetId ?? '',
+      result_code: code,
+      result_class: resultClass,
+      attempts: exchange.attemptCount,
+      duration_ms: Math.round(nowMs - exchange.arrivedMs),
+      message: text
+    })
+  }
+
+  const refused = (call: Call, result: ResultName, detail: string | undefined): void => unreadable(result, call.address, detail)
+
+  const unreadable = (result: ResultName, address: string, detail: string | undefined): void => {
+    const nowMs = clock.nowMs()
+    const { code, message } = resultCode(result)
+    metrics.add('refused')
+    const text = `A request from ${address} was not run: ${message}${detail === undefined ? '' : ` (${detail})`}.`
+    add(nowMs, { event: 'request_failed', resultCode: code, text })
+    writeLine(nowMs, { caller: address, result_code: code, result_class: 'not-run', message: text })
+  }
+
+  const fault = (error: unknown, requestId: string | undefined): void =>
+    log('request_fault', { request_id: requestId ?? '', message: error instanceof Error ? error.stack ?? error.message : String(error) })
+
+  return { routed, answered, failed, refused, unreadable, fault }
+}
--- /dev/null
+++ b/packages/daemon/src/response-relay.ts
@@ -0,0 +1,111 @@
+/**
+ * The way of a response from the backend server to the caller. The caller gets
+ * the whole response of one attempt or a broken connection, never a part that
+ * looks whole.
+ */
+import { parseLoadReport, type AttemptFailure } from '@wisteriavalve/policy'
+import { LINGER_MS, REPLAY_BYTES_MAX } from './constants.js'
+import { abandonAttempt, finishAttempt, type Attempt } from './exchange.js'
+import { forwardedResponseHeaders, forwardedTrailers, rawHeader } from './headers.js'
+import type { PipelineContext } from './pipeline-context.js'
+import { completeExchange } from './settlement.js'
+
+export type HeadStep =
+  | { step: 'relayed' }
+  /** The backend server did not run the request; the response is dropped. */
+  | { step: 'refused' }
+  /** The response is dropped for another attempt, which is already taken from the budget. */
+  | { step: 'retry' }
+  | { step: 'failed', message: string }
+  | { step: 'late' }
+
+export type ResponseHead = { status: number, headers: string[], statusText: string }
+
+/** Takes note of what the backend server says about itself; returns whether it refused the request. */
+const noteSigns = (attempt: Attempt, { status, headers }: ResponseHead, nowMs: number): boolean => {
+  const { table, targetId, writtenMs } = attempt
+  table.noteFirstByte(targetId, nowMs - (writtenMs ?? nowMs), nowMs)
+  const report = parseLoadReport(rawHeader(headers, 'endpoint-load-metrics'))
+  if (report) table.noteReport(targetId, report, nowMs)
+  if (rawHeader(headers, 'x-draining') === 'true') table.noteDraining(targetId, 'response', nowMs)
+  return (status === 429 || status === 503) && rawHeader(headers, 'x-request-not-run') === 'true'
+}
+
+/** Finishes an attempt whose response is not used; a short rest is read so that the connection can be kept. */
+const dropResponse = (context: PipelineContext, attempt: Attempt, outcome: AttemptFailure): void => {
+  const nowMs = context.clock.nowMs()
+  if (!attempt.exchange.body.isComplete()) {
+    abandonAttempt(attempt, outcome, nowMs)
+    return
+  }
+  attempt.isDropped = true
+  finishAttempt(attempt, outcome, nowMs)
+  context.wheel.schedule(nowMs + LINGER_MS, () => { if (attempt.connection) abandonAttempt(attempt, outcome, context.clock.nowMs()) })
+}
+
+export const onResponseHead = (context: PipelineContext, attempt: Attempt, head: ResponseHead, takesRetryAfterStatus: () => boolean): HeadStep => {
+  const { exchange } = attempt
+  const nowMs = context.clock.nowMs()
+  const isRefused = noteSigns(attempt, head, nowMs)
+  if (exchange.phase === 'settled' || (exchange.responder && exchange.responder !== attempt)) {
+    abandonAttempt(attempt, 'cancelled', nowMs)
+    return { step: 'late' }
+  }
+  if (isRefused) {
+    dropResponse(context, attempt, 'refused')
+    return exchange.attempts.length > 0 ? { step: 'late' } : { step: 'refused' }
+  }
+  if (head.status >= 500 && takesRetryAfterStatus()) {
+    dropResponse(context, attempt, 'error-status')
+    exchange.unknownResult ??= 'answer-broken'
+    return { step: 'retry' }
+  }
+  return begin(context, attempt, head)
+}
+
+const begin = (context: PipelineContext, attempt: Attempt, { status, headers, statusText }: ResponseHead): HeadStep => {
+  const { exchange } = attempt
+  const { res } = exchange.call
+  exchange.responder = attempt
+  attempt.status = status
+  if (exchange.hedgeCheck) context.wheel.cancel(exchange.hedgeCheck)
+  const nowMs = context.clock.nowMs()
+  for (const other of [...exchange.attempts]) if (other !== attempt) abandonAttempt(other, 'cancelled', nowMs)
+  if (context.isLeaving()) res.shouldKeepAlive = false
+  const forwarded = forwardedResponseHeaders(headers, rawHeader(headers, 'connection'))
+  forwarded.push('x-request-id', exchange.id)
+  try {
+    res.writeHead(status, statusText, forwarded)
+  } catch (error) {
+    return { step: 'failed', message: error instanceof Error ? error.message : 'the head cannot be passed on' }
+  }
+  // node:http sends the head with the first bytes of the body; a body that lets wait for itself must not hold it back.
+  process.nextTick(() => { if (exchange.phase === 'running' && !attempt.isFlushed) res.flushHeaders() })
+  return { step: 'relayed' }
+}
+
+export const relayData = (attempt: Attempt, chunk: Buffer): boolean => {
+  const { res } = attempt.exchange.call
+  attempt.isFlushed = true
+  if (res.write(chunk)) return true
+  res.once('drain', () => attempt.sending?.resume())
+  return false
+}
+
+/** False at the limit: the rest is not worth reading, and the connection is closed by the timer. */
+export const dropData = (attempt: Attempt, chunk: Buffer): boolean => {
+  attempt.droppedBytes += chunk.length
+  return attempt.droppedBytes <= REPLAY_BYTES_MAX
+}
+
+export const endResponse = (context: PipelineContext, attempt: Attempt, rawTrailers: readonly string[]): void => {
+  const { exchange, connection } = attempt
+  attempt.connection = undefined
+  if (connection) attempt.pool.release(connection)
+  if (attempt.isDropped || exchange.responder !== attempt) return
+  const { res } = exchange.call
+  const trailers = rawTrailers.length > 0 ? forwardedTrailers(rawTrailers) : []
+  if (trailers.length > 0) res.addTrailers(trailers)
+  res.end()
+  completeExchange(context, attempt)
+}
--- /dev/null
+++ b/packages/daemon/src/run.ts
@@ -0,0 +1,76 @@
+/**
+ * The process: settings, signals and exit codes.
+ */
+import { randomInt } from 'node:crypto'
+import { CommanderError } from 'commander'
+import { createEventRecord, createRandom, createSystemClock } from '@wisteriavalve/common'
+import { EVENT_RECORD_CAPACITY, EXIT_ADDRESS, EXIT_FAULT, EXIT_SETTINGS } from './constants.js'
+import { createDaemon } from './daemon.js'
+import { isStartFault } from './listening.js'
+import { createLog } from './logs.js'
+import { parseSettings, type StartFault } from './settings.js'
+import type { DaemonContext, DaemonSettings, FleetRuntime, Log } from './types.js'
+
+/** Log lines are written synchronously, so the last ones are not lost when the process exits. */
+const writeLine = (line: string): void => { process.stdout.write(`${line}\n`) }
+
+const failStart = (log: Log, { code, name, message }: StartFault): void => {
+  log('start_failed', { result_code: code, message })
+  process.stderr.write(`${code} ${message}\n`)
+  process.exitCode = name === 'address-in-use' ? EXIT_ADDRESS : EXIT_SETTINGS
+}
+
+const createContext = (settings: DaemonSettings, log: Log): DaemonContext => ({
+  settings,
+  clock: createSystemClock(),
+  random: createRandom(settings.seed === 0 ? randomInt(1, 0x7fffffff) : settings.seed),
+  log,
+  events: createEventRecord(EVENT_RECORD_CAPACITY)
+})
+
+/** After an unexpected error the state of the process is unknown, so it ends; the platform starts it again. */
+const exitOnFault = (log: Log): void => {
+  const onFault = (error: unknown): void => {
+    log('daemon_failed', { message: error instanceof Error ? error.stack ?? error.message : String(error) })
+    process.exit(EXIT_FAULT)
+  }
+  process.on('uncaughtException', onFault)
+  process.on('unhandledRejection', onFault)
+}
+
+const leaveOnSignals = (leave: () => Promise<void>): void => {
+  let isLeaving = false
+  const onSignal = (): void => {
+    if (isLeaving) return
+    isLeaving = true
+    leave().then(() => process.exit(0), error => { throw error })
+  }
+  process.on('SIGTERM', onSignal)
+  process.on('SIGINT', onSignal)
+}
+
+const serve = async (settings: DaemonSettings, createFleet: (context: DaemonContext) => FleetRuntime): Promise<void> => {
+  const log = createLog(settings.logLevel, writeLine)
+  exitOnFault(log)
+  const context = createContext(settings, log)
+  const daemon = createDaemon(context, createFleet(context))
+  leaveOnSignals(daemon.leave)
+  try {
+    await daemon.start()
+  } catch (error) {
+    if (!isStartFault(error)) throw error
+    failStart(log, error)
+    process.exit()
+  }
+}
+
+/** @param args flags without the program's name */
+export const run = async (args: readonly string[], env: NodeJS.ProcessEnv, createFleet: (context: DaemonContext) => FleetRuntime): Promise<void> => {
+  try {
+    const settings = parseSettings(args, env)
+    if (settings.ok) await serve(settings.value, createFleet)
+    else failStart(createLog('error', writeLine), settings.error)
+  } catch (error) {
+    if (!(error instanceof CommanderError)) throw error
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/service-runtimes.ts
@@ -0,0 +1,223 @@
+/**
+ * What the request path keeps for each service: the table of targets,
+ * admission, retry budget and connections. Configurations and target lists
+ * change it in place, so requests in flight are not disturbed.
+ */
+import type { Clock } from '@wisteriavalve/common'
+import type { AdoptedConfiguration } from '@wisteriavalve/fleet'
+import {
+  connectionShare, createAdmission, createRetryBudget, createServiceIndex, createTargetTable,
+  type Admission, type ProbeResult, type RetryBudget, type ServiceIndex, type TargetHealth, type TargetTable
+} from '@wisteriavalve/policy'
+import type { ServiceConfiguration, Target, TargetNote, TargetStatus } from '@wisteriavalve/schema'
+import { createTargetConnections, type BackendConnection, type TargetConnections } from './backend-connections.js'
+import { QUEUE_LENGTH_MAX } from './constants.js'
+import type { ServiceTargets } from './types.js'
+
+export type ServiceRuntime = {
+  configuration: ServiceConfiguration
+  table: TargetTable
+  admission: Admission
+  retryBudget: RetryBudget
+  connections: Map<string, TargetConnections>
+  /** Requests that found every usable target at its limit; the functions try again. */
+  blocked: Set<() => void>
+  share: number
+  /** Targets that must not get new work; also asked directly before a request is written. */
+  draining: Set<string>
+}
+
+export type ServiceRuntimesOptions = {
+  clock: Clock
+  onHealth: (service: string, targetId: string, health: TargetHealth, reason: string) => void
+  onSilent: (service: string, targetId: string, retired: BackendConnection[]) => void
+}
+
+export type ServiceRuntimes = {
+  index: () => ServiceIndex | undefined
+  get: (service: string) => ServiceRuntime | undefined
+  all: () => Iterable<ServiceRuntime>
+  applyConfiguration: (adopted: AdoptedConfiguration) => void
+  applyTargets: (service: string, targets: ServiceTargets) => void
+  applyNotes: (notes: readonly TargetNote[]) => void
+  applyProbe: (service: string, targetId: string, result: ProbeResult) => void
+  /** Connections to a target; created when first used. */
+  connectionsTo: (runtime: ServiceRuntime, target: Target) => TargetConnections
+  /** Regular work: expiry of queues, silent connections, connections of targets that are gone. */
+  maintain: (nowMs: number) => void
+  takeNotes: (nowMs: number) => TargetNote[]
+  /** Requests running and waiting against the capacity of the services in use. */
+  loadPercent: (nowMs: number) => number
+  /** Closes idle connections and ages estimates after a pause. */
+  wake: (gapMs: number, nowMs: number) => void
+  status: (nowMs: number) => TargetStatus[]
+  closeIdle: () => void
+}
+
+const statusOf = ({ table, connections }: ServiceRuntime, nowMs: number): TargetStatus[] =>
+  table.snapshot(nowMs, new Map([...connections].map(([targetId, pool]) => [targetId, pool.count()])))
+
+/** Gives each request that waits for a target one more try; it registers again when it still finds none. */
+export const unblock = (runtime: ServiceRuntime): void => {
+  if (runtime.blocked.size === 0) return
+  const retries = [...runtime.blocked]
+  runtime.blocked.clear()
+  for (const retry of retries) retry()
+}
+
+const retireSilent = (runtime: ServiceRuntime, onSilent: ServiceRuntimesOptions['onSilent']): void => {
+  for (const [targetId, pool] of runtime.connections) {
+    if (pool.busyCount() === 0) continue
+    const retired = pool.retireSilent(runtime.table.firstByteP99Ms(targetId))
+    if (retired.length > 0) onSilent(runtime.configuration.name, targetId, retired)
+  }
+}
+
+/** Pools change rarely, and looking at all of them costs time on a node with many services. */
+const POOL_CHECK_MS = 1_000
+
+/** A target that is not known any more keeps its pool until the last request on it has ended. */
+const dropUnusedPools = ({ connections, table }: ServiceRuntime): void => {
+  for (const [targetId, pool] of connections) {
+    if (table.target(targetId)) continue
+    pool.closeIdle()
+    if (pool.count() === 0) connections.delete(targetId)
+  }
+}
+
+export const createServiceRuntimes = ({ clock, onHealth, onSilent }: ServiceRuntimesOptions): ServiceRuntimes => {
+  const runtimes = new Map<string, ServiceRuntime>()
+  const knownTargets = new Map<string, ServiceTargets>()
+  let index: ServiceIndex | undefined
+  /** Services with attempts or changes since the last round of notes. */
+  const touched = new Set<ServiceRuntime>()
+  let connectionId = 0
+  let poolsCheckedMs = -Infinity
+
+  const createTable = (configuration: ServiceConfiguration, share: number, draining: Set<string>): TargetTable => createTargetTable({
+    service: configuration.name,
+    slotsPerTarget: configuration.slotsPerTarget,
+    connectionShare: share,
+    onHealth: (targetId, health, reason) => {
+      if (health === 'draining') draining.add(targetId)
+      else draining.delete(targetId)
+      const runtime = runtimes.get(configuration.name)
+      if (runtime) touched.add(runtime)
+      onHealth(configuration.name, targetId, health, reason)
+    }
+  })
+
+  const setTargets = (runtime: ServiceRuntime, { targets, leavingIds }: ServiceTargets): void => {
+    const nowMs = clock.nowMs()
+    runtime.table.setTargets(targets, nowMs)
+    for (const targetId of leavingIds) runtime.table.noteDraining(targetId, 'vm-list', nowMs)
+    unblock(runtime)
+  }
+
+  const createRuntime = (configuration: ServiceConfiguration, share: number): ServiceRuntime => {
+    const draining = new Set<string>()
+    const runtime: ServiceRuntime = {
+      configuration,
+      table: createTable(configuration, share, draining),
+      admission: createAdmission({ queueLengthMax: QUEUE_LENGTH_MAX, capacity: nowMs => runtime.table.capacity(nowMs) }),
+      retryBudget: createRetryBudget(),
+      connections: new Map(),
+      blocked: new Set(),
+      share,
+      draining
+    }
+    return runtime
+  }
+
+  const applyService = (configuration: ServiceConfiguration, entryVmCountMax: number): void => {
+    const share = connectionShare(configuration.connectionsPerTarget, entryVmCountMax)
+    const targets = knownTargets.get(configuration.name) ?? { targets: configuration.targets, leavingIds: [] }
+    const existing = runtimes.get(configuration.name)
+    if (!existing) {
+      const runtime = createRuntime(configuration, share)
+      runtimes.set(configuration.name, runtime)
+      setTargets(runtime, targets)
+      return
+    }
+    const isResized = existing.share !== share || existing.configuration.slotsPerTarget !== configuration.slotsPerTarget
+    existing.configuration = configuration
+    existing.share = share
+    // Attempts in flight hold the table that they were counted in.
+    if (isResized) existing.table = createTable(configuration, share, existing.draining)
+    setTargets(existing, targets)
+  }
+
+  const connectionsTo = (runtime: ServiceRuntime, target: Target): TargetConnections => {
+    touched.add(runtime)
+    const existing = runtime.connections.get(target.id)
+    if (existing?.target.host === target.host && existing.target.port === target.port) return existing
+    existing?.closeIdle()
+    const pool = createTargetConnections({ target, share: () => runtime.share, clock, nextId: () => ++connectionId })
+    runtime.connections.set(target.id, pool)
+    return pool
+  }
+
+  return {
+    index: () => index,
+    get: service => runtimes.get(service),
+    all: () => runtimes.values(),
+    applyConfiguration: ({ services, settings }) => {
+      for (const name of runtimes.keys()) if (!services.has(name)) runtimes.delete(name)
+      for (const configuration of services.values()) applyService(configuration, settings.entryVmCountMax)
+      index = createServiceIndex(services.values())
+    },
+    applyTargets: (service, targets) => {
+      knownTargets.set(service, targets)
+      const runtime = runtimes.get(service)
+      if (runtime) setTargets(runtime, targets)
+    },
+    applyNotes: notes => {
+      const nowMs = clock.nowMs()
+      for (const note of notes) runtimes.get(note.service)?.table.notePeer(note, nowMs)
+    },
+    applyProbe: (service, targetId, result) => {
+      const runtime = runtimes.get(service)
+      if (!runtime) return
+      touched.add(runtime)
+      runtime.table.noteProbe(targetId, result, clock.nowMs())
+    },
+    connectionsTo,
+    maintain: nowMs => {
+      for (const runtime of runtimes.values()) {
+        if (runtime.admission.runningCount() === 0 && runtime.admission.queuedCount() === 0) continue
+        if (runtime.admission.queuedCount() > 0) runtime.admission.expire(nowMs)
+        retireSilent(runtime, onSilent)
+        unblock(runtime)
+      }
+      if (nowMs - poolsCheckedMs < POOL_CHECK_MS) return
+      poolsCheckedMs = nowMs
+      for (const runtime of runtimes.values()) dropUnusedPools(runtime)
+    },
+    takeNotes: nowMs => {
+      const notes = [...touched].flatMap(({ table }) => table.takeNotes(nowMs))
+      touched.clear()
+      return notes
+    },
+    loadPercent: nowMs => {
+      let load = 0
+      let capacity = 0
+      for (const { admission, table } of runtimes.values()) {
+        const count = admission.runningCount() + admission.queuedCount()
+        load += count
+        if (count > 0) capacity += table.capacity(nowMs)
+      }
+      return capacity === 0 ? 0 : Math.round(100 * load / capacity)
+    },
+    wake: (gapMs, nowMs) => {
+      for (const { table, connections, admission } of runtimes.values()) {
+        table.wake(gapMs, nowMs)
+        for (const pool of connections.values()) pool.closeIdle()
+        admission.expire(nowMs)
+      }
+    },
+    status: nowMs => [...runtimes.values()].flatMap(runtime => statusOf(runtime, nowMs)),
+    closeIdle: () => {
+      for (const { connections } of runtimes.values()) for (const pool of connections.values()) pool.closeIdle()
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/well-known.ts
@@ -0,0 +1,30 @@
+/**
+ * The paths that a node answers itself on the callers' address.
+ */
+import type { EntryAnswer } from '@wisteriavalve/schema'
+import { answerFailure, answerJson, type Call } from './adapters/caller-http.js'
+
+const PREFIX = '/.well-known/wisteriavalve/'
+const ZONE_LENGTH_MAX = 128
+
+export type WellKnownSource = {
+  isServing: () => boolean
+  entryAnswer: (zone?: string) => EntryAnswer
+}
+
+const zoneOf = (url: string): string | undefined => {
+  const zone = new URLSearchParams(url.split('?', 2)[1] ?? '').get('zone')
+  return zone === null || zone === '' || zone.length > ZONE_LENGTH_MAX ? undefined : zone
+}
+
+/** @returns false when the request is for a backend server */
+export const answerWellKnown = (call: Call, source: WellKnownSource): boolean => {
+  const { url = '', method } = call.req
+  if (!url.startsWith(PREFIX)) return false
+  const name = url.slice(PREFIX.length).split('?', 1)[0]
+  if (method !== 'GET' && method !== 'HEAD') answerFailure(call, 'request-malformed', { detail: 'this path only answers GET' })
+  else if (name === 'ready' && source.isServing()) answerJson(call, 200, { ready: true })
+  else if (name === 'entry' && source.isServing()) answerJson(call, 200, source.entryAnswer(zoneOf(url)))
+  else answerFailure(call, name === 'ready' || name === 'entry' ? 'node-not-ready' : 'service-unknown', {})
+  return true
+}
--- /dev/null
+++ b/packages/daemon/test/daemon-process.ts
@@ -0,0 +1,9 @@
+/**
+ * Process of a daemon with a fleet double, for tests of process behaviour.
+ */
+import type { ServiceConfiguration } from '@wisteriavalve/schema'
+import { run } from '../src/run.js'
+import { createFakeFleet } from './support.js'
+
+const services = JSON.parse(process.env.TEST_SERVICES ?? '[]') as ServiceConfiguration[]
+await run(process.argv.slice(2), process.env, () => createFakeFleet(services, Number(process.env.TEST_ENTRY_LIFETIME_MS ?? 300)))
--- /dev/null
+++ b/packages/daemon/test/support.ts
@@ -0,0 +1,211 @@
+/**
+ * Doubles for tests of the request path: a fleet that adopts a given
+ * configuration, a daemon in this process or in one of its own, and raw TCP
+ * backend servers.
+ */
+import { once } from 'node:events'
+import { spawn, type ChildProcess } from 'node:child_process'
+import { createServer as createHttpServer, request, type IncomingHttpHeaders, type RequestListener } from 'node:http'
+import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net'
+import { createInterface } from 'node:readline'
+import { fileURLToPath } from 'node:url'
+import type { ExecutionContext } from 'ava'
+import { createEventRecord, createRandom, createSystemClock, type EventRecord } from '@wisteriavalve/common'
+import type { AdoptedConfiguration } from '@wisteriavalve/fleet'
+import type { Kind, ServiceConfiguration, TargetNote } from '@wisteriavalve/schema'
+import { createDaemon, type Daemon } from '../src/daemon.js'
+import { createLog } from '../src/logs.js'
+import { parseSettings } from '../src/settings.js'
+import type { FleetRuntime, ServiceTargets } from '../src/types.js'
+
+const OBJECTIVE = { inTimePercent: 99, windowDays: 28 }
+
+export const kind = (fields: Partial<Kind> = {}): Kind => ({
+  name: 'read', methods: ['GET', 'HEAD'], path: '/shop/**', idempotent: true, deadlineMs: 2_000, boundedBy: 'deadline', weight: 1, bodyBytesMax: 10_000_000, objective: OBJECTIVE, ...fields
+})
+export const READ = kind()
+export const ORDER = kind({ name: 'order', methods: ['POST'], idempotent: false })
+export const UPLOAD = kind({ name: 'upload', methods: ['PUT'], idempotent: false, boundedBy: 'progress', deadlineMs: 1_000 })
+
+export const service = (ports: readonly number[], fields: Partial<ServiceConfiguration> = {}): ServiceConfiguration => ({
+  format: 1,
+  name: 'shop',
+  pathPrefix: '/shop',
+  hosts: [],
+  slotsPerTarget: 4,
+  connectionsPerTarget: 96,
+  healthPath: '/health',
+  defaultDeadlineMs: 2_000,
+  targets: ports.map((port, index) => ({ id: `t${index + 1}`, host: '127.0.0.1', port, zone: 'a' })),
+  objective: OBJECTIVE,
+  kinds: [READ, ORDER, UPLOAD],
+  ...fields
+})
+
+export type FakeFleet = FleetRuntime & {
+  calls: string[]
+  shared: TargetNote[]
+  setTargets: (service: string, targets: ServiceTargets) => void
+}
+
+export const createFakeFleet = (services: readonly ServiceConfiguration[], entryLifetimeMs = 300): FakeFleet => {
+  const adopted: AdoptedConfiguration = {
+    order: { restoreCount: 0, revision: 1, headHash: '0'.repeat(64) },
+    head: { format: 1, fleet: 'test', restoreCount: 0, settingsHash: '0'.repeat(64), shards: {} },
+    settings: { format: 1, fleet: 'test', region: 'r', zones: ['a'], entryVmCountMax: 24, probesPerTargetPerS: 1, probeCpuPercent: 1, entryAddressCount: 4, entryLifetimeMs },
+    services: new Map(services.map(each => [each.name, each]))
+  }
+  const calls: string[] = []
+  const shared: TargetNote[] = []
+  const targetListeners: ((service: string, targets: ServiceTargets) => void)[] = []
+  const configurationListeners: ((configuration: AdoptedConfiguration) => void)[] = []
+  const nothing = async () => ({ nodes: [], missing: [] })
+  return {
+    calls,
+    shared,
+    setTargets: (name, targets) => { for (const listener of targetListeners) listener(name, targets) },
+    start: async () => {
+      calls.push('start')
+      if (services.length > 0) for (const listener of configurationListeners) listener(adopted)
+    },
+    onConfiguration: listener => { configurationListeners.push(listener) },
+    onTargets: listener => { targetListeners.push(listener) },
+    onNotes: () => undefined,
+    onProbe: () => undefined,
+    setAnswerSource: () => undefined,
+    shareNotes: notes => { shared.push(...notes) },
+    setLoadPercent: () => undefined,
+    entryAnswer: zone => ({ addresses: [{ host: '127.0.0.1', port: 1, zone: zone ?? 'a' }], lifetimeMs: entryLifetimeMs }),
+    members: () => [],
+    configuration: () => adopted,
+    configurationStatus: () => ({ order: adopted.order, state: 'current' }),
+    gatherStatus: nothing,
+    gatherExplain: nothing,
+    gatherReport: nothing,
+    leave: () => { calls.push('leave') },
+    wake: () => { calls.push('wake') },
+    counters: () => ({}),
+    stop: async () => { calls.push('stop') }
+  }
+}
+
+export const SETTING_ENV = {
+  WISTERIAVALVE_NODE_ID: 'entry-1',
+  WISTERIAVALVE_FLEET: 'test',
+  WISTERIAVALVE_ZONE: 'a',
+  WISTERIAVALVE_FLEET_KEY: 'a-key-of-sixteen-characters',
+  WISTERIAVALVE_CALLER_LISTEN: '127.0.0.1:0',
+  WISTERIAVALVE_ADMIN_LISTEN: '127.0.0.1:0',
+  WISTERIAVALVE_ADVERTISE_HOST: '127.0.0.1',
+  WISTERIAVALVE_CONFIGURATION_SERVICE_URL: 'http://127.0.0.1:1',
+  WISTERIAVALVE_VM_LIST_URL: 'http://127.0.0.1:1',
+  WISTERIAVALVE_POLICY: 'round-robin',
+  WISTERIAVALVE_SEED: '7'
+}
+
+export type TestDaemon = { daemon: Daemon, port: number, adminPort: number, lines: string[], events: EventRecord, fleet: FakeFleet }
+
+/** Runs until the process of the test ends; it holds nothing that keeps that process alive. */
+export const startDaemon = async (services: readonly ServiceConfiguration[]): Promise<TestDaemon> => {
+  const settings = parseSettings([], SETTING_ENV)
+  if (!settings.ok) throw new Error(settings.error.message)
+  const lines: string[] = []
+  const events = createEventRecord(1_000)
+  const fleet = createFakeFleet(services)
+  const daemon = createDaemon({ settings: settings.value, clock: createSystemClock(), random: createRandom(7), log: createLog('info', line => lines.push(line)), events }, fleet)
+  await daemon.start()
+  return { daemon, port: daemon.callerPort(), adminPort: daemon.adminPort(), lines, events, fleet }
+}
+
+export type DaemonProcess = { child: ChildProcess, port: number, lines: string[], nextLine: (text: string) => Promise<string> }
+
+/** Starts a daemon as a process of its own; it is killed after the test. */
+export const startDaemonProcess = async (t: ExecutionContext, services: readonly ServiceConfiguration[], env: NodeJS.ProcessEnv = {}): Promise<DaemonProcess> => {
+  const child = spawn(process.execPath, [fileURLToPath(new URL('daemon-process.js', import.meta.url))], {
+    env: { ...process.env, ...SETTING_ENV, TEST_SERVICES: JSON.stringify(services), ...env },
+    stdio: ['ignore', 'pipe', 'inherit']
+  })
+  t.teardown(() => { child.kill('SIGKILL') })
+  const lines: string[] = []
+  const waiting: { text: string, resolve: (line: string) => void }[] = []
+  createInterface({ input: child.stdout }).on('line', line => {
+    lines.push(line)
+    for (const wait of waiting) if (line.includes(wait.text)) wait.resolve(line)
+  })
+  const nextLine = (text: string): Promise<string> => new Promise(resolve => { waiting.push({ text, resolve }) })
+  const started = await nextLine('event=daemon_started')
+  return { child, port: Number(/caller_address=[^ ]*:(\d+)/.exec(started)?.[1]), lines, nextLine }
+}
+
+const listenOnFreePort = async (server: Server): Promise<number> => {
+  server.listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  server.unref()
+  return (server.address() as AddressInfo).port
+}
+
+export const startBackend = async (listener: RequestListener): Promise<number> => listenOnFreePort(createHttpServer(listener))
+
+/** Backend server that sees bytes: onData is called with all bytes of a connection so far. */
+export const startRawBackend = async (onData: (socket: Socket, received: string, connectionNumber: number) => void): Promise<number> => {
+  let connectionCount = 0
+  return listenOnFreePort(createServer(socket => {
+    const number = ++connectionCount
+    let received = ''
+    socket.on('error', () => undefined)
+    socket.on('data', chunk => {
+      received += chunk.toString('latin1')
+      onData(socket, received, number)
+    })
+  }))
+}
+
+/** Port on which nothing listens. */
+export const closedPort = async (): Promise<number> => {
+  const server = createServer()
+  const port = await listenOnFreePort(server)
+  server.close()
+  await once(server, 'close')
+  return port
+}
+
+export type Answer = { status: number, headers: IncomingHttpHeaders, body: string, trailers: NodeJS.Dict<string> }
+
+/** Rejects when the response breaks off. */
+export const call = (port: number, options: { method?: string, path?: string, headers?: Record<string, string | string[]>, body?: string | Buffer } = {}): Promise<Answer> => new Promise((resolve, reject) => {
+  const { method = 'GET', path = '/shop/x', headers, body } = options
+  const req = request({ host: '127.0.0.1', port, method, path, headers, agent: false }, res => {
+    let text = ''
+    res.on('data', chunk => { text += String(chunk) })
+    res.on('end', () => resolve({ status: res.statusCode ?? 0, headers: res.headers, body: text, trailers: res.trailers }))
+    res.on('error', reject)
+  })
+  req.on('error', reject)
+  req.end(body)
+})
+
+export type RawCaller = { socket: Socket, received: () => string, until: (pattern: RegExp) => Promise<string>, closed: Promise<'end' | 'reset'> }
+
+/** Caller that writes bytes. */
+export const rawCaller = (port: number, bytes: string): RawCaller => {
+  const socket = connect({ port, host: '127.0.0.1', allowHalfOpen: true })
+  let text = ''
+  let check: () => void = () => undefined
+  socket.on('data', chunk => {
+    text += chunk.toString('latin1')
+    check()
+  })
+  const closed = new Promise<'end' | 'reset'>(resolve => {
+    socket.on('error', () => resolve('reset'))
+    socket.on('end', () => {
+      resolve('end')
+      socket.end()
+    })
+  })
+  socket.write(bytes, 'latin1')
+  const until = (pattern: RegExp): Promise<string> => new Promise(resolve => {
+    check = () => { if (pattern.test(text)) resolve(text) }
+    check()
+  })
+  return { socket, received: () => text, until, closed }
+}
