Add check, diff and init to the command-line tool

Operators change a fleet only by its answers, so a fault must be found before it is published. One register holds the questions; check validates each answer by its question, the rest by the schema, and then the answers against each other, on what is left after faulty values are taken out, so all faults show in one run. init asks from the same register, saves a draft on Ctrl-C and asks again what check refuses. A warning for each idempotent POST was tried and taken out: it showed on both examples for harmless searches, and diff marks the change of idempotency instead.

Checked by breaking rules by hand: replacing files unasked fails the Ctrl-C test, skipping the cross checks fails two tests of generate and check.

--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -1,7 +1,10 @@
 /**
  * Register of the commands, in the order of the help text.
  */
+import { checkCommand } from './commands/check.js'
+import { diffCommand } from './commands/diff.js'
 import { generateCommand } from './commands/generate.js'
+import { initCommand } from './commands/init.js'
 import type { CommandModule } from './types.js'
 
-export const COMMANDS: readonly CommandModule[] = [generateCommand]
+export const COMMANDS: readonly CommandModule[] = [initCommand, checkCommand, generateCommand, diffCommand]
--- a/packages/cli/src/commands/generate.ts
+++ b/packages/cli/src/commands/generate.ts
@@ -2,41 +2,50 @@
  * `wisteriavalve generate`: writes the configuration and prints the order in
  * which the keys are to be published.
  */
-import type { Command } from 'commander'
-import { parse } from 'yaml'
-import { isAnswers } from '@wisteriavalve/schema'
 import { generateConfiguration, type ConfigurationValue } from '@wisteriavalve/questionnaire'
-import { countOf, printJson, printLines } from '../output.js'
-import { readText } from '../read-answers.js'
+import { countOf, printJson, printLines, printWarnings } from '../output.js'
+import { describeFinding, findingsDocument, readValidAnswers } from '../read-answers.js'
 import type { CommandModule, Io, Outcome } from '../types.js'
 import { writeConfiguration } from '../write-configuration.js'
 
 type Options = { out: string, json?: boolean }
 
-const describeFiles = (values: readonly ConfigurationValue[], files: readonly string[]): string[] => [
-  `wrote ${countOf(files.length, 'file')}, ${values.reduce((sum, { bytes }) => sum + bytes.length, 0)} bytes`,
-  'publish the keys in this order, the head last:',
-  ...values.map(({ key }, index) => `  ${key} < ${files[index]}`)
+const describeFiles = (values: readonly ConfigurationValue[], outDir: string): string[] => [
+  `wrote ${countOf(values.length, 'file')} of ${values.reduce((sum, { bytes }) => sum + bytes.length, 0)} bytes to ${outDir}`,
+  'Publish the keys in this order, the head last. The value of each key is the',
+  'file of the same name in that folder.',
+  ...values.map(({ key }) => key)
 ]
 
 const run = async (path: string, options: Options, io: Io): Promise<Outcome> => {
-  const text = await readText(path)
-  if (!text.ok) return { failure: text.error }
-  const answers: unknown = parse(text.value)
-  if (!isAnswers(answers)) return { failure: { result: 'answers-invalid', message: JSON.stringify(isAnswers.errors) } }
+  const read = await readValidAnswers(path)
+  if (!read.ok) {
+    printWarnings(io, read.error.lines)
+    return read.error
+  }
+  const { answers, findings } = read.value
   const values = generateConfiguration(answers)
   const written = await writeConfiguration(values, answers.fleet, options.out)
   if (!written.ok) return { failure: written.error }
-  if (options.json) printJson(io, { publish: values.map(({ key, bytes }, index) => ({ key, file: written.value[index], sizeBytes: bytes.length })) })
-  else printLines(io, describeFiles(values, written.value))
+  if (!options.json) printWarnings(io, findings.flatMap(finding => describeFinding(path, finding)))
+  if (options.json) {
+    const publish = values.map(({ key, bytes }, index) => ({ key, file: written.value[index], sizeBytes: bytes.length }))
+    printJson(io, { fleet: answers.fleet, publish, warnings: findingsDocument(findings).warnings })
+  } else {
+    printLines(io, describeFiles(values, options.out))
+  }
   return { exit: 'ok' }
 }
 
 export const generateCommand: CommandModule = {
   name: 'generate',
-  register: (program: Command, io, finish) => {
+  register: (program, io, finish) => {
     program.command('generate')
-      .description('Write the configuration values of an answers file, one file for each key.')
+      .summary('write the configuration of an answers file')
+      .description(`Writes the configuration of an answers file, one file for each key of the
+configuration service, and prints the order in which to publish them. Answers
+with faults are refused and nothing is written. The files of the same fleet
+in the folder are replaced.`)
       .argument('<answers>', 'answers file (YAML)')
       .requiredOption('--out <folder>', 'folder for the files')
       .option('--json', 'print JSON')
--- /dev/null
+++ b/packages/cli/src/init/types.ts
@@ -0,0 +1,17 @@
+/**
+ * What the interview needs from the terminal.
+ */
+import type { AnswerValue, Question, ScopeAnswers } from '@wisteriavalve/questionnaire'
+
+/** Answers while they are being given. */
+export type Draft = Record<string, unknown>
+
+export type Choice<T extends string> = { name: string, value: T }
+
+export type Asker = {
+  say: (text: string) => void
+  /** Asks until the answer is valid. */
+  ask: (question: Question, scope: ScopeAnswers, proposed: AnswerValue | undefined) => Promise<AnswerValue>
+  confirm: (message: string, proposed: boolean) => Promise<boolean>
+  choose: <T extends string>(message: string, choices: readonly Choice<T>[]) => Promise<T>
+}
--- /dev/null
+++ b/packages/cli/test/answers-commands.test.ts
@@ -0,0 +1,111 @@
+/**
+ * Guards against a configuration that is written from faulty answers or only
+ * in part, and against failures without an exit code and a result code.
+ */
+import { existsSync, mkdirSync, readdirSync, readFileSync, writeFileSync } from 'node:fs'
+import { join } from 'node:path'
+import test from 'ava'
+import { createFolder, EXAMPLE, runBinary, writeAnswers } from './support.js'
+
+const listFiles = (folder: string): string[] =>
+  existsSync(folder) ? readdirSync(folder, { recursive: true, withFileTypes: true }).filter(entry => entry.isFile()).map(entry => join(entry.parentPath, entry.name)) : []
+
+test('generate writes one file for each key and names the head last', async t => {
+  const out = createFolder()
+  const { code, stdout } = await runBinary(['generate', EXAMPLE, '--out', out])
+  t.is(code, 0)
+  const keys = stdout.trim().split('\n').filter(line => line.startsWith('wisteriavalve/'))
+  t.is(keys.at(-1), 'wisteriavalve/okonkwo/head')
+  t.deepEqual(keys.map(key => join(out, key)).sort(), listFiles(out).sort())
+  const head = JSON.parse(readFileSync(join(out, 'wisteriavalve/okonkwo/head'), 'utf8'))
+  t.true(existsSync(join(out, 'wisteriavalve/okonkwo/value', head.settingsHash)))
+})
+
+test('generate replaces an earlier configuration as a whole and other fleets stay', async t => {
+  const out = createFolder()
+  await runBinary(['generate', EXAMPLE.replace('okonkwo', 'authority'), '--out', out])
+  await runBinary(['generate', EXAMPLE, '--out', out])
+  const changed = writeAnswers(answers => { answers.services[0].slotsPerTarget = 5 })
+  const { stdout } = await runBinary(['generate', changed, '--out', out, '--json'])
+  const { publish } = JSON.parse(stdout)
+  t.deepEqual(listFiles(join(out, 'wisteriavalve/okonkwo')).sort(), publish.map(({ file }: { file: string }) => file).sort())
+  t.is(listFiles(join(out, 'wisteriavalve/authority')).length, 8)
+})
+
+test('generate refuses faulty answers and leaves the folder as it was', async t => {
+  const out = createFolder()
+  await runBinary(['generate', EXAMPLE, '--out', out])
+  const before = listFiles(out)
+  const { code, stdout, stderr } = await runBinary(['generate', writeAnswers(answers => { answers.services[0].connectionsPerTarget = 1 }), '--out', out])
+  t.deepEqual([code, stdout], [1, ''])
+  t.regex(stderr, /leave none for each.*\n.*question connections.*\nerror WV-4002 answers-invalid/)
+  t.deepEqual(listFiles(out), before)
+})
+
+test('generate does not replace a folder that holds other files, and cannot write below a file', async t => {
+  const out = createFolder()
+  mkdirSync(join(out, 'wisteriavalve/okonkwo'), { recursive: true })
+  writeFileSync(join(out, 'wisteriavalve/okonkwo/notes.txt'), '')
+  for (const folder of [out, join(out, 'wisteriavalve/okonkwo/notes.txt')]) {
+    const { code, stderr } = await runBinary(['generate', EXAMPLE, '--out', folder])
+    t.is(code, 4)
+    t.regex(stderr, /^error WV-5003 output-failed/)
+  }
+  t.is(listFiles(out).length, 1)
+})
+
+const UNREADABLE = [
+  ['a missing file', '/nonexistent/answers.yaml', /no such file/],
+  ['a folder', createFolder(), /is a folder/],
+  ['wrong YAML', writeAnswers(() => undefined), /is not valid YAML|1 fault/]
+] as const
+
+for (const [name, file, message] of UNREADABLE) {
+  test(`${name} ends each command that reads answers with 3 and WV-4001`, async t => {
+    if (name === 'wrong YAML') writeFileSync(file, 'fleet: [a\nregion: b\n')
+    const out = createFolder()
+    const commands = [['check', file], ['generate', file, '--out', out], ['diff', file, EXAMPLE], ['diff', EXAMPLE, file], ['init', join(out, 'n'), '--answers', file], ['init', join(out, 'n'), '--from', file]]
+    for (const args of commands) {
+      const { code, stderr } = await runBinary(args)
+      t.is(code, 3, args.join(' '))
+      t.regex(stderr, /error WV-4001 answers-unreadable/)
+      t.regex(stderr, message)
+    }
+    t.deepEqual(listFiles(out), [])
+  })
+}
+
+test('check shows all findings with place and question, as text and JSON', async t => {
+  const file = writeAnswers(answers => { answers.region = 'No'; answers.services[0].kinds[1].deadlineMs = 5 })
+  const text = await runBinary(['check', file])
+  t.is(text.code, 1)
+  t.regex(text.stdout, /answers\.yaml:\d+:1 region\n {2}fault: must be a name.*\n {2}question region: /)
+  const json = await runBinary(['check', file, '--json'])
+  const { error } = JSON.parse(json.stdout)
+  t.deepEqual([json.code, error.resultCode, error.details.faults.length], [1, 'WV-4002', 2])
+  t.like(error.details.faults[1], { path: 'services[0].kinds[1].deadlineMs', questionId: 'kind-deadline' })
+  const valid = await runBinary(['check', EXAMPLE, '--json'])
+  t.deepEqual([valid.code, JSON.parse(valid.stdout)], [0, { faults: [], warnings: [] }])
+})
+
+test('diff describes changes and their effect in lines of at most 80 columns', async t => {
+  const changed = writeAnswers(answers => { answers.services[1].kinds[0].idempotent = true })
+  const text = await runBinary(['diff', EXAMPLE, changed])
+  t.is(text.code, 0)
+  t.regex(text.stdout, /^! service orderdesk, kind place-order: idempotent changes from false to true\n {4}Requests may run more than once/)
+  t.regex(text.stdout, /3 values to publish, the head last; 5 unchanged/)
+  t.true(text.stdout.split('\n').every(line => line.length <= 80))
+  t.is(JSON.parse((await runBinary(['diff', EXAMPLE, changed, '--json'])).stdout).changes[0].attention, true)
+  t.regex((await runBinary(['diff', EXAMPLE, EXAMPLE])).stdout, /nothing needs to be published/)
+})
+
+test('a wrong command line ends with 2 and WV-5002, help with 0', async t => {
+  for (const args of [['publish'], ['generate', EXAMPLE], ['check'], ['check', EXAMPLE, '--colour'], ['diff', EXAMPLE]]) {
+    const { code, stderr } = await runBinary(args)
+    t.is(code, 2, args.join(' '))
+    t.regex(stderr, /^error WV-5002 usage: /)
+  }
+  const { code, stdout } = await runBinary(['--help'])
+  t.is(code, 0)
+  t.regex(stdout, /Exit codes:/)
+})
--- a/packages/questionnaire/src/constants.ts
+++ b/packages/questionnaire/src/constants.ts
@@ -30,3 +30,5 @@
   bodyBytesMax: 65_536,
   objective: { inTimePercent: 99.9, windowDays: 30 }
 } as const
+
+export const METHODS = ['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS'] as const
--- /dev/null
+++ b/packages/questionnaire/src/document.ts
@@ -0,0 +1,49 @@
+/**
+ * Reads the YAML of an answers file and knows on which line each value stands.
+ */
+import { isMap, isNode, LineCounter, parseDocument, type YAMLError } from 'yaml'
+import { formatPath, type AnswerPath } from './paths.js'
+import type { Finding, Place } from './types.js'
+
+export type AnswersDocument = {
+  root: unknown
+  /** Place of the value, or of the nearest part around it that exists. */
+  placeOf: (path: AnswerPath) => Place | undefined
+}
+
+const toPlace = (lines: LineCounter, offset: number): Place => {
+  const { line, col } = lines.linePos(offset)
+  return { line, column: col }
+}
+
+const toFinding = (error: YAMLError): Finding => ({
+  severity: 'fault',
+  path: '',
+  place: error.linePos && { line: error.linePos[0].line, column: error.linePos[0].col },
+  message: `is not valid YAML: ${error.message.split(/ at line \d+/)[0]}`
+})
+
+/** Faults are those of the YAML itself; a document comes only without any. */
+export const readDocument = (text: string): { document: AnswersDocument } | { faults: Finding[] } => {
+  const lines = new LineCounter()
+  const parsed = parseDocument(text, { lineCounter: lines, prettyErrors: true })
+  if (parsed.errors.length > 0) return { faults: parsed.errors.map(toFinding) }
+
+  const offsetOf = (path: AnswerPath): number | undefined => {
+    const parent = path.length > 0 ? parsed.getIn(path.slice(0, -1), true) : undefined
+    const key = isMap(parent) ? parent.items.find(({ key }) => String(key) === String(path.at(-1)))?.key : undefined
+    const node = key ?? parsed.getIn(path, true)
+    return isNode(node) ? node.range?.[0] : undefined
+  }
+  const placeOf = (path: AnswerPath): Place | undefined => {
+    for (let length = path.length; length >= 0; length--) {
+      const offset = offsetOf(path.slice(0, length))
+      if (offset !== undefined) return toPlace(lines, offset)
+    }
+  }
+  try {
+    return { document: { root: parsed.toJS({ maxAliasCount: 100 }), placeOf } }
+  } catch (error) {
+    return { faults: [{ severity: 'fault', path: formatPath([]), message: `is not valid YAML: ${(error as Error).message}` }] }
+  }
+}
--- /dev/null
+++ b/packages/questionnaire/src/questions.ts
@@ -0,0 +1,340 @@
+/**
+ * Register of the questions. The interview asks them, check explains faults
+ * with them, and docs/questionnaire.md is generated from them.
+ */
+import {
+  addressType, booleanType, choiceType, hostNameType, integerType, listType, nameType, numberType, pathType,
+  patternType, targetIdType, type AnswerType, type AnswerValue
+} from './answer-types.js'
+import { DEFAULTS, METHODS } from './constants.js'
+
+export type QuestionScope = 'fleet' | 'service' | 'target' | 'kind'
+
+/** Answers that were given before in the same scope; a default may depend on them. */
+export type ScopeAnswers = Readonly<Record<string, unknown>>
+
+export type Question = {
+  id: string
+  scope: QuestionScope
+  /** Place of the answer relative to its scope, such as entryVms.count. */
+  field: string
+  text: string
+  why: string
+  type: AnswerType
+  /** Value when the answer is left out. */
+  default?: AnswerValue
+  /** Proposal of the interview; unlike a default it is written to the answers. */
+  propose?: (scope: ScopeAnswers) => AnswerValue | undefined
+  /** Default in words, when it depends on other answers. */
+  defaultText?: string
+  optional?: boolean
+}
+
+const DEADLINE = integerType({ min: 1, max: 3_600_000 })
+const OBJECTIVE_PERCENT = numberType({ above: 0, below: 100 })
+const OBJECTIVE_DAYS = integerType({ min: 1, max: 366 })
+
+const isReading = (scope: ScopeAnswers): boolean =>
+  Array.isArray(scope.methods) && scope.methods.every(method => method === 'GET' || method === 'HEAD')
+
+const FLEET_QUESTIONS: readonly Question[] = [
+  {
+    id: 'fleet',
+    scope: 'fleet',
+    field: 'fleet',
+    type: nameType,
+    text: 'What is the fleet called?',
+    why: 'The name is part of every key and message. A daemon takes no configuration of another fleet.'
+  },
+  {
+    id: 'region',
+    scope: 'fleet',
+    field: 'region',
+    type: nameType,
+    text: 'In which region does the fleet run?',
+    why: 'It shows where a configuration belongs. All zones of a fleet lie in one region.'
+  },
+  {
+    id: 'zones',
+    scope: 'fleet',
+    field: 'zones',
+    type: listType(nameType, 1),
+    text: 'Which availability zones have entry VMs or backend servers?',
+    why: 'Entry answers and routing spread over zones, so that the loss of one leaves others.'
+  },
+  {
+    id: 'entry-vm-count',
+    scope: 'fleet',
+    field: 'entryVms.count',
+    type: integerType({ min: 1, max: 2000 }),
+    text: 'How many entry VMs run the daemon?',
+    why: 'Connections and probes of each target are shared out evenly over the entry VMs.',
+    propose: () => 20
+  },
+  {
+    id: 'replacement-overlap',
+    scope: 'fleet',
+    field: 'entryVms.replacementOverlap',
+    type: integerType({ min: 0, max: 2000 }),
+    text: 'How many entry VMs can run at the same time as the ones they replace?',
+    why: 'The shares count these as well, so that a target is not overrun during a replacement.',
+    default: DEFAULTS.replacementOverlap
+  },
+  {
+    id: 'restore-count',
+    scope: 'fleet',
+    field: 'configurationServiceRestoreCount',
+    type: integerType({ min: 0 }),
+    text: 'How often has the configuration service been restored from a backup?',
+    why: 'A restore takes revisions back, and nodes refuse older ones. Raised by one after each restore, the count puts new configurations after all old ones.',
+    default: DEFAULTS.configurationServiceRestoreCount
+  },
+  {
+    id: 'probe-rate',
+    scope: 'fleet',
+    field: 'measuring.probesPerTargetPerS',
+    type: numberType({ min: 0, max: 100 }),
+    text: 'How many probes a second may a target get from the whole fleet?',
+    why: 'It bounds the cost of measuring. What routing knows of a target without traffic is about one divided by this rate old, in seconds.',
+    propose: () => 1
+  },
+  {
+    id: 'probe-cpu',
+    scope: 'fleet',
+    field: 'measuring.cpuPercent',
+    type: numberType({ above: 0, max: 100 }),
+    text: 'Which share of one core of an entry VM may be spent on probes, in percent?',
+    why: 'It bounds the cost of measuring on small VMs.',
+    default: DEFAULTS.cpuPercent
+  }
+]
+
+const SERVICE_QUESTIONS: readonly Question[] = [
+  {
+    id: 'service-name',
+    scope: 'service',
+    field: 'name',
+    type: nameType,
+    text: 'What is the service called?',
+    why: 'The VM list names the targets of a service by it, and reports show it.'
+  },
+  {
+    id: 'path-prefix',
+    scope: 'service',
+    field: 'pathPrefix',
+    type: pathType,
+    defaultText: '/ and the name of the service',
+    text: 'With which path prefix do requests for the service begin?',
+    why: 'It selects the service. The path is passed on unchanged.',
+    propose: scope => typeof scope.name === 'string' ? `/${scope.name}` : undefined,
+    optional: true
+  },
+  {
+    id: 'hosts',
+    scope: 'service',
+    field: 'hosts',
+    type: listType(hostNameType, 0),
+    defaultText: 'none',
+    text: 'Which host names select the service as well?',
+    why: 'A request whose Host header names one of them goes to the service, whatever its path.',
+    default: []
+  },
+  {
+    id: 'slots',
+    scope: 'service',
+    field: 'slotsPerTarget',
+    type: integerType({ min: 1 }),
+    text: 'How many requests can one target run at a time?',
+    why: 'Requests above it wait in the fleet, where they are ordered by weight and deadline, and not at the target.',
+    propose: () => 4
+  },
+  {
+    id: 'connections',
+    scope: 'service',
+    field: 'connectionsPerTarget',
+    type: integerType({ min: 1 }),
+    text: 'How many connections does one target accept from the whole fleet?',
+    why: 'Each entry VM gets an equal share, rounded down, and never opens more.',
+    propose: () => 300
+  },
+  {
+    id: 'health-path',
+    scope: 'service',
+    field: 'healthPath',
+    type: pathType,
+    text: 'At which path does a target tell its health?',
+    why: 'Probes ask there for the state and load of targets without traffic.',
+    default: DEFAULTS.healthPath
+  },
+  {
+    id: 'default-deadline',
+    scope: 'service',
+    field: 'defaultDeadlineMs',
+    type: DEADLINE,
+    text: 'After how many ms is an answer to a request of an unknown kind of no use?',
+    why: 'Requests that match no kind are treated as non-idempotent and get this deadline.',
+    default: DEFAULTS.defaultDeadlineMs
+  },
+  {
+    id: 'service-objective-percent',
+    scope: 'service',
+    field: 'objective.inTimePercent',
+    type: OBJECTIVE_PERCENT,
+    text: 'Which share of the requests shall be answered in time, in percent?',
+    why: 'The report compares the measured share with it. Routing does not depend on it.',
+    default: DEFAULTS.objective.inTimePercent
+  },
+  {
+    id: 'service-objective-days',
+    scope: 'service',
+    field: 'objective.windowDays',
+    type: OBJECTIVE_DAYS,
+    text: 'Over how many days does the objective count?',
+    why: 'The error budget is the share of requests that may fail in this time.',
+    default: DEFAULTS.objective.windowDays
+  }
+]
+
+const TARGET_QUESTIONS: readonly Question[] = [
+  {
+    id: 'target-id',
+    scope: 'target',
+    field: 'id',
+    type: targetIdType,
+    text: 'What is the id of the target?',
+    why: 'Status and reports show it. A VM of the VM list with the same id is the same target.'
+  },
+  {
+    id: 'target-host',
+    scope: 'target',
+    field: 'host',
+    type: addressType,
+    text: 'Which IP address does the target have?',
+    why: 'Nodes connect to it directly, without a name lookup.'
+  },
+  {
+    id: 'target-port',
+    scope: 'target',
+    field: 'port',
+    type: integerType({ min: 1, max: 65_535 }),
+    text: 'On which port does the target listen?',
+    why: 'Nodes connect to it.'
+  },
+  {
+    id: 'target-zone',
+    scope: 'target',
+    field: 'zone',
+    type: nameType,
+    text: 'In which availability zone is the target?',
+    why: 'Targets in the zone of a node are nearer to it.'
+  }
+]
+
+const KIND_QUESTIONS: readonly Question[] = [
+  {
+    id: 'kind-name',
+    scope: 'kind',
+    field: 'name',
+    type: nameType,
+    text: 'What is the kind of request called?',
+    why: 'Reports show it. Kinds are requests of one importance and one way to fail.'
+  },
+  {
+    id: 'kind-methods',
+    scope: 'kind',
+    field: 'methods',
+    type: listType(choiceType(METHODS), 1),
+    text: 'Which HTTP methods belong to the kind?',
+    why: 'A request belongs to the first kind whose methods and path match it.',
+    propose: () => ['GET', 'HEAD']
+  },
+  {
+    id: 'kind-path',
+    scope: 'kind',
+    field: 'path',
+    type: patternType,
+    text: 'Which paths belong to the kind, from the first / on?',
+    why: 'A request belongs to the first kind whose methods and path match it. * stands for one segment, ** at the end for any rest.'
+  },
+  {
+    id: 'kind-idempotent',
+    scope: 'kind',
+    field: 'idempotent',
+    type: booleanType,
+    text: 'May such a request run more than once with the same effect as once?',
+    why: 'Only then is it sent again after a failure or sent twice to save time. Orders, payments and offers are not.',
+    propose: isReading
+  },
+  {
+    id: 'kind-bounded-by',
+    scope: 'kind',
+    field: 'boundedBy',
+    type: choiceType(['deadline', 'progress']),
+    text: 'Is the total time bounded (deadline) or only the time without a byte (progress)?',
+    why: 'Long uploads and downloads are bounded by progress, so that they are not cut while they move.',
+    default: DEFAULTS.boundedBy
+  },
+  {
+    id: 'kind-deadline',
+    scope: 'kind',
+    field: 'deadlineMs',
+    type: DEADLINE,
+    text: 'After how many ms is the answer of no use, or the transfer without a byte over?',
+    why: 'A request that cannot be answered in time is refused at once, so that the caller can act.',
+    propose: scope => scope.boundedBy === 'progress' ? 15_000 : DEFAULTS.defaultDeadlineMs
+  },
+  {
+    id: 'kind-weight',
+    scope: 'kind',
+    field: 'weight',
+    type: integerType({ min: 1, max: 100 }),
+    text: 'How important is the kind, from 1 to 100?',
+    why: 'Under overload requests with more weight run first. Reports count requests by weight.',
+    default: DEFAULTS.weight
+  },
+  {
+    id: 'kind-body',
+    scope: 'kind',
+    field: 'bodyBytesMax',
+    type: integerType({ min: 0 }),
+    text: 'How many bytes may the request body have?',
+    why: 'Larger ones are refused. Bodies up to 65536 bytes of idempotent kinds are kept for a retry.',
+    default: DEFAULTS.bodyBytesMax
+  },
+  {
+    id: 'kind-objective-percent',
+    scope: 'kind',
+    field: 'objective.inTimePercent',
+    type: OBJECTIVE_PERCENT,
+    text: 'Which share of the requests of this kind shall be answered in time, in percent?',
+    why: 'Kinds that matter more may have a stricter objective than their service.',
+    defaultText: 'objective of the service',
+    optional: true
+  },
+  {
+    id: 'kind-objective-days',
+    scope: 'kind',
+    field: 'objective.windowDays',
+    type: OBJECTIVE_DAYS,
+    text: 'Over how many days does the objective of this kind count?',
+    why: 'The error budget is the share of requests that may fail in this time.',
+    defaultText: 'objective of the service',
+    optional: true
+  }
+]
+
+export const QUESTIONS: readonly Question[] = [...FLEET_QUESTIONS, ...SERVICE_QUESTIONS, ...TARGET_QUESTIONS, ...KIND_QUESTIONS]
+
+export const questionsOf = (scope: QuestionScope): readonly Question[] => QUESTIONS.filter(question => question.scope === scope)
+
+export const questionById = (id: string): Question | undefined => QUESTIONS.find(question => question.id === id)
+
+/** True when the answers are not valid without an answer. */
+export const isRequired = (question: Question): boolean => question.default === undefined && !question.optional
+
+const SCOPE_PATHS: Record<QuestionScope, string> = {
+  fleet: '', service: 'services[].', target: 'services[].targets[].', kind: 'services[].kinds[].'
+}
+
+/** Place of the answer in an answers file, such as services[].kinds[].path. */
+export const questionPath = ({ scope, field }: Question): string => `${SCOPE_PATHS[scope]}${field}`
--- a/packages/questionnaire/src/resolve.ts
+++ b/packages/questionnaire/src/resolve.ts
@@ -26,7 +26,7 @@
   objective: resolveObjective(kind.objective ?? serviceObjective)
 })
 
-/** Kinds keep their order, since the first matching kind of equal patterns counts; targets have none. */
+/** Kinds keep their order, since the first that matches a request counts; targets have none. */
 export const resolveService = (service: ServiceAnswers): ServiceConfiguration => {
   const objective = resolveObjective(service.objective ?? DEFAULTS.objective)
   return {
