Add status and explain

Both ask one or more admin addresses for what the whole fleet knows and name the nodes that are missing. Answers of daemons are validated before use, so a daemon of another version counts as missing and does not break the output. The lint rule for imports could not allow packages/daemon's admin-api, since a pattern of ignore style cannot bring back a path below an excluded one; it is a regular expression now, and was seen to refuse the daemon itself and policy.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -23,8 +23,7 @@
     'no-restricted-imports': ['error', {
       patterns: [
         {
-          group: ['@wisteriavalve/*', ...allowed.map(dependency => `!@wisteriavalve/${dependency}`),
-            ...(allowed.includes('daemon/admin-api') ? ['@wisteriavalve/daemon'] : [])],
+          regex: `^@wisteriavalve/(?!(${allowed.join('|')})$)`,
           message: `packages/${name} must not import this layer`
         },
         ...(PURE_PACKAGES.includes(name)
--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -4,7 +4,9 @@
 import { checkCommand } from './commands/check.js'
 import { diffCommand } from './commands/diff.js'
 import { generateCommand } from './commands/generate.js'
+import { explainCommand } from './commands/explain.js'
 import { initCommand } from './commands/init.js'
+import { statusCommand } from './commands/status.js'
 import type { CommandModule } from './types.js'
 
-export const COMMANDS: readonly CommandModule[] = [initCommand, checkCommand, generateCommand, diffCommand]
+export const COMMANDS: readonly CommandModule[] = [initCommand, checkCommand, generateCommand, diffCommand, statusCommand, explainCommand]
--- /dev/null
+++ b/packages/cli/src/status/merge-targets.ts
@@ -0,0 +1,63 @@
+/**
+ * Merges what the nodes say about each target.
+ */
+import type { NodeStatus, TargetStatus } from '@wisteriavalve/schema'
+
+export type Health = TargetStatus['health']
+
+/** Why some nodes see a target in a state. */
+export type HealthView = { health: Health, reason: string, nodeCount: number }
+
+export type MergedTarget = {
+  service: string
+  targetId: string
+  address: string
+  zone: string
+  /** What most nodes see first. */
+  views: HealthView[]
+  inFlight: number
+  connections: number
+  /** Largest of the nodes; undefined when none has measured it. */
+  firstByteP99Ms?: number
+}
+
+/** The worst state comes first, so that it shows. */
+const HEALTH_ORDER: readonly Health[] = ['gone', 'ejected', 'draining', 'probation', 'cold', 'ready']
+
+const addView = (views: HealthView[], { health, reason }: TargetStatus): void => {
+  const view = views.find(other => other.health === health && other.reason === reason)
+  if (view) view.nodeCount++
+  else views.push({ health, reason, nodeCount: 1 })
+}
+
+const maxOf = (a: number | undefined, b: number | undefined): number | undefined =>
+  a === undefined ? b : b === undefined ? a : Math.max(a, b)
+
+const newTarget = ({ service, targetId, host, port, zone }: TargetStatus): MergedTarget =>
+  ({ service, targetId, address: `${host}:${port}`, zone, views: [], inFlight: 0, connections: 0 })
+
+export const mergeTargets = (nodes: readonly NodeStatus[]): MergedTarget[] => {
+  const merged = new Map<string, MergedTarget>()
+  for (const target of nodes.flatMap(({ targets }) => targets)) {
+    const key = `${target.service} ${target.targetId}`
+    const entry = merged.get(key) ?? newTarget(target)
+    merged.set(key, entry)
+    addView(entry.views, target)
+    entry.inFlight += target.inFlight
+    entry.connections += target.connections
+    entry.firstByteP99Ms = maxOf(entry.firstByteP99Ms, target.firstByteP99Ms)
+  }
+  for (const { views } of merged.values()) views.sort((a, b) => b.nodeCount - a.nodeCount || HEALTH_ORDER.indexOf(a.health) - HEALTH_ORDER.indexOf(b.health))
+  const keyOf = ({ service, targetId }: MergedTarget): string => `${service} ${targetId}`
+  return [...merged.values()].sort((a, b) => keyOf(a) < keyOf(b) ? -1 : 1)
+}
+
+export const isReadyEverywhere = ({ views }: MergedTarget): boolean => views.every(({ health }) => health === 'ready')
+
+/** "ready" or "ejected 2, ready 1" */
+export const describeHealth = ({ views }: MergedTarget): string => {
+  const counts = HEALTH_ORDER
+    .map(health => ({ health, count: views.filter(view => view.health === health).reduce((sum, { nodeCount }) => sum + nodeCount, 0) }))
+    .filter(({ count }) => count > 0)
+  return counts.length === 1 ? counts[0]?.health ?? '' : counts.map(({ health, count }) => `${health} ${count}`).join(', ')
+}
--- a/packages/schema/src/validators.ts
+++ b/packages/schema/src/validators.ts
@@ -6,8 +6,8 @@
 import { Ajv, type ErrorObject, type ValidateFunction } from 'ajv'
 import { adminSchema, answersSchema, configurationSchema, messagesSchema } from './generated/schemas.js'
 import type {
-  Answers, BackendHealth, ConfigurationOrder, EntryAnswer, FleetSettings, GossipEnvelope, GossipMessage,
-  Head, MemberUpdate, ServiceConfiguration, Shard, VmEntry, VmList
+  Answers, BackendHealth, ConfigurationOrder, EntryAnswer, EventEntry, FleetSettings, GossipEnvelope, GossipMessage,
+  Head, MemberUpdate, NodeReport, NodeStatus, ServiceConfiguration, Shard, VmEntry, VmList
 } from './generated/types.js'
 
 const ajv = new Ajv({ allErrors: true, strict: false })
@@ -27,6 +27,9 @@
 export const isVmEntry = compileDefinition<VmEntry>('messages#/definitions/VmEntry')
 export const isVmList = compileDefinition<VmList>('messages#/definitions/VmList')
 export const isEntryAnswer = compileDefinition<EntryAnswer>('messages#/definitions/EntryAnswer')
+export const isNodeStatus = compileDefinition<NodeStatus>('admin#/definitions/NodeStatus')
+export const isNodeReport = compileDefinition<NodeReport>('admin#/definitions/NodeReport')
+export const isEventEntry = compileDefinition<EventEntry>('admin#/definitions/EventEntry')
 export const isBackendHealth = compileDefinition<BackendHealth>('messages#/definitions/BackendHealth')
 
 /** Fault of a document: its place as a JSON pointer, and what is wrong there. */
