Add the integration tests with real daemons (not yet run)

Cause: docs/design.md section 8 lists failures that only whole processes show. Change: scenarios on loopback and one test for each behaviour.

--- a/packages/testbench/src/benches/overload.ts
+++ b/packages/testbench/src/benches/overload.ts
@@ -20,11 +20,10 @@
 const inTimeOf = (outcomes: readonly CallOutcome[], matches: (weight: number) => boolean): number =>
   summarize(outcomes.filter(outcome => matches(outcome.weight))).inTimePercent
 
-/** Rejections at the first node; a caller that went on to others needs longer by its own choice. */
 const rejectionP99Ms = (outcomes: readonly CallOutcome[]): number | undefined => {
-  const rejected = outcomes.filter(outcome => outcome.result === 'not-run' && outcome.attempts > 0)
+  const rejected = outcomes.filter(outcome => outcome.result === 'not-run' && outcome.status > 0)
   if (rejected.length === 0) return undefined
-  return summarize(rejected.map(outcome => ({ ...outcome, latencyMs: outcome.latencyMs / outcome.attempts }))).p99Ms
+  return summarize(rejected.map(outcome => ({ ...outcome, latencyMs: outcome.attemptMs }))).p99Ms
 }
 
 const measure = async (loadShare: number, seed: number, options: BenchOptions): Promise<CallOutcome[]> => {
--- a/packages/testbench/src/load/caller.ts
+++ b/packages/testbench/src/load/caller.ts
@@ -67,17 +67,19 @@
     await asking
   }
 
-  const tryAddresses = async (kind: KindLoad, requestId: string, number: number, deadlineMs: number): Promise<AttemptResult & { attempts: number }> => {
+  const tryAddresses = async (kind: KindLoad, requestId: string, number: number, deadlineMs: number): Promise<AttemptResult & { attempts: number, attemptMs: number }> => {
     let last: AttemptResult = { result: 'not-run', status: 0, code: 'no-address', tryNext: false }
     let attempts = 0
+    let startMs = performance.now()
     for (const address of addresses) {
       const timeoutMs = deadlineMs - performance.now()
       if (timeoutMs <= 0 && attempts > 0) break
       attempts++
+      startMs = performance.now()
       last = await attempt({ agent, address, kind, requestId, path: kind.path.replaceAll('{n}', String(number)), timeoutMs })
       if (!last.tryNext) break
     }
-    return { ...last, attempts }
+    return { ...last, attempts, attemptMs: performance.now() - startMs }
   }
 
   const call = async (kind: KindLoad, requestId: string, number: number, startMs: number): Promise<CallOutcome> => {
@@ -96,6 +98,7 @@
       code: outcome.code,
       answer: outcome.answer,
       latencyMs,
+      attemptMs: outcome.attemptMs,
       endedMs: performance.timeOrigin + performance.now(),
       attempts: outcome.attempts
     }
--- a/packages/testbench/src/load/types.ts
+++ b/packages/testbench/src/load/types.ts
@@ -59,6 +59,8 @@
   answer?: 'own' | 'foreign' | 'broken'
   /** From the intended start, in ms. */
   latencyMs: number
+  /** From the start of the last attempt, in ms. */
+  attemptMs: number
   /** Unix time in ms. */
   endedMs: number
   /** Nodes that were tried. */
--- /dev/null
+++ b/packages/testbench/src/scenario.ts
@@ -0,0 +1,101 @@
+/**
+ * Small deployment for integration tests: one service `shop` with reads,
+ * orders that must not be repeated, and uploads.
+ */
+import { createConfiguration, createFleetSettings, createKind, createService } from './configuration.js'
+import { startDeployment, type Deployment, type DeploymentOptions } from './deployment.js'
+import type { FleetNode } from './fleet-harness.js'
+import { createCaller } from './load/caller.js'
+import { startLoad, type LoadRun } from './load/generator.js'
+import { toKindLoad } from './load/kinds.js'
+import type { CallOutcome, KindLoad, LoadOptions } from './load/types.js'
+import type { BackendOptions } from './backend/types.js'
+import type { ConfigurationEntry } from './platform/configuration-service.js'
+
+export type ScenarioOptions = Pick<DeploymentOptions, 'asProcess' | 'behindProxy' | 'proxied' | 'nodeSettings' | 'policy'> & {
+  seed: number
+  nodeCount?: number
+  targetCount?: number
+  slots?: number
+  backend?: Partial<BackendOptions>
+  entryLifetimeMs?: number
+  readDeadlineMs?: number
+  /** Connections to a target over the fleet of at most 24 nodes; 24 leaves one for each node. */
+  connectionsPerTarget?: number
+}
+
+export type SendOptions = {
+  node?: FleetNode
+  /** Query of the request: what the backend server stand-in is to do. */
+  query?: string
+  changes?: Partial<KindLoad>
+}
+
+export type Scenario = Deployment & {
+  kinds: Record<'read' | 'order' | 'upload', KindLoad>
+  /** Sends one request to a node, the first one by default. */
+  send: (kind: keyof Scenario['kinds'], requestId: string, options?: SendOptions) => Promise<CallOutcome>
+  /** Starts mixed load through entry answers. */
+  load: (options: Partial<LoadOptions> & Pick<LoadOptions, 'ratePerS' | 'durationMs'>) => LoadRun
+  /** A configuration that differs from the one in force only in a deadline. */
+  variant: (readDeadlineMs: number, restoreCount?: number) => ConfigurationEntry[]
+}
+
+const FLEET = 'testfleet'
+const ZONES = ['zone-a', 'zone-b', 'zone-c'] as const
+const REQUESTS_MAX = 5000
+const CALLER_COUNT = 20
+
+const createShop = (slots: number, readDeadlineMs: number, connectionsPerTarget = 300) => createService('shop', [
+  createKind({ name: 'read', path: '/shop/items/*', deadlineMs: readDeadlineMs }),
+  createKind({ name: 'order', methods: ['POST'], path: '/shop/orders/*', idempotent: false, deadlineMs: 3000, weight: 5 }),
+  createKind({ name: 'upload', methods: ['PUT'], path: '/shop/media/*', idempotent: false, boundedBy: 'progress', deadlineMs: 15_000, bodyBytesMax: 8 * 1024 * 1024, weight: 3 })
+], { slotsPerTarget: slots, connectionsPerTarget })
+
+export const startScenario = async (options: ScenarioOptions): Promise<Scenario> => {
+  const slots = options.slots ?? 4
+  const readDeadlineMs = options.readDeadlineMs ?? 2000
+  const settings = createFleetSettings(FLEET, [...ZONES], { entryLifetimeMs: options.entryLifetimeMs ?? 2000 })
+  const variant: Scenario['variant'] = (deadlineMs, restoreCount = 0) =>
+    createConfiguration(settings, [createShop(slots, deadlineMs, options.connectionsPerTarget)], restoreCount)
+  const deployment = await startDeployment({
+    ...options,
+    settings,
+    entries: variant(readDeadlineMs),
+    services: [{ name: 'shop', targetCount: options.targetCount ?? 3, slots, backend: { serviceTimeMs: 5, ...options.backend } }],
+    nodeCount: options.nodeCount ?? 1
+  })
+  const shop = createShop(slots, readDeadlineMs)
+  const [read, order, upload] = shop.kinds.map(kind => toKindLoad(shop, kind)) as [KindLoad, KindLoad, KindLoad]
+  const kinds = { read, order, upload }
+
+  const send: Scenario['send'] = async (name, requestId, { node = deployment.fleet.nodes[0], query, changes } = {}) => {
+    if (!node) throw new Error('the fleet has no nodes')
+    const caller = createCaller({ localAddress: '127.9.0.1', entries: [{ host: node.host, port: node.callerPort }], askEntries: false })
+    const kind = { ...kinds[name], ...changes }
+    try {
+      return await caller.call({ ...kind, path: query ? `${kind.path}?${query}` : kind.path }, requestId, 1, performance.now())
+    } finally {
+      caller.close()
+    }
+  }
+
+  return {
+    ...deployment,
+    kinds,
+    send,
+    variant,
+    load: load => startLoad({
+      kinds: [read, { ...order, share: 2 }],
+      requestsMax: REQUESTS_MAX,
+      seed: options.seed,
+      callerCount: CALLER_COUNT,
+      entries: deployment.entries(),
+      zones: ZONES,
+      ...load
+    })
+  }
+}
+
+/** Intended start of a request in Unix ms. */
+export const startedMs = (outcome: CallOutcome): number => outcome.endedMs - outcome.latencyMs
--- /dev/null
+++ b/packages/testbench/test/backend-failures.test.ts
@@ -0,0 +1,83 @@
+/**
+ * Guards against requests that run twice, get lost or are reported wrongly
+ * when backend servers die, slow down, fail or refuse.
+ */
+import test from 'ava'
+import { judgeRun, startedMs, startScenario, waitUntil } from '../src/index.js'
+
+test('a killed backend server: the order in flight is outcome-unknown and ran once', async t => {
+  const scenario = await startScenario({ seed: 11, asProcess: () => true })
+  t.teardown(scenario.close)
+  const order = scenario.send('order', 'order-1', { query: 'service-ms=20000' })
+  const { serverId } = await scenario.record.waitFor(event => event.type === 'started' && event.requestId === 'order-1')
+  await scenario.backend(serverId).kill()
+  t.like(await order, { result: 'outcome-unknown', code: 'WV-2002' })
+  t.is(scenario.record.runCount('order-1'), 1)
+})
+
+test('a killed backend server: the read in flight is answered by another one', async t => {
+  const scenario = await startScenario({ seed: 12, asProcess: () => true, readDeadlineMs: 10_000 })
+  t.teardown(scenario.close)
+  const read = scenario.send('read', 'read-1', { query: 'service-ms=1500' })
+  const { serverId } = await scenario.record.waitFor(event => event.type === 'started' && event.requestId === 'read-1')
+  await scenario.backend(serverId).kill()
+  t.like(await read, { result: 'in-time', answer: 'own' })
+})
+
+test('a straggler: its share of the requests falls and reads stay in time', async t => {
+  const scenario = await startScenario({ seed: 13, targetCount: 4, nodeCount: 2, readDeadlineMs: 300, backend: { serviceTimeMs: 10 } })
+  t.teardown(scenario.close)
+  await scenario.load({ ratePerS: 80, durationMs: 2000, seed: 1 }).done
+  scenario.backend('shop-1').behave({ slowdown: 100 })
+  await scenario.load({ ratePerS: 80, durationMs: 2000, seed: 2 }).done
+  const before = scenario.record.events().length
+  const outcomes = await scenario.load({ ratePerS: 80, durationMs: 3000, seed: 3 }).done
+  const reads = outcomes.filter(outcome => outcome.idempotent)
+  const started = scenario.record.events().slice(before).filter(event => event.type === 'started')
+  t.true(started.filter(event => event.serverId === 'shop-1').length < started.length / 10)
+  t.true(reads.filter(outcome => outcome.result === 'in-time').length >= reads.length * 0.97)
+})
+
+test('failing fast: the server does not attract requests and no read is lost', async t => {
+  const scenario = await startScenario({ seed: 14, targetCount: 4, nodeCount: 2 })
+  t.teardown(scenario.close)
+  await scenario.load({ ratePerS: 80, durationMs: 3000, seed: 1 }).done
+  scenario.backend('shop-1').behave({ failFast: true })
+  const outcomes = await scenario.load({ ratePerS: 80, durationMs: 4000, seed: 2 }).done
+  const verdict = judgeRun(outcomes, scenario.record)
+  t.like(verdict, { repeated: 0, lostIdempotent: 0, wronglyNotRun: 0 })
+  const endMs = Math.max(...outcomes.map(startedMs))
+  const last = scenario.record.events().filter(event => event.type === 'started' && event.timeMs > endMs - 2000)
+  t.true(last.filter(event => event.serverId === 'shop-1').length < last.length / 10)
+})
+
+test('one server sheds: every request runs once elsewhere', async t => {
+  const scenario = await startScenario({ seed: 15, targetCount: 4 })
+  t.teardown(scenario.close)
+  await scenario.load({ ratePerS: 80, durationMs: 2000, seed: 1 }).done
+  scenario.backend('shop-1').behave({ shed: true })
+  const outcomes = await scenario.load({ ratePerS: 80, durationMs: 3000, seed: 2 }).done
+  const verdict = judgeRun(outcomes, scenario.record)
+  t.is(verdict.inTime, verdict.requests)
+  t.is(verdict.repeated, 0)
+})
+
+test('all servers shed: the refusal is not-run and true', async t => {
+  const scenario = await startScenario({ seed: 16 })
+  t.teardown(scenario.close)
+  for (const backend of scenario.backends()) backend.behave({ shed: true })
+  t.like(await scenario.send('order', 'order-1'), { result: 'not-run', status: 503, code: 'WV-1010' })
+  t.is(scenario.record.runCount('order-1'), 0)
+})
+
+test('overload: the surplus is refused at once as not-run and goodput holds', async t => {
+  const scenario = await startScenario({ seed: 17, targetCount: 2, slots: 2, backend: { serviceTimeMs: 50, queueMax: 2 }, readDeadlineMs: 500 })
+  t.teardown(scenario.close)
+  const capacityPerS = 2 * 2 * 1000 / 52
+  const outcomes = await scenario.load({ ratePerS: capacityPerS * 2, durationMs: 5000, kinds: [scenario.kinds.read] }).done
+  const verdict = judgeRun(outcomes, scenario.record)
+  t.true(verdict.notRun > verdict.requests * 0.2)
+  t.true(verdict.inTime > capacityPerS * 5 * 0.8)
+  t.is(verdict.repeated, 0)
+  await waitUntil('the queue drains', 5000, async () => (await scenario.send('read', `after-${performance.now()}`)).result === 'in-time')
+})
--- /dev/null
+++ b/packages/testbench/test/draining.test.ts
@@ -0,0 +1,64 @@
+/**
+ * Guards against new work for a backend server that leaves, and against cut
+ * requests when a backend server or a daemon stops as planned.
+ */
+import test from 'ava'
+import { judgeRun, startScenario } from '../src/index.js'
+
+test('a draining backend server finishes a long upload and gets no new work after 3 s', async t => {
+  const scenario = await startScenario({ seed: 31, nodeCount: 2 })
+  t.teardown(scenario.close)
+  const upload = scenario.send('upload', 'upload-1', { changes: { uploadMs: 4500 } })
+  const { serverId } = await scenario.record.waitFor(event => event.type === 'started' && event.requestId === 'upload-1')
+  const load = scenario.load({ ratePerS: 60, durationMs: 5500 })
+  const stopped = scenario.backend(serverId).stop(4500)
+  const outcomes = await load.done
+  t.like(await upload, { result: 'in-time', answer: 'own' })
+  await stopped
+  const verdict = judgeRun(outcomes, scenario.record)
+  t.is(verdict.inTime, verdict.requests)
+  t.like(verdict, { lateAfterDrain: 0, truncated: 0, repeated: 0 })
+  t.true(scenario.record.events().some(event => event.type === 'upload' && event.requestId === 'upload-1' && event.intact))
+})
+
+test('a drain that only the VM list shows stops new work', async t => {
+  const scenario = await startScenario({ seed: 32 })
+  t.teardown(scenario.close)
+  scenario.backend('shop-1').behave({ drainHeader: false, health: 'ready' })
+  const load = scenario.load({ ratePerS: 60, durationMs: 5000 })
+  const stopped = scenario.backend('shop-1').stop(4500)
+  scenario.vmList.setState('shop-1', 'leaving')
+  const verdict = judgeRun(await load.done, scenario.record)
+  await stopped
+  t.is(verdict.inTime, verdict.requests)
+  t.is(verdict.lateAfterDrain, 0)
+})
+
+test('every backend server drains: requests are refused as not-run', async t => {
+  const scenario = await startScenario({ seed: 33, targetCount: 2 })
+  t.teardown(scenario.close)
+  for (const backend of scenario.backends()) {
+    backend.stop(10_000).catch(t.fail)
+    await scenario.send('read', `sign-${backend.id}`)
+  }
+  for (const backend of scenario.backends()) scenario.vmList.setState(backend.id, 'leaving')
+  const node = scenario.fleet.nodes[0]
+  while ((await node?.status())?.targets.some(target => target.health !== 'draining')) await scenario.send('read', `sign-${performance.now()}`)
+  t.like(await scenario.send('order', 'order-1'), { result: 'not-run', code: 'WV-1008' })
+  t.is(scenario.record.runCount('order-1'), 0)
+})
+
+test('a planned stop of a daemon cuts nothing', async t => {
+  const scenario = await startScenario({ seed: 34, nodeCount: 3 })
+  t.teardown(scenario.close)
+  const [node] = scenario.fleet.nodes
+  const upload = scenario.send('upload', 'upload-1', { changes: { uploadMs: 3000 } })
+  await scenario.record.waitFor(event => event.type === 'started' && event.requestId === 'upload-1')
+  const load = scenario.load({ ratePerS: 80, durationMs: 5000 })
+  await scenario.record.waitFor(event => event.type === 'answered')
+  t.is(await node?.stop(), 0)
+  const verdict = judgeRun(await load.done, scenario.record)
+  t.like(await upload, { result: 'in-time', answer: 'own' })
+  t.is(verdict.inTime, verdict.requests)
+  t.is(verdict.repeated, 0)
+})
--- /dev/null
+++ b/packages/testbench/test/fault-pairs.test.ts
@@ -0,0 +1,78 @@
+/**
+ * Guards against recoveries that work only while nothing else fails: two
+ * faults at the same time.
+ */
+import test from 'ava'
+import { judgeRun, startedMs, startScenario, waitInForce } from '../src/index.js'
+
+const CLEAN = { repeated: 0, wronglyNotRun: 0, foreign: 0, truncated: 0, lateAfterDrain: 0 }
+
+test('a daemon dies while a backend server drains', async t => {
+  const scenario = await startScenario({ seed: 71, nodeCount: 3 })
+  t.teardown(scenario.close)
+  const load = scenario.load({ ratePerS: 80, durationMs: 5500 })
+  await scenario.record.waitFor(event => event.type === 'answered' && event.requestId === 'r-71-60')
+  const stopped = scenario.backend('shop-1').stop(4000)
+  await scenario.fleet.nodes[0]?.kill()
+  const killedMs = performance.timeOrigin + performance.now()
+  const outcomes = await load.done
+  await stopped
+  t.like(judgeRun(outcomes, scenario.record), CLEAN)
+  t.deepEqual(outcomes.filter(outcome => startedMs(outcome) > killedMs + 100 && outcome.result !== 'in-time'), [])
+})
+
+test('a backend server dies while the configuration service and the VM list are down', async t => {
+  const scenario = await startScenario({ seed: 72, nodeCount: 2, targetCount: 4, asProcess: () => true })
+  t.teardown(scenario.close)
+  scenario.configurationService.setOutage('hang')
+  scenario.vmList.setOutage('refuse')
+  const load = scenario.load({ ratePerS: 80, durationMs: 4000 })
+  await scenario.record.waitFor(event => event.type === 'answered' && event.requestId === 'r-72-60')
+  await scenario.backend('shop-2').kill()
+  const outcomes = await load.done
+  t.like(judgeRun(outcomes, scenario.record), { ...CLEAN, lostIdempotent: 0 })
+})
+
+test('connections go silent while one backend server fails fast', async t => {
+  const scenario = await startScenario({ seed: 73, targetCount: 4, behindProxy: () => true, readDeadlineMs: 3000 })
+  t.teardown(scenario.close)
+  await scenario.load({ ratePerS: 80, durationMs: 3000, seed: 1 }).done
+  scenario.backend('shop-1').behave({ failFast: true })
+  const load = scenario.load({ ratePerS: 60, durationMs: 3000, seed: 2 })
+  await scenario.record.waitFor(event => event.type === 'started' && event.requestId === 'r-2-60')
+  for (const backend of scenario.backends()) backend.proxy?.silence()
+  const outcomes = await load.done
+  t.like(judgeRun(outcomes, scenario.record), { ...CLEAN, lostIdempotent: 0 })
+})
+
+test('a daemon is paused while a backend server dies', async t => {
+  const scenario = await startScenario({ seed: 74, nodeCount: 3, asProcess: () => true })
+  t.teardown(scenario.close)
+  const load = scenario.load({ ratePerS: 60, durationMs: 6000 })
+  await scenario.record.waitFor(event => event.type === 'answered' && event.requestId === 'r-74-60')
+  scenario.fleet.nodes[0]?.pause()
+  await scenario.backend('shop-1').kill()
+  await new Promise(resolve => { setTimeout(resolve, 2500) })
+  scenario.fleet.nodes[0]?.resume()
+  const resumedMs = performance.timeOrigin + performance.now()
+  const outcomes = await load.done
+  t.like(judgeRun(outcomes, scenario.record), CLEAN)
+  t.deepEqual(outcomes.filter(outcome => startedMs(outcome) > resumedMs + 1000 && outcome.result !== 'in-time'), [])
+})
+
+test('a node is replaced while the configuration service is down and the VM list is stale', async t => {
+  const scenario = await startScenario({ seed: 75, nodeCount: 3 })
+  t.teardown(scenario.close)
+  scenario.configurationService.setOutage('refuse')
+  const replaced = scenario.fleet.nodes[0]
+  await replaced?.kill()
+  scenario.vmList.setLagMs(1000)
+  const added = await scenario.fleet.add()
+  await added.waitReady()
+  t.is((await scenario.send('order', 'order-1', { node: added })).result, 'in-time')
+  scenario.configurationService.setOutage('none')
+  const next = scenario.variant(1500)
+  scenario.configurationService.publish(next)
+  await waitInForce(scenario.fleet.nodes.filter(node => node !== replaced), next)
+  t.pass()
+})
--- a/packages/testbench/test/load.test.ts
+++ b/packages/testbench/test/load.test.ts
@@ -34,7 +34,7 @@
   const record = createRunRecord()
   const at = { serverId: 'b', timeMs: 0 }
   const outcome = (changes: Partial<CallOutcome>): CallOutcome => ({
-    requestId: 'x', service: 's', kind: 'k', idempotent: true, weight: 1, result: 'in-time', status: 200, latencyMs: 1, endedMs: 0, attempts: 1, ...changes
+    requestId: 'x', service: 's', kind: 'k', idempotent: true, weight: 1, result: 'in-time', status: 200, latencyMs: 1, attemptMs: 1, endedMs: 0, attempts: 1, ...changes
   })
   record.add({ type: 'started', requestId: 'twice', ...at })
   record.add({ type: 'started', requestId: 'twice', ...at })
--- /dev/null
+++ b/packages/testbench/test/partitions.test.ts
@@ -0,0 +1,73 @@
+/**
+ * Guards against fleets that stop serving or stay split after a partition, and
+ * against targets that are lost to a stale or empty VM list.
+ */
+import test from 'ava'
+import { startScenario, waitInForce, waitUntil, type FleetNode } from '../src/index.js'
+
+const aliveIds = async (node: FleetNode): Promise<string> =>
+  (await node.status()).members.filter(member => member.state === 'alive').map(member => member.nodeId).sort().join()
+
+test('both sides of a partition serve, take new configurations, and merge after it', async t => {
+  const scenario = await startScenario({ seed: 61, nodeCount: 4, proxied: true })
+  t.teardown(scenario.close)
+  const { nodes } = scenario.fleet
+  const waitMembers = (which: readonly FleetNode[], ids: string): Promise<string[]> => Promise.all(which.map(node =>
+    waitUntil(`${node.nodeId} sees ${ids}`, 40_000, async () => (await aliveIds(node)) === ids && ids)))
+  await waitMembers(nodes, 'entry-1,entry-2,entry-3,entry-4')
+  const group = nodes.slice(0, 2)
+  scenario.fleet.partition(group)
+  await waitMembers(group, 'entry-1,entry-2')
+  await waitMembers(nodes.slice(2), 'entry-3,entry-4')
+  for (const node of nodes) t.is((await scenario.send('read', `read-${node.nodeId}`, { node })).result, 'in-time')
+  const next = scenario.variant(1500)
+  scenario.configurationService.publish(next)
+  await waitInForce(nodes, next)
+  scenario.fleet.partition([])
+  await waitMembers(nodes, 'entry-1,entry-2,entry-3,entry-4')
+  t.pass()
+})
+
+test('an empty VM list takes no target away', async t => {
+  const scenario = await startScenario({ seed: 62, nodeCount: 2 })
+  t.teardown(scenario.close)
+  scenario.vmList.setEmpty(true)
+  const reads = scenario.vmList.readCount()
+  const load = scenario.load({ ratePerS: 60, durationMs: 4000 })
+  await waitUntil('the empty list was read', 20_000, () => scenario.vmList.readCount() >= reads + 2)
+  const outcomes = await load.done
+  t.true(outcomes.every(outcome => outcome.result === 'in-time'))
+  t.is(new Set(scenario.record.events().slice(-100).map(event => event.serverId)).size, 3)
+})
+
+test('a stale VM list: the dead target is avoided, and the new one is used once the list recovers', async t => {
+  const scenario = await startScenario({ seed: 63, targetCount: 4 })
+  t.teardown(scenario.close)
+  scenario.vmList.remove('shop-4')
+  const { vm } = scenario.backend('shop-4')
+  scenario.vmList.setStale(true)
+  await scenario.backend('shop-1').kill()
+  const outcomes = await scenario.load({ ratePerS: 60, durationMs: 3000 }).done
+  t.true(outcomes.every(outcome => outcome.result === 'in-time'))
+  scenario.vmList.setStale(false)
+  scenario.vmList.remove('shop-1')
+  scenario.vmList.add({ ...vm, vmId: 'shop-5' })
+  const load = scenario.load({ ratePerS: 60, durationMs: 8000, seed: 64 })
+  const before = scenario.record.events().filter(event => event.serverId === 'shop-4').length
+  await waitUntil('the new target gets work', 20_000, () => scenario.record.events().filter(event => event.serverId === 'shop-4').length > before + 5)
+  load.stop()
+  await load.done
+  t.pass()
+})
+
+test('VM list down at the start of a node: peers tell it the targets', async t => {
+  const scenario = await startScenario({ seed: 65, nodeCount: 2 })
+  t.teardown(scenario.close)
+  const [first] = scenario.fleet.nodes
+  await waitUntil('members know each other', 20_000, async () => first !== undefined && (await aliveIds(first)) === 'entry-1,entry-2')
+  await scenario.fleet.nodes[1]?.stop()
+  const added = await scenario.fleet.add()
+  await added.waitReady()
+  scenario.vmList.setOutage('refuse')
+  t.is((await scenario.send('read', 'read-1', { node: added })).result, 'in-time')
+})
