Choose upload kinds by their bodies in the load

Cause: the examples have progress-bound reads, which the load took for uploads. Change: an upload needs a body; benches load all kinds but uploads. Measured: builds and lints.

--- a/packages/testbench/src/bench.ts
+++ b/packages/testbench/src/bench.ts
@@ -22,7 +22,11 @@
 /** Commit of the working tree; a plus sign says that files have changed since. */
 const readCommit = (): string => {
   const git = (...args: string[]): string => execFileSync('git', args, { encoding: 'utf8' }).trim()
-  return git('rev-parse', '--short', 'HEAD') + (git('status', '--porcelain', '--untracked-files=no') === '' ? '' : '+')
+  try {
+    return git('rev-parse', '--short', 'HEAD') + (git('status', '--porcelain', '--untracked-files=no') === '' ? '' : '+')
+  } catch {
+    return 'unknown'
+  }
 }
 
 const runBenches = async (names: readonly string[], options: Options): Promise<void> => {
--- a/packages/testbench/src/benches/scaled-deployment.ts
+++ b/packages/testbench/src/benches/scaled-deployment.ts
@@ -38,10 +38,10 @@
 
 type SlotCount = { name: string, slots: number }
 
-/** Shares that load each service in proportion to its slots. */
+/** Shares that load each service in proportion to its slots; uploads hold a slot for long and are left out. */
 const spread = (kinds: readonly KindLoad[], slotCounts: readonly SlotCount[]): KindLoad[] =>
   slotCounts.flatMap(({ name, slots }) => {
-    const own = kinds.filter(kind => kind.service === name && kind.boundedBy === 'deadline')
+    const own = kinds.filter(kind => kind.service === name && kind.uploadMs === 0)
     const total = own.reduce((sum, kind) => sum + kind.share, 0)
     return own.map(kind => ({ ...kind, share: slots * kind.share / total }))
   })
--- a/packages/testbench/src/demo.ts
+++ b/packages/testbench/src/demo.ts
@@ -7,7 +7,6 @@
  */
 import { setTimeout as sleep } from 'node:timers/promises'
 import { Command, Option } from 'commander'
-import type { ServiceConfiguration } from '@wisteriavalve/schema'
 import { judgeRun, type Verdict } from './checker.js'
 import { findFleetSettings, findServices } from './configuration.js'
 import { startDeployment, type Deployment } from './deployment.js'
@@ -15,6 +14,7 @@
 import { formatRow } from './format-row.js'
 import { startLoad } from './load/generator.js'
 import { toKindLoads } from './load/kinds.js'
+import type { KindLoad } from './load/types.js'
 import { summarizeByKind } from './load/latency.js'
 
 /** Backend servers of each service, as docs/design.md section 2.5 says. */
@@ -37,9 +37,12 @@
 
 type Faults = { done: Promise<void>, problems: string[] }
 
-/** The service with long uploads, or else the last one. */
-const findUploadService = (services: readonly ServiceConfiguration[]): string =>
-  (services.find(service => service.kinds.some(kind => kind.boundedBy === 'progress')) ?? services.at(-1) as ServiceConfiguration).name
+/** The service that the load sends long uploads to. */
+const findUploadService = (kinds: readonly KindLoad[]): string =>
+  (kinds.find(kind => kind.uploadMs > 0) ?? kinds.at(-1))?.service ?? ''
+
+const findLargestService = (name: DeploymentName): string =>
+  Object.entries(TARGET_COUNTS[name]).sort(([, a], [, b]) => b - a)[0]?.[0] ?? ''
 
 const injectFaults = (deployment: Deployment, drainedId: string, killedId: string): Faults => {
   const problems: string[] = []
@@ -82,6 +85,7 @@
 const runDemo = async (name: DeploymentName, seed: number): Promise<boolean> => {
   const entries = await generateExample(name)
   const services = findServices(entries)
+  const kinds = toKindLoads(services)
   const deployment = await startDeployment({
     settings: findFleetSettings(entries),
     entries,
@@ -94,9 +98,9 @@
   })
   try {
     console.log(`event=ready deployment=${name} daemons=${NODE_COUNT} backends=${deployment.backends().length} seed=${seed}`)
-    const faults = injectFaults(deployment, `${findUploadService(services)}-1`, `${services[0]?.name}-2`)
+    const faults = injectFaults(deployment, `${findUploadService(kinds)}-1`, `${findLargestService(name)}-2`)
     const load = startLoad({
-      kinds: toKindLoads(services),
+      kinds,
       ratePerS: RATE_PER_S,
       durationMs: DURATION_MS,
       requestsMax: REQUESTS_MAX,
--- a/packages/testbench/src/load/kinds.ts
+++ b/packages/testbench/src/load/kinds.ts
@@ -19,8 +19,8 @@
 
 export const toKindLoad = (service: ServiceConfiguration, kind: Kind): KindLoad => {
   const method = kind.methods[0]
-  const upload = kind.boundedBy === 'progress'
   const hasBody = method !== 'GET' && method !== 'HEAD' && method !== 'DELETE' && kind.bodyBytesMax > 0
+  const upload = hasBody && kind.boundedBy === 'progress'
   return {
     service: service.name,
     kind: kind.name,
