--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,5 +1,6 @@
 /**
- * Types of the daemon and the interface of its admin address.
+ * Types of the daemon, the interface of its admin address, and the fleet runtime.
  */
 export * from './types.js'
 export * from './admin-api.js'
+export { createFleetRuntime } from './fleet/fleet-runtime.js'
--- a/packages/daemon/src/node-events.ts
+++ b/packages/daemon/src/node-events.ts
@@ -33,7 +33,7 @@
   gone: 'is not used any more'
 }
 
-export const createNodeEvents = ({ clock, startedMs, events, log }: NodeEventsOptions): NodeEvents => {
+export const createNodeEvents = ({ clock, events, log }: NodeEventsOptions): NodeEvents => {
   const add = (entry: Omit<EventEntry, 'atMs' | 'wallMs' | 'automatic'>): void =>
     events.add({ atMs: Math.round(clock.nowMs()), wallMs: Date.now(), automatic: true, ...entry })
 
