--- a/packages/policy/src/half-life.ts
+++ b/packages/policy/src/half-life.ts
@@ -4,4 +4,4 @@
 
 /** 1 at age 0, one half after each half-life. */
 export const halfLifeWeight = (ageMs: number, halfLifeMs: number): number =>
-  ageMs <= 0 ? 1 : 2 ** (-ageMs / halfLifeMs)
+  ageMs <= 0 ? 1 : Math.exp(-Math.LN2 * ageMs / halfLifeMs)
--- /dev/null
+++ b/packages/policy/test/admission.test.ts
@@ -0,0 +1,115 @@
+/** Guards against requests that run after they were refused, are lost or run too late, and against light requests that crowd out heavy ones. */
+import test from 'ava'
+import fc from 'fast-check'
+import { createAdmission, type Refusal } from '../src/index.js'
+import { holds } from './property.js'
+
+type Fate = { runs: number, refusals: Refusal['result'][], ranAtMs?: number, deadlineMs: number, cancelled: boolean }
+
+const createRun = (capacity: number, queueLengthMax = 100) => {
+  const admission = createAdmission({ queueLengthMax, capacity: () => capacity })
+  const fates = new Map<string, Fate>()
+  const order: string[] = []
+  const clock = { nowMs: 0 }
+  const start = (id: string): void => {
+    const fate = fates.get(id) as Fate
+    fate.runs++
+    fate.ranAtMs = clock.nowMs
+    order.push(id)
+  }
+  const offer = (id: string, weight: number, deadlineMs: number): string => {
+    const fate: Fate = { runs: 0, refusals: [], deadlineMs, cancelled: false }
+    fates.set(id, fate)
+    const answer = admission.offer({ id, weight, deadlineMs, run: () => start(id), refuse: ({ result }) => fate.refusals.push(result) }, clock.nowMs)
+    if (answer.decision === 'run') start(id)
+    if (answer.decision === 'refused') fate.refusals.push(answer.refusal.result)
+    return answer.decision
+  }
+  return { admission, fates, order, clock, offer }
+}
+
+test('property: each request runs in time, is refused or waits, exactly one of them, within the capacity', t => {
+  const step = fc.record({
+    type: fc.constantFrom('offer', 'offer', 'offer', 'release', 'expire', 'cancel', 'pause'),
+    weight: fc.integer({ min: 1, max: 4 }),
+    slackMs: fc.integer({ min: 0, max: 300 }),
+    passMs: fc.integer({ min: 0, max: 30 }),
+    pick: fc.nat()
+  })
+  holds(t, fc.property(fc.integer({ min: 1, max: 4 }), fc.array(step, { maxLength: 120 }), (capacity, steps) => {
+    const { admission, fates, clock, offer } = createRun(capacity, 10)
+    for (const [index, { type, weight, slackMs, passMs, pick }] of steps.entries()) {
+      clock.nowMs += type === 'pause' ? 5000 : passMs
+      if (type === 'offer') offer(`r${index}`, weight, clock.nowMs + slackMs)
+      if (type === 'release' && admission.runningCount() > 0) admission.release(20, clock.nowMs)
+      if (type === 'expire' || type === 'pause') admission.expire(clock.nowMs)
+      const id = `r${pick % (index + 1)}`
+      const fate = fates.get(id)
+      if (type === 'cancel' && fate && admission.cancel(id)) fate.cancelled = true
+      const ended = (one: Fate): number => one.runs + one.refusals.length + (one.cancelled ? 1 : 0)
+      const all = [...fates.values()]
+      if (all.some(one => ended(one) > 1)) return false
+      if (all.some(one => one.ranAtMs !== undefined && one.ranAtMs >= one.deadlineMs)) return false
+      if (all.filter(one => ended(one) === 0).length !== admission.queuedCount()) return false
+      if (admission.runningCount() > capacity || admission.queuedCount() > 10) return false
+    }
+    return true
+  }), 1000)
+})
+
+test('the heaviest class goes first, then the earliest deadline', t => {
+  const { admission, order, offer } = createRun(1)
+  offer('running', 1, 1000)
+  offer('light', 1, 900)
+  offer('late', 5, 1000)
+  offer('early', 5, 800)
+  for (let count = 0; count < 3; count++) admission.release(1, 10)
+  t.deepEqual(order, ['running', 'early', 'late', 'light'])
+})
+
+test('a request that cannot be served before its deadline is refused at once', t => {
+  const { admission, clock, fates, offer } = createRun(1)
+  offer('first', 1, 1000)
+  admission.release(50, 0)
+  offer('running', 1, 1000)
+  t.is(offer('hopeless', 1, 60), 'refused')
+  t.is(offer('possible', 1, 1000), 'queued')
+  t.deepEqual(fates.get('hopeless')?.refusals, ['deadline-unreachable'])
+  clock.nowMs = 5000
+  admission.expire(5000)
+  admission.release(50, 5000)
+  t.deepEqual(fates.get('possible')?.refusals, ['deadline-passed-in-queue'])
+  t.is(fates.get('possible')?.runs, 0)
+})
+
+test('a full queue gives way to heavier requests only', t => {
+  const { fates, offer } = createRun(1, 2)
+  offer('running', 1, 1000)
+  offer('a', 2, 900)
+  offer('b', 2, 800)
+  t.is(offer('light', 1, 1000), 'refused')
+  t.is(offer('heavy', 3, 1000), 'queued')
+  t.deepEqual(fates.get('a')?.refusals, ['queue-full'])
+})
+
+test('at three times the capacity the heavy class is served and light requests are refused at once', t => {
+  const { admission, fates, clock, offer } = createRun(2)
+  const served = { heavy: 0, light: 0 }
+  const ends: number[] = []
+  for (let nowMs = 0; nowMs < 20_000; nowMs++) {
+    clock.nowMs = nowMs
+    while ((ends[0] ?? Infinity) <= nowMs) {
+      ends.shift()
+      admission.release(20, nowMs)
+    }
+    // Capacity for 0.1 per ms; heavy requests need half of it.
+    if (nowMs % 20 === 0 && nowMs < 19_000) offer(`heavy-${nowMs}`, 9, nowMs + 400)
+    if (nowMs % 4 === 0 && nowMs < 19_000) offer(`light-${nowMs}`, 1, nowMs + 400)
+    while (ends.length < admission.runningCount()) ends.push(nowMs + 20)
+  }
+  for (const [id, { runs }] of fates) served[id.startsWith('heavy') ? 'heavy' : 'light'] += runs
+  const lateRefusals = [...fates.values()].filter(({ refusals }) => refusals.includes('deadline-passed-in-queue')).length
+  t.is(served.heavy, 950)
+  t.true(served.light > 850, `${served.light} light requests served`)
+  t.true(lateRefusals < 40, `${lateRefusals} refused after they waited`)
+})
