Guard the burst of callers and the rescue of queued requests

Cause: breaking rules by hand in the built code showed two that no test noticed: a token bucket without an upper bound, and no precedence for queued requests that run out of time. Change: one test for each.

--- a/packages/policy/test/admission.test.ts
+++ b/packages/policy/test/admission.test.ts
@@ -82,6 +82,18 @@
   t.is(fates.get('possible')?.runs, 0)
 })
 
+test('a queued request that runs out of time goes ahead of heavier ones', t => {
+  const { admission, clock, order, offer } = createRun(1)
+  offer('first', 1, 1000)
+  admission.release(20, 0)
+  offer('running', 1, 1000)
+  offer('light', 1, 200)
+  offer('heavy', 9, 1000)
+  clock.nowMs = 145
+  admission.release(20, 145)
+  t.deepEqual(order, ['first', 'running', 'light'])
+})
+
 test('a full queue gives way to heavier requests only', t => {
   const { fates, offer } = createRun(1, 2)
   offer('running', 1, 1000)
--- a/packages/policy/test/connections.test.ts
+++ b/packages/policy/test/connections.test.ts
@@ -70,6 +70,8 @@
   t.true(limits.tryRequest('b', 0).ok)
   t.true(limits.tryRequest('a', 100).ok)
   t.false(limits.tryRequest('a', 100).ok)
+  const allowed = Array.from({ length: 20 }, () => limits.tryRequest('a', 60_000).ok)
+  t.is(allowed.filter(ok => ok).length, 5)
 })
 
 test('property: within any run a caller gets at most its burst and its rate', t => {
