Simulate fleets of up to 200 memberships and fix what they show

Cause: simulations showed slow spread of leaving nodes and an uneven load while hundreds of nodes join. Change: leaving members are announced at once; candidates are pinged in random order; new members enter the ping round at a random place; alive members fill a datagram to 900 bytes only; expiry runs every 500 ms. Conclusion: load per node is bounded and does not grow with the fleet.

--- a/packages/fleet/src/candidates.ts
+++ b/packages/fleet/src/candidates.ts
@@ -4,8 +4,10 @@
  * paced; those that do not answer are tried again from time to time, so that
  * partitions merge.
  */
+import type { Random } from '@wisteriavalve/common'
 import type { MemberUpdate } from '@wisteriavalve/schema'
 import { CANDIDATES_MAX } from './constants.js'
+import { pickSome } from './pick-some.js'
 
 export type Candidate = {
   nodeId: string
@@ -32,7 +34,8 @@
 /** Pings with the usual pace before a candidate counts as silent. */
 const QUICK_ATTEMPTS = 3
 
-export const createCandidates = (): Candidates => {
+/** @param random spreads the first pings, since all nodes have the same list */
+export const createCandidates = (random: Random): Candidates => {
   const candidates = new Map<string, Candidate>()
 
   const add = (nodeId: string, host: string, gossipPort: number, source: Candidate['source']): void => {
@@ -57,10 +60,8 @@
     learnSender: ({ nodeId, host, gossipPort }) => add(nodeId, host, gossipPort, 'sender'),
     get: nodeId => candidates.get(nodeId),
     delete: nodeId => { candidates.delete(nodeId) },
-    due: (count, nowMs, intervalMs) => [...candidates.values()]
-      .filter(candidate => isQuick(candidate) && nowMs - candidate.lastPingMs >= intervalMs)
-      .sort((a, b) => a.attempts - b.attempts)
-      .slice(0, count),
+    due: (count, nowMs, intervalMs) =>
+      pickSome([...candidates.values()].filter(candidate => isQuick(candidate) && nowMs - candidate.lastPingMs >= intervalMs), count, random),
     silent: () => [...candidates.values()].filter(candidate => !isQuick(candidate)),
     notePing: (candidate, nowMs) => {
       candidate.attempts++
--- a/packages/fleet/src/constants.ts
+++ b/packages/fleet/src/constants.ts
@@ -10,6 +10,8 @@
 export const SUSPICION_PERIODS_MIN = 3
 export const SENDS_PER_LOG2 = 6
 export const DATAGRAM_BYTES_MAX = 1200
+/** Alive members fill a datagram only up to here, so that a node stays below 10 KB/s while hundreds join. */
+export const DATAGRAM_BYTES_ALIVE_MAX = 900
 /** Refreshes of load fill a datagram only up to here; together with the ping rate this keeps a node below 10 KB/s. */
 export const DATAGRAM_BYTES_LOAD_MAX = 700
 export const DEAD_MEMORY_MS = 60_000
--- a/packages/fleet/src/failure-detector.ts
+++ b/packages/fleet/src/failure-detector.ts
@@ -13,6 +13,8 @@
 
 export type FailureDetector = {
   step: (nowMs: number, memberIds: () => string[]) => DetectorStep[]
+  /** Puts a new member at a random place of the round, so that the members known first are not pinged more often. */
+  noteMember: (nodeId: string) => void
   /** An ack proves that a member runs. */
   noteAck: (nodeId: string) => void
   /** Drops the ping under way and starts a new period. */
@@ -55,6 +57,7 @@
 
   return {
     step,
+    noteMember: nodeId => { round.splice(random.int(round.length + 1), 0, nodeId) },
     noteAck: nodeId => { if (probe?.nodeId === nodeId) probe.isAcked = true },
     restart: nowMs => {
       probe = undefined
--- a/packages/fleet/src/membership.ts
+++ b/packages/fleet/src/membership.ts
@@ -13,8 +13,9 @@
 } from './constants.js'
 import { createFailureDetector, type DetectorStep } from './failure-detector.js'
 import { createMemberTable, type MemberChange } from './member-table.js'
-import { createMessageWriter, pickSome, type MessageParts } from './message-writer.js'
+import { createMessageWriter, type MessageParts } from './message-writer.js'
 import { createNoteExchange } from './note-exchange.js'
+import { pickSome } from './pick-some.js'
 import { createPingTracker, type PendingPing } from './ping-tracker.js'
 import { createSelfState } from './self-state.js'
 import { createSendQueue } from './send-queue.js'
@@ -22,6 +23,8 @@
 
 /** Periods that a ping waits for its ack before the nonce expires. */
 const NONCE_PERIODS = 3
+/** Going through all members on every tick would cost more than the pings. */
+const EXPIRY_INTERVAL_MS = 500
 
 export const suspicionPeriods = (memberCount: number): number =>
   Math.max(SUSPICION_PERIODS_MIN, Math.ceil(2 * Math.log2(Math.max(1, memberCount))))
@@ -35,7 +38,7 @@
   const table = createMemberTable()
   const updates = createSendQueue<MemberUpdate>(UPDATES_QUEUED_MAX)
   const notes = createNoteExchange()
-  const candidates = createCandidates()
+  const candidates = createCandidates(random)
   const pings = createPingTracker(random)
   const detector = createFailureDetector(random, periodMs)
   const bursts = createBurstLimit()
@@ -43,6 +46,7 @@
   let lastTickMs: number | undefined
   let nextReconnectMs: number | undefined
   let nextCandidatesMs = -Infinity
+  let nextExpiryMs = -Infinity
 
   const write = createMessageWriter({
     self: self.get, configuration: () => configuration, table, updates, notes, random, sizeBytes: options.sizeBytes
@@ -63,6 +67,9 @@
     const { record, previous } = change
     updates.add(record.update.nodeId, record.update)
     candidates.delete(record.update.nodeId)
+    if (previous === undefined) detector.noteMember(record.update.nodeId)
+    // Entry answers of every node have to leave out a leaving node within seconds.
+    if (record.update.state === 'leaving' && previous === 'alive') bursts.request()
     return record.update.state === previous ? [] : [{ type: 'member-changed', member: record.update, previous }]
   }
 
@@ -134,6 +141,8 @@
   }
 
   const expire = (nowMs: number): MembershipAction[] => {
+    if (nowMs < nextExpiryMs) return []
+    nextExpiryMs = nowMs + EXPIRY_INTERVAL_MS
     pings.expire(nowMs - NONCE_PERIODS * periodMs)
     const timeoutMs = suspicionPeriods(table.presentCount() + 1) * periodMs
     const died = table.expireSuspicions(timeoutMs, nowMs).flatMap(announce)
--- a/packages/fleet/src/message-writer.ts
+++ b/packages/fleet/src/message-writer.ts
@@ -3,14 +3,15 @@
  * and targets with a bounded number of sends, and, in the room that is left,
  * members chosen at random. A message never exceeds one datagram.
  */
-import { shuffle, type Random } from '@wisteriavalve/common'
+import type { Random } from '@wisteriavalve/common'
 import type { ConfigurationOrder, GossipMessage, MemberUpdate, TargetNote } from '@wisteriavalve/schema'
 import {
-  DATAGRAM_BYTES_LOAD_MAX, DATAGRAM_BYTES_MAX, FILLER_UPDATES_MAX, NOTES_PER_MESSAGE_MAX, SENDS_PER_LOG2,
+  DATAGRAM_BYTES_ALIVE_MAX, DATAGRAM_BYTES_LOAD_MAX, DATAGRAM_BYTES_MAX, FILLER_UPDATES_MAX, NOTES_PER_MESSAGE_MAX, SENDS_PER_LOG2,
   UPDATES_PER_MESSAGE_MAX
 } from './constants.js'
 import type { MemberTable } from './member-table.js'
 import { noteAt, type NoteExchange } from './note-exchange.js'
+import { pickSome } from './pick-some.js'
 import type { SendQueue } from './send-queue.js'
 
 export type MessageParts = {
@@ -93,7 +94,7 @@
     const aboutReceiver = parts.receiverId === undefined ? undefined : table.get(parts.receiverId)
     if (aboutReceiver) addUpdate(aboutReceiver.update, DATAGRAM_BYTES_MAX)
     for (const { key, item } of notes.stateNotes(nowMs)) if (addNote(item, DATAGRAM_BYTES_MAX)) notes.noteSent(key, limit)
-    for (const { key, item } of updates.ordered()) if (addUpdate(item, DATAGRAM_BYTES_MAX)) updates.noteSent(key, limit)
+    for (const { key, item } of updates.ordered()) if (addUpdate(item, item.state === 'alive' ? DATAGRAM_BYTES_ALIVE_MAX : DATAGRAM_BYTES_MAX)) updates.noteSent(key, limit)
     for (const { key, item } of notes.answerNotes(nowMs)) if (addNote(item, DATAGRAM_BYTES_LOAD_MAX)) notes.noteSent(key, ANSWER_SENDS_MAX)
     addFiller()
     return message
@@ -102,11 +103,3 @@
 
 /** Answering notes are refreshed by later ones, so a few sends of each are enough. */
 const ANSWER_SENDS_MAX = 4
-
-/** Up to count different items in random order, without shuffling long lists. */
-export const pickSome = <T>(items: readonly T[], count: number, random: Random): T[] => {
-  if (items.length <= count) return shuffle(items, random)
-  const picked = new Set<number>()
-  while (picked.size < count) picked.add(random.int(items.length))
-  return [...picked].map(index => items[index] as T)
-}
--- /dev/null
+++ b/packages/fleet/test/membership.test.ts
@@ -0,0 +1,183 @@
+/**
+ * Guards membership against views that do not converge after kills, pauses,
+ * restarts, partitions and loss, against running nodes that are taken for
+ * dead by a node that was paused, and against load that grows with the fleet.
+ */
+import test from 'ava'
+import fc from 'fast-check'
+import { createRandom } from '@wisteriavalve/common'
+import { createSimulatedFleet, isConverged, type Datagram, type SimulatedFleet, type SimulatedNode } from './simulated-fleet.js'
+
+const startedFleet = (count: number, seed: number, lossRatio = 0): SimulatedFleet => {
+  const fleet = createSimulatedFleet({ count, seed, lossRatio })
+  fleet.runUntil(() => isConverged(fleet), 60_000)
+  return fleet
+}
+
+const nodeAt = (fleet: SimulatedFleet, index: number): SimulatedNode => fleet.nodes[index] as SimulatedNode
+
+for (const count of [20, 200]) {
+  test(`${count} nodes find each other and agree on a killed one`, t => {
+    const fleet = createSimulatedFleet({ count, seed: 11 })
+    const joinMs = fleet.runUntil(() => isConverged(fleet), 30_000)
+    t.true(joinMs !== undefined)
+    fleet.kill(nodeAt(fleet, 3))
+    const isNotAlive = ({ membership }: SimulatedNode): boolean => !membership.members().some(({ nodeId, state }) => nodeId === 'entry-3' && state === 'alive')
+    const suspectMs = fleet.runUntil(() => fleet.nodes.every(node => node.id === 'entry-3' || isNotAlive(node)), 60_000)
+    const deadMs = fleet.runUntil(() => isConverged(fleet), 90_000)
+    t.true(suspectMs !== undefined && suspectMs < 15_000)
+    t.true(deadMs !== undefined)
+    t.log(`nodes=${count} seed=11 join_ms=${joinMs} not_alive_everywhere_ms=${suspectMs} dead_everywhere_further_ms=${deadMs}`)
+  })
+}
+
+test('bytes sent by a node are bounded while hundreds join and do not grow with the fleet afterwards', t => {
+  const maxRate = (fleet: SimulatedFleet, seconds: number): number => {
+    const before = fleet.nodes.map(({ sentBytes }) => sentBytes)
+    fleet.run(seconds * 1000)
+    return Math.max(...fleet.nodes.map(({ sentBytes }, index) => (sentBytes - (before[index] ?? 0)) / seconds))
+  }
+  const [small, large] = [20, 200].map(count => {
+    const fleet = startedFleet(count, 5)
+    const joining = maxRate(fleet, 30)
+    fleet.run(250_000)
+    return { joining, settled: maxRate(fleet, 30) }
+  }) as [{ joining: number, settled: number }, { joining: number, settled: number }]
+  t.log(`bytes_per_s_20=${small.settled.toFixed(0)} bytes_per_s_200=${large.settled.toFixed(0)} joining_200=${large.joining.toFixed(0)}`)
+  t.true(large.joining < 5000)
+  t.true(large.settled < small.settled * 1.5)
+})
+
+test('a paused node comes back with a new incarnation and takes no running node for dead', t => {
+  const fleet = startedFleet(20, 21)
+  const node = nodeAt(fleet, 4)
+  const before = node.membership.self().incarnation
+  fleet.pause(node)
+  fleet.run(40_000)
+  t.false(nodeAt(fleet, 0).membership.members().some(({ nodeId }) => nodeId === node.id))
+  node.changes.length = 0
+  fleet.resume(node)
+  const backMs = fleet.runUntil(() => isConverged(fleet), 20_000)
+  t.true(backMs !== undefined)
+  t.true(node.membership.self().incarnation > before)
+  t.deepEqual(node.changes.filter(({ member }) => member.state === 'dead'), [])
+  t.log(`seed=21 back_ms=${backMs}`)
+})
+
+test('nothing that was queued before a pause is sent after it', t => {
+  const fleet = startedFleet(5, 3)
+  const node = nodeAt(fleet, 0)
+  node.membership.queueNotes([{ service: 's', targetId: 'old', observation: 'dead', ageMs: 0 }], fleet.clock.nowMs())
+  fleet.pause(node)
+  fleet.run(5000)
+  fleet.resume(node)
+  fleet.run(5000)
+  t.true(fleet.nodes.every(({ notes }) => notes.length === 0))
+})
+
+test('a restarted node with a lower incarnation is alive everywhere soon', t => {
+  const fleet = startedFleet(20, 31)
+  const node = nodeAt(fleet, 2)
+  fleet.kill(node)
+  fleet.run(2500)
+  fleet.restart(node, 0)
+  t.true(fleet.runUntil(() => isConverged(fleet), 20_000) !== undefined)
+  fleet.kill(node)
+  fleet.run(30_000)
+  fleet.restart(node, 0)
+  t.true(fleet.runUntil(() => isConverged(fleet), 20_000) !== undefined)
+})
+
+test('views merge after a partition of 2 and of 20 sides, also when the sides have forgotten each other', t => {
+  for (const [sides, durationMs] of [[2, 30_000], [2, 120_000], [20, 120_000]] as const) {
+    const fleet = startedFleet(20, 41)
+    fleet.nodes.forEach((node, index) => { node.group = index % sides })
+    fleet.run(durationMs)
+    t.true(fleet.nodes.every(({ membership }) => membership.members().length === 20 / sides))
+    for (const node of fleet.nodes) node.group = 0
+    const mergeMs = fleet.runUntil(() => isConverged(fleet), 40_000)
+    t.true(mergeMs !== undefined, `${sides} sides after ${durationMs} ms`)
+    t.log(`seed=41 sides=${sides} partition_ms=${durationMs} merge_ms=${mergeMs}`)
+  }
+})
+
+test('a dead node is forgotten after 60 s and does not come back from old views', t => {
+  const fleet = startedFleet(20, 51)
+  fleet.kill(nodeAt(fleet, 1))
+  fleet.run(120_000)
+  for (const node of fleet.nodes) node.changes.length = 0
+  fleet.run(120_000)
+  t.true(fleet.nodes.every(({ changes }) => changes.length === 0))
+})
+
+test('a draining note and a leaving node reach 20 nodes within 3 s', t => {
+  let worstMs = 0
+  for (const seed of [61, 62, 63, 64, 65]) {
+    const fleet = startedFleet(20, seed)
+    fleet.run(seed * 37 % 1000)
+    nodeAt(fleet, 0).membership.queueNotes([{ service: 's', targetId: 'a', observation: 'draining', ageMs: 0 }], fleet.clock.nowMs())
+    const spreadMs = fleet.runUntil(() => fleet.nodes.slice(1).every(({ notes }) => notes.length === 1), 10_000)
+    t.true(spreadMs !== undefined && spreadMs <= 3000)
+    nodeAt(fleet, 7).membership.leave(fleet.clock.nowMs())
+    const leftMs = fleet.runUntil(() => fleet.nodes.every(({ membership }) =>
+      membership.members().some(({ nodeId, state }) => nodeId === 'entry-7' && state === 'leaving')), 10_000)
+    t.true(leftMs !== undefined && leftMs <= 3000)
+    worstMs = Math.max(worstMs, spreadMs ?? Infinity, leftMs ?? Infinity)
+  }
+  t.log(`worst_ms=${worstMs}`)
+})
+
+test('datagrams recorded before a node started change nothing when they are replayed to it', t => {
+  const fleet = startedFleet(10, 71)
+  const recorded: Datagram[] = []
+  fleet.onSend(datagram => { if (recorded.length < 3000) recorded.push(datagram) })
+  const [victim, gone] = [nodeAt(fleet, 0), nodeAt(fleet, 9)]
+  gone.membership.queueNotes([{ service: 's', targetId: 'a', observation: 'dead', ageMs: 0 }], fleet.clock.nowMs())
+  fleet.run(5000)
+  fleet.kill(gone)
+  fleet.run(200_000)
+  fleet.restart(victim)
+  victim.notes.length = 0
+  t.true(fleet.runUntil(() => isConverged(fleet), 20_000) !== undefined)
+  for (const datagram of recorded) fleet.deliver({ ...datagram, to: { host: victim.vm.host, gossipPort: 8081 } })
+  t.deepEqual(victim.notes, [])
+  t.false(victim.membership.members().some(({ nodeId }) => nodeId === gone.id))
+  t.true(victim.guard.size() < 300)
+})
+
+type Fault = 'kill' | 'restart' | 'pause' | 'resume' | 'split' | 'heal' | 'wait'
+
+const applyFault = (fleet: SimulatedFleet, fault: Fault, index: number): void => {
+  const node = nodeAt(fleet, index % fleet.nodes.length)
+  if (fault === 'kill' && node.state === 'up') fleet.kill(node)
+  else if (fault === 'restart' && node.state === 'down') fleet.restart(node, 0)
+  else if (fault === 'pause' && node.state === 'up') fleet.pause(node)
+  else if (fault === 'resume' && node.state === 'paused') fleet.resume(node)
+  else if (fault === 'split') fleet.nodes.forEach((other, at) => { other.group = (at * 31 + index) % 3 })
+  else if (fault === 'heal') for (const other of fleet.nodes) other.group = 0
+}
+
+test('any sequence of faults ends in one view once the faults end', t => {
+  const random = createRandom(4242)
+  const faults = fc.array(fc.record({
+    fault: fc.constantFrom<Fault>('kill', 'restart', 'pause', 'resume', 'split', 'heal', 'wait'),
+    index: fc.nat(50),
+    afterMs: fc.integer({ min: 100, max: 20_000 })
+  }), { maxLength: 12 })
+  const seed = random.int(1_000_000)
+  t.log(`fast_check_seed=${seed}`)
+  fc.assert(fc.property(faults, fc.integer({ min: 1, max: 10_000 }), (steps, fleetSeed) => {
+    const fleet = startedFleet(24, fleetSeed, 0.05)
+    for (const { fault, index, afterMs } of steps) {
+      applyFault(fleet, fault, index)
+      fleet.run(afterMs)
+    }
+    for (const node of fleet.nodes) {
+      node.group = 0
+      if (node.state === 'paused') fleet.resume(node)
+    }
+    // With 5% loss a single probe of a running node can fail, so the view needs to hold only once.
+    return fleet.runUntil(() => isConverged(fleet), 180_000) !== undefined
+  }), { seed, numRuns: 25 })
+  t.pass()
+})
