--- a/packages/fleet/test/entry-and-probes.test.ts
+++ b/packages/fleet/test/entry-and-probes.test.ts
@@ -97,6 +97,22 @@
   t.pass()
 })
 
+test('a pause, announced or not, gives no probe that was not due before it', t => {
+  const firstProbeMs = (pauseMs: number, wakes: boolean): number => {
+    const planner = createProbePlanner({ probesPerTargetPerS: 2, entryVmCountMax: 24, random: createRandom(12) })
+    let nowMs = 0
+    for (; nowMs < 4000; nowMs += 200) planner.next([{ targetId: 'a' }], nowMs)
+    nowMs += pauseMs
+    if (wakes) planner.wake(pauseMs, nowMs)
+    while (planner.next([{ targetId: 'a' }], nowMs).length === 0) nowMs += 200
+    return nowMs - pauseMs
+  }
+  const withoutMs = firstProbeMs(0, false)
+  t.true(withoutMs >= 12_000)
+  t.true(firstProbeMs(60_000, false) >= withoutMs)
+  t.true(firstProbeMs(60_000, true) >= withoutMs)
+})
+
 test('a target that answers any node is not probed, and its end of traffic causes no volley', t => {
   const random = createRandom(9)
   const planners = Array.from({ length: 20 }, () => createProbePlanner({ probesPerTargetPerS: 2, entryVmCountMax: 24, random }))
--- a/packages/fleet/test/membership.test.ts
+++ b/packages/fleet/test/membership.test.ts
@@ -64,6 +64,20 @@
   t.log(`seed=21 back_ms=${backMs}`)
 })
 
+test('a suspicion from before a pause is not carried out after it', t => {
+  const fleet = startedFleet(20, 23)
+  const [node, suspected] = [nodeAt(fleet, 4), nodeAt(fleet, 8)]
+  suspected.group = 1
+  t.true(fleet.runUntil(() => node.membership.members().some(({ nodeId, state }) => nodeId === suspected.id && state === 'suspect'), 30_000) !== undefined)
+  fleet.pause(node)
+  suspected.group = 0
+  fleet.run(40_000)
+  const nowMs = fleet.clock.nowMs()
+  // No datagram arrives between waking and the first ticks.
+  const actions = [...node.membership.wake(40_000, nowMs), ...[100, 200, 300, 400, 500, 600].flatMap(afterMs => node.membership.tick(nowMs + afterMs))]
+  t.deepEqual(actions.filter(({ type }) => type === 'member-changed'), [])
+})
+
 test('nothing that was queued before a pause is sent after it', t => {
   const fleet = startedFleet(5, 3)
   const node = nodeAt(fleet, 0)
