Remove unlisted targets only on own evidence

Cause: a peer across a partition can report a running target as dead, and a dead note from before a VM left the list was lost. Change: own observations decide; the last one is remembered until the list drops the VM. Probe answers are not told apart from request answers by time any more, because the target table keeps requests only. Loops of the drivers no longer swallow unexpected errors; a configuration that cannot be applied is reported.

--- a/packages/daemon/src/fleet/configuration-driver.ts
+++ b/packages/daemon/src/fleet/configuration-driver.ts
@@ -10,6 +10,7 @@
 import type { ConfigurationOrder, MemberUpdate } from '@wisteriavalve/schema'
 import type { Result } from '@wisteriavalve/common'
 import type { ConfigurationService, HeadRead } from '../adapters/configuration-service.js'
+import { describeError } from '../adapters/http-json.js'
 import type { PeerAddress, PeerClients } from '../adapters/peer-client.js'
 import { VALUES_BYTES_MAX, type PeerHead, type PeerValue } from '../adapters/peer-rpc.js'
 import type { DaemonContext } from '../types.js'
@@ -61,13 +62,22 @@
   let isGathering = true
   let plan = planConfigurationReads({ selfId: settings.nodeId, zone: settings.zone, members: [] })
 
+  /** A fault of the request path must not end the loops that would bring a repaired configuration. */
+  const apply = (configuration: AdoptedConfiguration): void => {
+    try {
+      options.onAdopted(configuration)
+    } catch (error) {
+      status.noteRejected({ code: 'value-invalid', message: `it cannot be applied: ${describeError(error)}` })
+    }
+  }
+
   const takeStep = (step: ConfigurationStep, source: HeadCandidate['source']): void => {
     if (step.step === 'rejected') status.noteRejected(step.fault)
     if (step.step === 'fetch') fetcher.kick(source)
     if (step.step !== 'adopted') return
     limit.setEntryVmCountMax(step.configuration.settings.entryVmCountMax)
     status.noteAdopted(step.configuration)
-    options.onAdopted(step.configuration)
+    apply(step.configuration)
   }
 
   /** The order that the values under way are wanted for. */
@@ -141,7 +151,7 @@
     heldBy.set(from, order)
     if (isGathering || !isNews(order)) return
     const peer = options.members().find(({ nodeId }) => nodeId === from)
-    if (peer) pull(peer, order).catch(() => {})
+    if (peer) pull(peer, order)
   }
 
   const offerGathered = async (heads: readonly HeadCandidate[]): Promise<void> => {
@@ -197,7 +207,7 @@
   }
 
   return {
-    start: () => { gather().catch(() => {}) },
+    start: () => { gather() },
     noteMembers,
     noteSeen,
     adopted: state.adopted,
--- a/packages/daemon/src/fleet/fleet-runtime.ts
+++ b/packages/daemon/src/fleet/fleet-runtime.ts
@@ -56,8 +56,9 @@
     }
   }
 
-  const observe = (notes: TargetNote[]): void => {
-    for (const note of notes) union.noteObservation(note, clock.nowMs())
+  /** @param isOwn a peer across a partition can take a running target for dead, so only own observations confirm that */
+  const observe = (notes: TargetNote[], isOwn: boolean): void => {
+    for (const note of notes) if (isOwn || note.observation === 'answering') union.noteObservation(note)
     probes.noteObservations(notes)
     publishTargets()
   }
@@ -77,7 +78,7 @@
   const gossip = createGossipDriver(context, {
     onMember,
     onNotes: notes => {
-      observe(notes)
+      observe(notes, false)
       onNotes.call(notes)
     },
     onConfigurationSeen: (from, order) => configuration.noteSeen(from, order)
@@ -141,12 +142,8 @@
   })
 
   const shareNotes = (notes: TargetNote[]): void => {
-    const nowMs = clock.nowMs()
-    const marked = notes.map(note => note.observation === 'answering' && probes.isProbeAnswer(note.service, note.targetId, nowMs - note.ageMs)
-      ? { ...note, byProbe: true }
-      : note)
-    gossip.membership()?.queueNotes(marked.map(note => ({ ...note, ageMs: Math.max(0, Math.round(note.ageMs)) })), nowMs)
-    observe(marked)
+    gossip.membership()?.queueNotes(notes, clock.nowMs())
+    observe(notes, true)
   }
 
   const start = async (source: PeerSource): Promise<void> => {
--- a/packages/daemon/src/fleet/probe-driver.ts
+++ b/packages/daemon/src/fleet/probe-driver.ts
@@ -22,8 +22,6 @@
   setTargets: (service: string, targets: TargetSet) => void
   /** Answers that any node saw. */
   noteObservations: (notes: readonly TargetNote[]) => void
-  /** Whether an answer at that time was one to a probe of this node. */
-  isProbeAnswer: (service: string, targetId: string, atMs: number) => boolean
   wake: (gapMs: number) => void
   counters: () => Record<string, number>
   stop: () => Promise<void>
@@ -32,8 +30,6 @@
 const PLAN_INTERVAL_MS = 200
 /** Processor time of one probe, measured by the bench `probes` (connection, request, parsing). */
 const PROBE_CPU_MS = 1
-/** Results of probes reach policy in the same turn, so its notes carry the same time up to rounding. */
-const SAME_TIME_MS = 100
 
 type Answered = { requestMs?: number, probeMs?: number }
 type Entry = { service: string, target: Target, healthPath: string }
@@ -45,7 +41,6 @@
   const { clock, random } = context
   const runner = createProbeRunner(clock.nowMs)
   const answered = new Map<string, Answered>()
-  const ownProbes = new Map<string, number>()
   const targets = new Map<string, TargetSet>()
   const counters = { probes_sent: 0, probes_failed: 0, probes_over_cpu_share: 0 }
   let configuration: AdoptedConfiguration | undefined
@@ -63,7 +58,7 @@
         if (!leavingIds.includes(target.id)) entries.set(keyOf(service, target.id), { service, target, healthPath })
       }
     }
-    for (const map of [answered, ownProbes]) for (const key of map.keys()) if (!entries.has(key)) map.delete(key)
+    for (const key of answered.keys()) if (!entries.has(key)) answered.delete(key)
   }
 
   const noteAnswered = (key: string, field: keyof Answered, atMs: number): void => {
@@ -76,10 +71,8 @@
     counters.probes_sent++
     const result = await runner.probe(target, healthPath)
     if (isStopped) return
-    if (result.ok) {
-      noteAnswered(keyOf(service, target.id), 'probeMs', clock.nowMs())
-      ownProbes.set(keyOf(service, target.id), clock.nowMs())
-    } else counters.probes_failed++
+    if (result.ok) noteAnswered(keyOf(service, target.id), 'probeMs', clock.nowMs())
+    else counters.probes_failed++
     options.onResult(service, target.id, result)
   }
 
@@ -94,24 +87,19 @@
     refillCpu(configuration.settings)
     const candidates = [...entries].map(([targetId, { service, target }]) => {
       const known = answered.get(targetId)
-      const ownMs = options.lastAnswerMs(service, target.id)
-      const isOwnProbe = ownMs !== undefined && isProbeAnswer(service, target.id, ownMs)
-      const requestMs = Math.max(known?.requestMs ?? -Infinity, isOwnProbe ? -Infinity : ownMs ?? -Infinity)
-      return { targetId, lastAnswerMs: requestMs, lastProbeAnswerMs: known?.probeMs }
+      const lastAnswerMs = Math.max(known?.requestMs ?? -Infinity, options.lastAnswerMs(service, target.id) ?? -Infinity)
+      return { targetId, lastAnswerMs, lastProbeAnswerMs: known?.probeMs }
     })
     for (const key of planner.next(candidates, clock.nowMs())) {
       const entry = entries.get(key)
       if (cpuTokens < 1) counters.probes_over_cpu_share++
       else if (entry) {
         cpuTokens--
-        run(entry).catch(() => {})
+        run(entry)
       }
     }
   }
 
-  const isProbeAnswer = (service: string, targetId: string, atMs: number): boolean =>
-    Math.abs((ownProbes.get(keyOf(service, targetId)) ?? -Infinity) - atMs) <= SAME_TIME_MS
-
   const setConfiguration = (next: AdoptedConfiguration): void => {
     configuration = next
     if (planner) planner.reconfigure(next.settings)
@@ -134,7 +122,6 @@
       rebuild()
     },
     noteObservations,
-    isProbeAnswer,
     wake: gapMs => planner?.wake(gapMs, clock.nowMs()),
     counters: () => ({ ...counters }),
     stop: async () => {
--- a/packages/daemon/src/fleet/service-watch.ts
+++ b/packages/daemon/src/fleet/service-watch.ts
@@ -85,8 +85,8 @@
     isStarted = true
     role = new AbortController()
     const signal = AbortSignal.any([role.signal, stopped.signal])
-    const loop = isWatching ? watch(signal) : poll(signal)
-    loop.catch(() => {})
+    if (isWatching) watch(signal)
+    else poll(signal)
   }
 
   return {
--- a/packages/daemon/src/fleet/value-fetcher.ts
+++ b/packages/daemon/src/fleet/value-fetcher.ts
@@ -125,7 +125,7 @@
     pause.abort()
     if (isRunning || stopped.signal.aborted) return
     isRunning = true
-    run().finally(() => { isRunning = false }).catch(() => {})
+    run().finally(() => { isRunning = false })
   }
 
   return { kick, stop: () => stopped.abort() }
--- a/packages/daemon/src/fleet/vm-list-driver.ts
+++ b/packages/daemon/src/fleet/vm-list-driver.ts
@@ -94,7 +94,7 @@
   }
 
   return {
-    start: () => { run().catch(() => {}) },
+    start: () => { run() },
     ready: () => ready,
     vms: () => list?.vms ?? [],
     shared: () => list ? { ageMs: ageMs(), vms: [...list.vms] } : null,
--- a/packages/fleet/src/constants.ts
+++ b/packages/fleet/src/constants.ts
@@ -45,8 +45,12 @@
 export const STATE_NOTES_QUEUED_MAX = 1024
 export const ANSWER_NOTES_QUEUED_MAX = 256
 export const UPDATES_QUEUED_MAX = 4096
-/** A repeated observation within this time is no news. */
-export const STATE_NOTE_REPEAT_MS = 5000
+/**
+ * A repeated observation within this time is no news. Copies of the VM list
+ * reach the last node some seconds after the first, and each one reports the
+ * same leaving VMs.
+ */
+export const STATE_NOTE_REPEAT_MS = 15_000
 export const ANSWER_NOTE_REPEAT_MS = 1000
 
 /** Heads whose values are being collected at the same time; the oldest one gives way. */
--- a/packages/fleet/src/target-union.ts
+++ b/packages/fleet/src/target-union.ts
@@ -13,8 +13,8 @@
   /** Takes over a list; returns the backend VMs that it newly reports as leaving. */
   setVms: (vms: readonly VmEntry[], nowMs: number) => VmEntry[]
   setServices: (services: ReadonlyMap<string, ServiceConfiguration>) => void
-  /** Observation of any node; a dead target that the list does not show any more is removed. */
-  noteObservation: (note: Pick<TargetNote, 'service' | 'targetId' | 'observation'>, nowMs: number) => void
+  /** A target that connections found dead, and that the list does not show any more, is removed. */
+  noteObservation: (note: Pick<TargetNote, 'service' | 'targetId' | 'observation'>) => void
   /** Services whose targets differ from the last call. */
   takeChanges: (nowMs: number) => Map<string, TargetSet>
 }
@@ -22,6 +22,8 @@
 type KnownVm = {
   vm: VmEntry
   isListed: boolean
+  /** Whether the last observation was a failed connection. */
+  isDead: boolean
   /** Last time that a list reported the VM as leaving. */
   leavingMs?: number
 }
@@ -46,14 +48,16 @@
     const key = keyOf(vm.service as string, vm.vmId)
     const before = known.get(key)
     const leavingMs = vm.state === 'leaving' ? nowMs : before?.leavingMs
-    known.set(key, { vm, isListed: true, leavingMs })
+    known.set(key, { vm, isListed: true, isDead: before?.isDead ?? false, leavingMs })
     return vm.state === 'leaving' && !(before && isLeaving(before, nowMs))
   }
 
   const setVms = (vms: readonly VmEntry[], nowMs: number): VmEntry[] => {
     isChanged = true
     for (const entry of known.values()) entry.isListed = false
-    return vms.filter(vm => vm.role === 'backend' && vm.service !== undefined && takeVm(vm, nowMs))
+    const leaving = vms.filter(vm => vm.role === 'backend' && vm.service !== undefined && takeVm(vm, nowMs))
+    for (const [key, entry] of known) if (!entry.isListed && entry.isDead) known.delete(key)
+    return leaving
   }
 
   const removeGone = (nowMs: number): void => {
@@ -80,9 +84,10 @@
   }
 
   const noteObservation: TargetUnion['noteObservation'] = ({ service, targetId, observation }) => {
-    if (observation !== 'dead') return
     const entry = known.get(keyOf(service, targetId))
-    if (!entry || entry.isListed) return
+    if (!entry || observation === 'draining') return
+    entry.isDead = observation === 'dead'
+    if (!entry.isDead || entry.isListed) return
     known.delete(keyOf(service, targetId))
     isChanged = true
   }
