Add the service-level report

Burn rates over the window pairs of the Site Reliability Workbook, error budgets, what used them up, and incidents with what the fleet did meanwhile. The calculation is pure functions.

Broken by hand and seen to fail: calm with missing nodes, coverage by a minority of nodes, the merge of minutes in the history, the exit code for missing nodes.

--- a/packages/cli/src/admin/options.ts
+++ b/packages/cli/src/admin/options.ts
@@ -43,11 +43,11 @@
 }
 
 /** Lines that name what is missing; empty when the data is complete. */
-export const describeMissing = ({ missing }: FleetData<unknown>): string[] => missing.length === 0
+export const describeMissing = ({ missing }: Pick<FleetData<unknown>, 'missing'>): string[] => missing.length === 0
   ? []
   : [
       `INCOMPLETE (${resultCode('nodes-missing').code}): ${countOf(missing.length, 'node')} did not answer:`,
       ...missing.flatMap(({ nodeId, reason }) => wrapText(`  ${nodeId}: ${reason}`, 80, '    '))
     ]
 
-export const outcomeOf = ({ missing }: FleetData<unknown>): Outcome => ({ exit: missing.length === 0 ? 'ok' : 'incomplete' })
+export const outcomeOf = ({ missing }: Pick<FleetData<unknown>, 'missing'>): Outcome => ({ exit: missing.length === 0 ? 'ok' : 'incomplete' })
--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -6,7 +6,8 @@
 import { generateCommand } from './commands/generate.js'
 import { explainCommand } from './commands/explain.js'
 import { initCommand } from './commands/init.js'
+import { reportCommand } from './commands/report.js'
 import { statusCommand } from './commands/status.js'
 import type { CommandModule } from './types.js'
 
-export const COMMANDS: readonly CommandModule[] = [initCommand, checkCommand, generateCommand, diffCommand, statusCommand, explainCommand]
+export const COMMANDS: readonly CommandModule[] = [initCommand, checkCommand, generateCommand, diffCommand, statusCommand, explainCommand, reportCommand]
--- /dev/null
+++ b/packages/cli/src/report/build.ts
@@ -0,0 +1,61 @@
+/**
+ * Puts the report together from what the nodes gave.
+ */
+import type { BurnBucket, NodeReport } from '@wisteriavalve/schema'
+import type { FleetData } from '../admin/gather.js'
+import { measureLevel, toKindBuckets, type KindBuckets } from './burn.js'
+import { cleanReport } from './clean.js'
+import { findConsumers } from './consumers.js'
+import { joinIntervals } from './coverage.js'
+import { findIncidents, sumMinutes } from './incidents.js'
+import type { BurnContext, KindReport, NodeRun, ServiceLevelReport, ServiceReport } from './types.js'
+
+const groupBy = <T>(items: readonly T[], keyOf: (item: T) => string): [string, T[]][] => {
+  const groups = new Map<string, T[]>()
+  for (const item of items) {
+    const group = groups.get(keyOf(item))
+    if (group) group.push(item)
+    else groups.set(keyOf(item), [item])
+  }
+  return [...groups].sort(([a], [b]) => a < b ? -1 : 1)
+}
+
+const reportKind = (kind: KindBuckets, context: BurnContext): KindReport =>
+  ({ kind: kind.kind, weight: kind.weight, objective: kind.objective, ...measureLevel([kind], context) })
+
+const reportService = (service: string, kinds: readonly KindBuckets[], context: BurnContext): ServiceReport => ({
+  service,
+  ...measureLevel(kinds, context),
+  kinds: kinds.map(kind => reportKind(kind, context)),
+  consumers: findConsumers(kinds.flatMap(({ buckets }) => buckets)),
+  minutes: sumMinutes(kinds)
+})
+
+const groupKinds = (buckets: readonly BurnBucket[]): KindBuckets[] =>
+  groupBy(buckets, ({ kind }) => kind).map(([kind, group]) => toKindBuckets(kind, group))
+
+export const buildReport = (runs: readonly NodeRun[], data: FleetData<NodeReport>, problems: readonly string[], nowMs: number): ServiceLevelReport => {
+  const context: BurnContext = { runs, nowMs, isComplete: data.missing.length === 0 && problems.length === 0 }
+  const byService = groupBy(runs.flatMap(run => run.buckets), ({ service }) => service)
+    .map(([service, group]) => ({ service, kinds: groupKinds(group) }))
+  const spans = joinIntervals(runs.flatMap(({ intervals }) => intervals))
+  const first = spans[0]
+  return {
+    nowMs,
+    isComplete: context.isComplete,
+    missing: data.missing,
+    problems: [...problems],
+    data: first && { fromMs: first.fromMs, toMs: spans.at(-1)?.toMs ?? first.toMs },
+    nodeCount: data.nodes.length,
+    fleet: measureLevel(byService.flatMap(({ kinds }) => kinds), context),
+    services: byService.map(({ service, kinds }) => reportService(service, kinds, context)),
+    incidents: byService.flatMap(({ service, kinds }) => findIncidents(service, kinds, context)).sort((a, b) => a.fromMs - b.fromMs)
+  }
+}
+
+/** Cleans the reports of the nodes. */
+export const collectRuns = (reports: readonly NodeReport[], nowMs: number) => {
+  const problems: string[] = []
+  const runs = reports.flatMap(report => cleanReport(report, nowMs, problems) ?? [])
+  return { runs, problems }
+}
