--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -4,3 +4,5 @@
 export * from './program.js'
 export * from './types.js'
 export * from './exit-codes.js'
+export * from './command-line-page.js'
+export { COMMANDS } from './commands.js'
