--- a/packages/daemon/src/adapters/caller-http.ts
+++ b/packages/daemon/src/adapters/caller-http.ts
@@ -22,6 +22,8 @@
 
 export type CallerServerOptions = {
   onCall: (call: Call) => void
+  /** An unexpected error of onCall; the call is answered as failed. */
+  onFault: (error: unknown) => void
   /** False refuses the connection. */
   acceptConnection: (address: string) => boolean
   onConnectionClosed: (address: string) => void
@@ -128,7 +130,7 @@
  * it as an aborted request, and the request is cancelled. Waiting for a caller
  * that only half-closed would keep the requests of all others that left.
  */
-export const createCallerServer = ({ onCall, acceptConnection, onConnectionClosed, onMalformed }: CallerServerOptions): CallerServer => {
+export const createCallerServer = ({ onCall, onFault, acceptConnection, onConnectionClosed, onMalformed }: CallerServerOptions): CallerServer => {
   const openCalls = new WeakMap<Duplex, number>()
   let connectionCount = 0
   const server = createServer({
@@ -148,7 +150,12 @@
       openCalls.set(socket, (openCalls.get(socket) ?? 1) - 1)
       call.onClosed?.()
     })
-    onCall(call)
+    try {
+      onCall(call)
+    } catch (error) {
+      onFault(error)
+      answerFailure(call, 'node-fault', {})
+    }
   }
 
   server.on('request', (req, res) => accept(req, res, false))
--- a/packages/daemon/src/backend-connections.ts
+++ b/packages/daemon/src/backend-connections.ts
@@ -97,7 +97,12 @@
 
   const open = (): void => {
     openingCount++
-    openBackendSocket(target, onOpen, onOpenFailed)
+    try {
+      openBackendSocket(target, onOpen, onOpenFailed)
+    } catch (error) {
+      // An address that node:net does not accept. Later, since the request is not waiting yet in this step.
+      setImmediate(onOpenFailed, String(error))
+    }
   }
 
   /** Finds a connection for one request; false when it has to wait. */
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -4,13 +4,13 @@
  */
 import { createRandom } from '@wisteriavalve/common'
 import type { AdoptedConfiguration } from '@wisteriavalve/fleet'
-import type { PolicyName } from '@wisteriavalve/policy'
+import { createCallerLimits, type CallerLimitsOptions, type PolicyName } from '@wisteriavalve/policy'
 import type { NodeReport, NodeStatus } from '@wisteriavalve/schema'
 import { createCallerServer } from './adapters/caller-http.js'
 import type { ExplainQuery } from './admin-api.js'
 import { createAdminServer } from './admin-server.js'
 import { createBurnBuckets } from './burn-buckets.js'
-import { BEAT_MS, PAUSE_GAP_MS, WHEEL_TICK_MS } from './constants.js'
+import { BEAT_MS, CALLER_LIMITS, PAUSE_GAP_MS, WHEEL_TICK_MS } from './constants.js'
 import { createDeadlineWheel } from './deadline-wheel.js'
 import { depart } from './departure.js'
 import { createLifecycle, type Phase } from './lifecycle.js'
@@ -41,7 +41,11 @@
   adminPort: () => number
 }
 
-export const createDaemon = ({ settings, clock, random, log, events }: DaemonContext, fleet: FleetRuntime): Daemon => {
+export type DaemonOptions = { callerLimits?: CallerLimitsOptions }
+
+export const createDaemon = (
+  { settings, clock, random, log, events }: DaemonContext, fleet: FleetRuntime, { callerLimits = CALLER_LIMITS }: DaemonOptions = {}
+): Daemon => {
   const startedMs = clock.nowMs()
   const startedWallMs = Date.now()
   const lifecycle = createLifecycle(() => undefined)
@@ -96,7 +100,7 @@
     nextRequestId: createRequestIds(),
     isLeaving
   }
-  const pipeline = createRequestPipeline(context)
+  const pipeline = createRequestPipeline(context, createCallerLimits(callerLimits))
   const wellKnown = {
     isServing: () => lifecycle.phase() === 'serving' || isLeaving(),
     entryAnswer: fleet.entryAnswer
@@ -106,6 +110,7 @@
       if (isLeaving()) call.res.shouldKeepAlive = false
       if (!answerWellKnown(call, wellKnown)) pipeline.handle(call)
     },
+    onFault: error => recorder.fault(error, undefined),
     acceptConnection: address => pipeline.callerLimits.tryOpenConnection(address),
     onConnectionClosed: address => pipeline.callerLimits.noteConnectionClosed(address),
     onMalformed: (result, address, reason) => recorder.unreadable(result, address, reason)
--- a/packages/daemon/src/request-pipeline.ts
+++ b/packages/daemon/src/request-pipeline.ts
@@ -2,11 +2,10 @@
  * The request path: intake, admission, attempts, settlement. See section 5 of
  * docs/design.md.
  */
-import { createCallerLimits, type CallerLimits } from '@wisteriavalve/policy'
+import type { CallerLimits } from '@wisteriavalve/policy'
 import type { ResultName } from '@wisteriavalve/schema'
 import { answerFailure, type Call } from './adapters/caller-http.js'
 import { startAttempt } from './attempts.js'
-import { CALLER_LIMITS } from './constants.js'
 import type { Exchange } from './exchange.js'
 import { forwardedRequestHeaders } from './headers.js'
 import { examineCall, type Examined } from './intake.js'
@@ -114,8 +113,7 @@
   else if (outcome.decision === 'refused') failExchange(context, exchange, outcome.refusal.result, { retryAfterMs: outcome.refusal.retryAfterMs })
 }
 
-export const createRequestPipeline = (context: PipelineContext): RequestPipeline => {
-  const callerLimits = createCallerLimits(CALLER_LIMITS)
+export const createRequestPipeline = (context: PipelineContext, callerLimits: CallerLimits): RequestPipeline => {
   let inFlightCount = 0
 
   const refuse = (call: Call, result: ResultName, detail?: string, retryAfterMs?: number): void => {
--- a/packages/daemon/src/settlement.ts
+++ b/packages/daemon/src/settlement.ts
@@ -44,9 +44,12 @@
   if (exchange.phase === 'settled') return
   const targetId = (exchange.responder ?? exchange.attempts[0])?.targetId ?? [...exchange.tried].at(-1)
   const hasPlace = detach(context, exchange, outcome)
-  answerFailure(exchange.call, result, { requestId: exchange.id, retryAfterMs })
-  context.recorder.failed(exchange, result, targetId, detail)
-  if (hasPlace) releasePlace(context, exchange)
+  try {
+    answerFailure(exchange.call, result, { requestId: exchange.id, retryAfterMs })
+    context.recorder.failed(exchange, result, targetId, detail)
+  } finally {
+    if (hasPlace) releasePlace(context, exchange)
+  }
 }
 
 /** Stops a caller that goes on to send after it has its whole answer. */
@@ -61,9 +64,12 @@
   const nowMs = context.clock.nowMs()
   finishAttempt(attempt, attempt.status >= 500 ? 'error-status' : 'ok', nowMs)
   const hasPlace = detach(context, exchange, 'cancelled')
-  boundRestOfUpload(context, exchange)
-  context.recorder.answered(exchange, attempt, nowMs)
-  if (hasPlace) releasePlace(context, exchange)
+  try {
+    boundRestOfUpload(context, exchange)
+    context.recorder.answered(exchange, attempt, nowMs)
+  } finally {
+    if (hasPlace) releasePlace(context, exchange)
+  }
 }
 
 /** Result of an exchange that ends now for a reason outside of its attempts. */
@@ -78,7 +84,15 @@
     step()
   } catch (error) {
     context.recorder.fault(error, exchange.id)
+    endAfterFault(context, exchange)
+  }
+}
+
+const endAfterFault = (context: PipelineContext, exchange: Exchange): void => {
+  try {
     failExchange(context, exchange, resultByProgress(exchange, 'node-fault', 'node-fault-after-send'))
+  } catch (error) {
+    context.recorder.fault(error, exchange.id)
   }
 }
 
--- /dev/null
+++ b/packages/daemon/test/at-most-once.test.ts
@@ -0,0 +1,149 @@
+/**
+ * Guards against a request that is written twice, and against one that is sent
+ * after its caller was told that it did not run. The backend servers count
+ * requests in the bytes that arrive.
+ */
+import { once } from 'node:events'
+import { connect, type Socket } from 'node:net'
+import test from 'ava'
+import { Client, errors } from 'undici'
+import { sendRequest, type SendFailure } from '../src/adapters/backend-http.js'
+import { call, kind, ORDER, READ, service, startBackend, startDaemon, startDaemonProcess, startRawBackend } from './support.js'
+import './exit.js'
+
+const OK = 'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'
+const countRequests = (received: string): number => received.match(/(GET|POST) \/shop/g)?.length ?? 0
+
+/** Fleet-wide connections that give this node a share of one, and one slot. */
+const ONE_AT_A_TIME = { slotsPerTarget: 1, connectionsPerTarget: 24 }
+
+test('a server that closes after reading gets an order once, and its outcome is unknown', async t => {
+  let seen = 0
+  const port = await startRawBackend((socket, received) => {
+    seen += countRequests(received)
+    socket.destroy()
+  })
+  const other = await startRawBackend(() => { seen += 100 })
+  const daemon = await startDaemon([service([port]), service([other], { name: 'other', pathPrefix: '/other' })])
+  const answer = await call(daemon.port, { method: 'POST', body: 'x' })
+  t.is(answer.headers['x-result-code'], 'WV-2002')
+  t.is(answer.headers['x-result-class'], 'outcome-unknown')
+  t.is(seen, 1)
+})
+
+test('an idempotent request is sent again, to another target, once', async t => {
+  const seen = [0, 0]
+  const ports = await Promise.all(seen.map((_, index) => startRawBackend((socket, received) => {
+    seen[index] = (seen[index] ?? 0) + countRequests(received)
+    if (seen.reduce((sum, count) => sum + count, 0) === 1) socket.destroy()
+    else socket.write(OK)
+  })))
+  const daemon = await startDaemon([service(ports)])
+  const answer = await call(daemon.port)
+  t.is(answer.body, 'ok')
+  t.deepEqual(seen, [1, 1])
+})
+
+test('a keep-alive connection that closes while an order is under way does not carry it twice', async t => {
+  let seen = 0
+  const port = await startRawBackend((socket, received) => {
+    const count = countRequests(received)
+    if (count === 1) {
+      seen++
+      socket.write(OK)
+    } else if (count === 2) {
+      seen++
+      socket.resetAndDestroy()
+    }
+  })
+  const daemon = await startDaemon([service([port])])
+  t.is((await call(daemon.port, { method: 'POST', body: 'a' })).body, 'ok')
+  t.is((await call(daemon.port, { method: 'POST', body: 'b' })).headers['x-result-code'], 'WV-2002')
+  t.is(seen, 2)
+})
+
+test('undici sends again after an informational error, and the start counter prevents it', async t => {
+  let seen = 0
+  let onSeen: () => void = () => undefined
+  const port = await startRawBackend((_socket, received) => {
+    seen += countRequests(received)
+    onSeen()
+  })
+  const attempt = async (guarded: boolean): Promise<{ seen: number, failure?: SendFailure['kind'] }> => {
+    seen = 0
+    const sockets = [connect(port, '127.0.0.1'), connect(port, '127.0.0.1')]
+    await Promise.all(sockets.map(socket => once(socket, 'connect')))
+    const [first, second] = sockets as [Socket, Socket]
+    let used = 0
+    const client = new Client(`http://127.0.0.1:${port}`, { connect: (_options, callback) => queueMicrotask(() => callback(null, used++ === 0 ? first : second)) })
+    const failed = new Promise<SendFailure['kind'] | undefined>(resolve => {
+      const handler = { onConnect: () => undefined, onHeaders: () => true, onData: () => true, onComplete: () => undefined, onError: () => resolve(undefined) }
+      if (!guarded) client.dispatch({ method: 'GET', path: '/shop/x' }, handler)
+      else {
+        sendRequest({ client, socket: first }, { method: 'POST', path: '/shop/x', headers: [], body: Buffer.from('x') }, {
+          mayWrite: () => true, onWritten: () => undefined, onBodyProgress: () => undefined, onHead: () => undefined, onData: () => true, onEnd: () => undefined, onFailure: ({ kind: name }) => resolve(name)
+        })
+      }
+    })
+    await new Promise<void>(resolve => { onSeen = resolve })
+    const seenAgain = new Promise<undefined>(resolve => { onSeen = () => resolve(undefined) })
+    first.destroy(new errors.InformationalError('test'))
+    const failure = await Promise.race([failed, seenAgain])
+    for (const socket of sockets) socket.destroy()
+    return { seen, failure }
+  }
+  t.deepEqual(await attempt(false), { seen: 2, failure: undefined })
+  t.deepEqual(await attempt(true), { seen: 1, failure: 'second-start' })
+})
+
+test('a queued request whose deadline passed is not sent when a place becomes free', async t => {
+  const paths: string[] = []
+  let release: () => void = () => undefined
+  const port = await startBackend((req, res) => {
+    paths.push(req.url ?? '')
+    if (req.url === '/shop/first') release = () => res.end('first')
+    else res.end('ok')
+  })
+  const daemon = await startDaemon([service([port], ONE_AT_A_TIME)])
+  const first = call(daemon.port, { path: '/shop/first' })
+  while (paths.length === 0) await new Promise(setImmediate)
+  const second = await call(daemon.port, { method: 'POST', path: '/shop/second', headers: { 'x-request-timeout-ms': '60' }, body: 'x' })
+  t.is(second.headers['x-result-class'], 'not-run')
+  release()
+  await first
+  t.is((await call(daemon.port, { path: '/shop/third' })).body, 'ok')
+  t.deepEqual(paths, ['/shop/first', '/shop/third'])
+})
+
+const withStoppedProcess = async (daemon: Awaited<ReturnType<typeof startDaemonProcess>>, whileStopped: () => Promise<void>): Promise<void> => {
+  const noticed = daemon.nextLine('event=process_paused')
+  daemon.child.kill('SIGSTOP')
+  await new Promise(resolve => setTimeout(resolve, 800))
+  await whileStopped()
+  daemon.child.kill('SIGCONT')
+  await noticed
+}
+
+test('a process that was stopped sends nothing that is too late, and sends the rest once', async t => {
+  const paths: string[] = []
+  let release: () => void = () => undefined
+  let onFirst: () => void = () => undefined
+  const port = await startBackend((req, res) => {
+    paths.push(req.url ?? '')
+    if (req.url !== '/shop/first') return res.end('ok')
+    release = () => res.end('first')
+    onFirst()
+  })
+  const daemon = await startDaemonProcess(t, [service([port], { ...ONE_AT_A_TIME, kinds: [READ, { ...ORDER, deadlineMs: 10_000 }, kind({ name: 'slow', methods: ['PATCH'], deadlineMs: 10_000 })] })])
+  const arrived = new Promise<void>(resolve => { onFirst = resolve })
+  const first = call(daemon.port, { method: 'PATCH', path: '/shop/first' })
+  await arrived
+  const late = call(daemon.port, { method: 'POST', path: '/shop/late', headers: { 'x-request-timeout-ms': '600' }, body: 'x' })
+  const inTime = call(daemon.port, { method: 'POST', path: '/shop/in-time', body: 'x' })
+  await new Promise(resolve => setTimeout(resolve, 100))
+  await withStoppedProcess(daemon, async () => release())
+  t.is((await first).body, 'first')
+  t.is((await late).headers['x-result-class'], 'not-run')
+  t.is((await inTime).body, 'ok')
+  t.deepEqual(paths, ['/shop/first', '/shop/in-time'])
+})
--- a/packages/daemon/test/daemon-process.ts
+++ b/packages/daemon/test/daemon-process.ts
@@ -7,3 +7,4 @@
 
 const services = JSON.parse(process.env.TEST_SERVICES ?? '[]') as ServiceConfiguration[]
 await run(process.argv.slice(2), process.env, () => createFakeFleet(services, Number(process.env.TEST_ENTRY_LIFETIME_MS ?? 300)))
+process.on('SIGUSR2', () => { throw new Error(process.env.TEST_FAULT) })
--- /dev/null
+++ b/packages/daemon/test/resilience.test.ts
@@ -0,0 +1,173 @@
+/**
+ * Guards against retries that lose or repeat requests, exceed their allowance
+ * or go to leaving targets, against interrupted uploads, and against requests
+ * that stay on connections that went silent.
+ */
+import { request, type IncomingMessage, type ServerResponse } from 'node:http'
+import { once } from 'node:events'
+import type { Socket } from 'node:net'
+import test from 'ava'
+import { call, closed, closedPort, deferred, kind, ORDER, READ, service, startBackend, startDaemon, startRawBackend, UPLOAD } from './support.js'
+import './exit.js'
+
+const OK = 'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'
+const NOT_RUN = { 'x-request-not-run': 'true' }
+
+test('an order that a backend server refused goes to another target with its body', async t => {
+  const bodies: string[] = []
+  const read = async (req: IncomingMessage): Promise<string> => Buffer.concat(await req.toArray()).toString()
+  const ports = await Promise.all([1, 2].map(() => startBackend((req, res) => {
+    const answer = (body: string): void => {
+      bodies.push(body)
+      if (bodies.length === 1) res.writeHead(503, NOT_RUN).end('busy')
+      else res.end('done')
+    }
+    read(req).then(answer, () => res.destroy())
+  })))
+  const daemon = await startDaemon([service(ports)])
+  const answer = await call(daemon.port, { method: 'POST', body: 'order 7' })
+  t.is(answer.body, 'done')
+  t.deepEqual(bodies, ['order 7', 'order 7'])
+})
+
+test('a refusal without another target is reported as not run', async t => {
+  const daemon = await startDaemon([service([await startBackend((_req, res) => res.writeHead(429, NOT_RUN).end())])])
+  const answer = await call(daemon.port, { method: 'POST', body: 'x' })
+  t.is(answer.headers['x-result-code'], 'WV-1010')
+  t.is(answer.headers['retry-after'], '1')
+})
+
+test('an order that cannot be connected goes elsewhere, and one that may have run does not', async t => {
+  const orders: string[] = []
+  const alive = await startBackend((req, res) => {
+    orders.push(req.url ?? '')
+    res.end('ok')
+  })
+  const daemon = await startDaemon([service([await closedPort(), alive])])
+  for (let count = 0; count < 3; count++) t.is((await call(daemon.port, { method: 'POST', path: `/shop/${count}`, body: 'x' })).body, 'ok')
+  t.deepEqual(orders, ['/shop/0', '/shop/1', '/shop/2'])
+  const broken = await startDaemon([service([await startRawBackend(socket => { socket.destroy() }), alive])])
+  const codes = [await call(broken.port, { method: 'POST', body: 'x' }), await call(broken.port, { method: 'POST', body: 'x' })].map(answer => answer.headers['x-result-code'])
+  t.deepEqual(codes.sort(), ['WV-2002', undefined])
+})
+
+test('a request that may have run on one target stays outcome-unknown when the next refuses it', async t => {
+  let count = 0
+  const ports = await Promise.all([1, 2].map(() => startRawBackend(socket => {
+    if (++count === 1) socket.destroy()
+    else socket.write('HTTP/1.1 503 x\r\nx-request-not-run: true\r\ncontent-length: 0\r\n\r\n')
+  })))
+  const answer = await call((await startDaemon([service(ports)])).port)
+  t.is(answer.headers['x-result-code'], 'WV-2002')
+  t.is(count, 2)
+})
+
+test('attempts share the allowance of extra attempts, and deep calls are refused', async t => {
+  const seen: IncomingMessage['headers'][] = []
+  const ports = await Promise.all([1, 2, 3, 4, 5].map(() => startBackend((req, res) => {
+    seen.push(req.headers)
+    res.writeHead(500).end('failed')
+  })))
+  const daemon = await startDaemon([service(ports)])
+  const answer = await call(daemon.port, { headers: { 'x-retry-allowance': '2', 'x-call-depth': '8', 'x-request-timeout-ms': '1500' } })
+  t.is(answer.status, 500)
+  t.is(answer.body, 'failed')
+  const passedOn = seen.map(headers => Number(headers['x-retry-allowance']))
+  t.true(seen.length - 1 + passedOn.reduce((sum, value) => sum + value, 0) <= 2, `attempts ${seen.length}, passed on ${passedOn.join()}`)
+  t.is(seen[0]?.['x-call-depth'], '9')
+  const remainingMs = Number(seen[0]?.['x-request-timeout-ms'])
+  t.true(remainingMs > 1000 && remainingMs <= 1500)
+  const before = seen.length
+  await call(daemon.port, { headers: { 'x-retry-allowance': '0' } })
+  t.is(seen.length, before + 1)
+  t.is((await call(daemon.port, { headers: { 'x-call-depth': '10' } })).headers['x-result-code'], 'WV-1012')
+  t.is((await call(daemon.port, { headers: { 'x-retry-allowance': 'many' } })).headers['x-result-code'], 'WV-1013')
+})
+
+test('a hedge answers for a slow target, and the losing attempt is cancelled', async t => {
+  let slow: { req: IncomingMessage } | undefined
+  const ports = await Promise.all([1, 2].map(() => startBackend((req, res) => {
+    if (req.url === '/shop/slow' && !slow) slow = { req }
+    else res.end('ok')
+  })))
+  const daemon = await startDaemon([service(ports)])
+  for (let count = 0; count < 120; count++) await call(daemon.port)
+  t.is((await call(daemon.port, { path: '/shop/slow' })).body, 'ok')
+  t.truthy(slow)
+  if (slow) await closed(slow.req)
+  t.true(daemon.events.find(entry => /was also sent/.test(entry.text)).length > 0)
+})
+
+test('connections that go silent are retired together, and their idempotent requests go elsewhere', async t => {
+  const sockets: Socket[] = []
+  let isSilent = false
+  const silent = await startRawBackend(socket => {
+    if (!sockets.includes(socket)) sockets.push(socket)
+    if (sockets.length === 2 && !isSilent) for (const each of sockets) each.write(OK)
+    if (sockets.indexOf(socket) >= 2) socket.write(OK)
+  })
+  const spare = await startBackend((_req, res) => res.end('spare'))
+  const daemon = await startDaemon([service([silent, spare], { kinds: [kind({ deadlineMs: 20_000 })] })])
+  await Promise.all([1, 2, 3, 4].map(() => call(daemon.port)))
+  t.is(sockets.length, 2)
+  isSilent = true
+  const progress = { settled: 0 }
+  const held = [1, 2, 3, 4].map(() => call(daemon.port).finally(() => { progress.settled++ }))
+  while (progress.settled < 4) await call(daemon.port)
+  t.deepEqual((await Promise.all(held)).map(({ status }) => status), [200, 200, 200, 200])
+  t.regex(daemon.lines.join('\n'), /event=connections_retired service=shop target=t1 count=2/)
+})
+
+test('a draining target gets no new request, and an upload on it goes on', async t => {
+  const hits: string[] = []
+  const upload = deferred<ServerResponse>()
+  let bytes = 0
+  const ports = await Promise.all(['a', 'b'].map(name => startBackend((req, res) => {
+    hits.push(name)
+    if (req.method === 'PUT') {
+      upload.resolve(res)
+      req.on('data', (chunk: Buffer) => { bytes += chunk.length }).on('end', () => res.end(`${name} got ${bytes}`))
+    } else {
+      if (hits[0] === name) res.setHeader('x-draining', 'true')
+      res.end(name)
+    }
+  })))
+  const daemon = await startDaemon([service(ports)])
+  const req = request({ port: daemon.port, method: 'PUT', path: '/shop/x', agent: false, headers: { 'content-length': 200_000 } })
+  req.write(Buffer.alloc(100_000))
+  await upload.promise
+  const answers = []
+  for (let count = 0; count < 6; count++) answers.push(await call(daemon.port))
+  t.is(answers.filter(answer => answer.body === hits[0]).length, 1)
+  t.true(answers.every(answer => answer.headers['x-draining'] === undefined))
+  req.end(Buffer.alloc(100_000))
+  const [res] = await once(req, 'response') as [IncomingMessage]
+  t.is(Buffer.concat(await res.toArray()).toString(), `${hits[0]} got 200000`)
+  t.true(daemon.fleet.shared.some(note => note.observation === 'draining'))
+  t.regex(daemon.lines.join('\n'), /event=target_state service=shop target=t\d state=draining/)
+})
+
+test('targets that are all draining answer as not run', async t => {
+  const daemon = await startDaemon([service([await startBackend((_req, res) => res.setHeader('x-draining', 'true').end())])])
+  await call(daemon.port)
+  t.is((await call(daemon.port, { method: 'POST' })).headers['x-result-code'], 'WV-1008')
+})
+
+test('an upload is bounded by progress and not by its duration', async t => {
+  const port = await startBackend((req, res) => { req.resume().on('end', () => res.end('stored')) })
+  const daemon = await startDaemon([service([port], { kinds: [READ, ORDER, { ...UPLOAD, deadlineMs: 300 }] })])
+  const options = { port: daemon.port, method: 'PUT', path: '/shop/x', agent: false, headers: { 'transfer-encoding': 'chunked' } }
+  const steady = request(options)
+  for (let count = 0; count < 8; count++) {
+    steady.write('part')
+    await new Promise(resolve => setTimeout(resolve, 100))
+  }
+  steady.end()
+  const [stored] = await once(steady, 'response') as [IncomingMessage]
+  t.is(stored.statusCode, 200)
+  const stalled = request(options)
+  stalled.on('error', () => undefined).write('part')
+  const [failed] = await once(stalled, 'response') as [IncomingMessage]
+  t.is(failed.headers['x-result-code'], 'WV-2004')
+  stalled.destroy()
+})
--- a/packages/daemon/test/support.ts
+++ b/packages/daemon/test/support.ts
@@ -3,7 +3,7 @@
  * configuration, a daemon in this process or in one of its own, and raw TCP
  * backend servers.
  */
-import { once } from 'node:events'
+import { once, type EventEmitter } from 'node:events'
 import { spawn, type ChildProcess } from 'node:child_process'
 import { createServer as createHttpServer, request, type IncomingHttpHeaders, type RequestListener } from 'node:http'
 import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net'
@@ -13,7 +13,7 @@
 import { createEventRecord, createRandom, createSystemClock, type EventRecord } from '@wisteriavalve/common'
 import type { AdoptedConfiguration } from '@wisteriavalve/fleet'
 import type { Kind, ServiceConfiguration, TargetNote } from '@wisteriavalve/schema'
-import { createDaemon, type Daemon } from '../src/daemon.js'
+import { createDaemon, type Daemon, type DaemonOptions } from '../src/daemon.js'
 import { createLog } from '../src/logs.js'
 import { parseSettings } from '../src/settings.js'
 import type { FleetRuntime, ServiceTargets } from '../src/types.js'
@@ -105,14 +105,13 @@
 
 export type TestDaemon = { daemon: Daemon, port: number, adminPort: number, lines: string[], events: EventRecord, fleet: FakeFleet }
 
-/** Runs until the process of the test ends; it holds nothing that keeps that process alive. */
-export const startDaemon = async (services: readonly ServiceConfiguration[]): Promise<TestDaemon> => {
+export const startDaemon = async (services: readonly ServiceConfiguration[], options: DaemonOptions = {}): Promise<TestDaemon> => {
   const settings = parseSettings([], SETTING_ENV)
   if (!settings.ok) throw new Error(settings.error.message)
   const lines: string[] = []
   const events = createEventRecord(1_000)
   const fleet = createFakeFleet(services)
-  const daemon = createDaemon({ settings: settings.value, clock: createSystemClock(), random: createRandom(7), log: createLog('info', line => lines.push(line)), events }, fleet)
+  const daemon = createDaemon({ settings: settings.value, clock: createSystemClock(), random: createRandom(7), log: createLog('info', line => lines.push(line)), events }, fleet, options)
   await daemon.start()
   return { daemon, port: daemon.callerPort(), adminPort: daemon.adminPort(), lines, events, fleet }
 }
@@ -209,3 +208,16 @@
   })
   return { socket, received: () => text, until, closed }
 }
+
+export type Deferred<T> = { promise: Promise<T>, resolve: (value: T) => void }
+
+export const deferred = <T>(): Deferred<T> => {
+  let resolve: (value: T) => void = () => undefined
+  const promise = new Promise<T>(_resolve => { resolve = _resolve })
+  return { promise, resolve }
+}
+
+/** Waits for the end of a stream, also of one that breaks off. */
+export const closed = (stream: EventEmitter): Promise<void> => new Promise(resolve => {
+  stream.on('error', () => undefined).once('close', () => resolve())
+})
--- a/packages/daemon/test/thin-path.test.ts
+++ b/packages/daemon/test/thin-path.test.ts
@@ -8,6 +8,7 @@
 import test from 'ava'
 import { parseSettings } from '../src/settings.js'
 import { call, closedPort, service, SETTING_ENV, startBackend, startDaemon, startDaemonProcess } from './support.js'
+import './exit.js'
 
 test('a request goes to a backend server and its response comes back', async t => {
   const port = await startBackend((req, res) => res.setHeader('x-seen', `${req.method} ${req.url} ${String(req.headers['x-call-depth'])}`).end('hello'))
