Match the end of an attempt with its start by the nearest time

Cause: the daemon measures the duration of an attempt from the write, not from noteStarted. The sum of start times drifted by the difference on a target that is never idle, and with it the load ascribed to overdue requests. Change: start times are kept one by one; the nearest one is taken out.

--- a/packages/policy/src/load-estimate.ts
+++ b/packages/policy/src/load-estimate.ts
@@ -29,7 +29,7 @@
 /** Own requests that run longer than usual, in units of the usual time. */
 const overdueLoad = (state: TargetState, usualMs: number, nowMs: number): number => {
   if (state.inFlight === 0) return 0
-  const ageSumMs = state.inFlight * nowMs - state.startedMsSum
+  const ageSumMs = state.inFlight * nowMs - state.startsMsSum
   return Math.max(0, ageSumMs / usualMs - state.inFlight)
 }
 
--- a/packages/policy/src/target-state.ts
+++ b/packages/policy/src/target-state.ts
@@ -20,7 +20,8 @@
     health: healthOf(lifecycle),
     coldSinceMs: health.nowMs,
     inFlight: 0,
-    startedMsSum: 0,
+    startsMs: [],
+    startsMsSum: 0,
     limit,
     slots,
     othersInFlight: 0,
@@ -42,6 +43,31 @@
   }
 }
 
+export const addStart = (state: TargetState, nowMs: number): void => {
+  state.inFlight++
+  state.startsMs.push(nowMs)
+  state.startsMsSum += nowMs
+}
+
+/**
+ * Takes out the request whose start is nearest to the given time. The duration
+ * of an attempt may leave out the time until a connection was open, so the
+ * times need not be equal.
+ */
+export const removeStart = (state: TargetState, startedMs: number): void => {
+  const { startsMs } = state
+  if (startsMs.length === 0) return
+  let nearest = 0
+  for (let index = 1; index < startsMs.length; index++) {
+    if (Math.abs((startsMs[index] as number) - startedMs) < Math.abs((startsMs[nearest] as number) - startedMs)) nearest = index
+  }
+  state.startsMsSum -= startsMs[nearest] as number
+  startsMs[nearest] = startsMs[startsMs.length - 1] as number
+  startsMs.pop()
+  state.inFlight = startsMs.length
+  if (state.inFlight === 0) state.startsMsSum = 0
+}
+
 export const addLatency = (state: TargetState, latencyMs: number, nowMs: number): void => {
   state.latencyMs += (state.latencyUpdatedMs === -Infinity ? 1 : LATENCY_WEIGHT) * (latencyMs - state.latencyMs)
   state.latencyUpdatedMs = nowMs
--- a/packages/policy/src/target-table.ts
+++ b/packages/policy/src/target-table.ts
@@ -7,7 +7,7 @@
 import { takeTargets } from './target-list.js'
 import { collectNotes, takePeerNote } from './target-notes.js'
 import { takeDraining, takeFirstByte, takeOutcome, takeProbe } from './target-outcomes.js'
-import { warmth } from './target-state.js'
+import { addStart, removeStart, warmth } from './target-state.js'
 import type { TargetState, TargetTable, TargetTableOptions } from './types.js'
 import type { TargetStatus } from '@wisteriavalve/schema'
 
@@ -68,15 +68,13 @@
     setTargets: (targets, nowMs) => takeTargets(core, targets, nowMs),
     noteDraining: (targetId, source, nowMs) => withState(targetId, state => takeDraining(core, state, source, nowMs, nowMs)),
     noteStarted: (targetId, nowMs) => withState(targetId, state => {
-      state.inFlight++
+      addStart(state, nowMs)
       core.inFlight++
-      state.startedMsSum += nowMs
     }),
     noteFirstByte: (targetId, firstByteMs, nowMs) => withState(targetId, state => takeFirstByte(core, state, firstByteMs, nowMs)),
     noteFinished: (targetId, outcome, durationMs, nowMs) => withState(targetId, state => {
       core.inFlight = Math.max(0, core.inFlight - 1)
-      state.inFlight = Math.max(0, state.inFlight - 1)
-      state.startedMsSum = state.inFlight === 0 ? 0 : state.startedMsSum - (nowMs - durationMs)
+      removeStart(state, nowMs - durationMs)
       takeOutcome(core, state, outcome, durationMs, nowMs)
     }),
     noteReport: (targetId, report, nowMs) => withState(targetId, state => {
--- a/packages/policy/src/types.ts
+++ b/packages/policy/src/types.ts
@@ -92,8 +92,9 @@
   /** Start of the slow start; used while the target is cold. */
   coldSinceMs: number
   inFlight: number
-  /** Sum of the start times of the requests in flight. */
-  startedMsSum: number
+  /** Start of each request in flight, and their sum. */
+  startsMs: number[]
+  startsMsSum: number
   /** Adaptive concurrency limit; the whole part of it counts. */
   limit: number
   slots: number
