Let the service limit recover without reports and start quickly

Cause: a limit of 1 could not rise again on the answers of targets that send no load reports, since the request that ended was not counted any more. A node with few peers needed about 1,900 answers to rise from 16 to 64. A single report of a huge load spoiled the mean over the service for hundreds of answers. Change: answers of targets without reports count as uncongested, with the request that ended; until the first congestion the limit doubles per round; a report counts up to 16 requests per slot.

--- a/packages/policy/src/concurrency-limit.ts
+++ b/packages/policy/src/concurrency-limit.ts
@@ -52,6 +52,8 @@
 
 export const createServiceLimit = (): ServiceLimit => {
   let limit = Infinity
+  // Until the first sign of congestion the limit doubles with each round of answers.
+  let isProbing = true
   let peak = PEAK_MIN
   let peakMs = -Infinity
 
@@ -64,9 +66,15 @@
         peak = runningCount
         peakMs = nowMs
       }
-      limit = Math.min(limit, PEAK_FACTOR * Math.max(current, runningCount))
-      if (congested) limit = Math.max(LIMIT_MIN, limit - CONGESTION_STEP)
-      else if (runningCount >= limit / 2) limit += 1 / limit
+      const limitMax = PEAK_FACTOR * Math.max(current, runningCount)
+      if (limit > limitMax) {
+        limit = limitMax
+        isProbing = true
+      }
+      if (congested) {
+        limit = Math.max(LIMIT_MIN, limit - CONGESTION_STEP)
+        isProbing = false
+      } else if (runningCount >= limit / 2) limit += isProbing ? 1 : 1 / limit
     },
     current: () => limit
   }
--- a/packages/policy/src/load-estimate.ts
+++ b/packages/policy/src/load-estimate.ts
@@ -10,6 +10,8 @@
 
 /** A target cannot claim more than this many times its configured slots. */
 const SLOTS_CLAIM_FACTOR = 4
+/** Nor more requests than this many for each slot, so that a wrong report cannot spoil the mean. */
+const IN_FLIGHT_CLAIM_FACTOR = 16
 /** Weight of a new report in the mean over the service. */
 const MEAN_WEIGHT = 0.02
 
@@ -20,8 +22,8 @@
   if (report.slots !== undefined) state.slots = Math.min(report.slots, slotsPerTarget * SLOTS_CLAIM_FACTOR)
   const reported = report.inFlight ?? (report.utilization === undefined ? undefined : report.utilization * state.slots)
   if (reported === undefined || observedMs < state.reportMs) return
-  state.reportedInFlight = reported
-  state.othersInFlight = Math.max(0, reported - state.inFlight)
+  state.reportedInFlight = Math.min(reported, IN_FLIGHT_CLAIM_FACTOR * state.slots)
+  state.othersInFlight = Math.max(0, state.reportedInFlight - state.inFlight)
   state.reportMs = observedMs
   routing.meanOthersInFlight += MEAN_WEIGHT * (state.othersInFlight - routing.meanOthersInFlight)
 }
--- a/packages/policy/src/target-outcomes.ts
+++ b/packages/policy/src/target-outcomes.ts
@@ -38,6 +38,8 @@
 const takeAnswer = (core: TableCore, state: TargetState, nowMs: number): void => {
   addOutcome(state, false)
   state.lastAnswerMs = nowMs
+  // Without reports, an answer is the only sign that the target takes more.
+  if (!state.reportsLoad) core.serviceLimit.note(false, core.inFlight + 1, nowMs)
   if (!state.note) state.note = { observation: 'answering', atMs: nowMs }
   if (state.health === 'probation' && state.answersInRow >= PROBATION_ANSWERS) sendHealth(core, state, { type: 'PASSED', nowMs })
 }
@@ -47,7 +49,7 @@
   const slowMs = Math.max(durationMs, core.routing.slowLatencyMs)
   if (failure === 'refused') {
     lowerLimit(state, nowMs)
-    core.serviceLimit.note(true, core.inFlight, nowMs)
+    core.serviceLimit.note(true, core.inFlight + 1, nowMs)
   }
   // A fast failure is scored as a slow answer, so that the target does not look idle.
   addLatency(state, slowMs, nowMs)
--- a/packages/policy/src/target-table.ts
+++ b/packages/policy/src/target-table.ts
@@ -79,7 +79,9 @@
     }),
     noteReport: (targetId, report, nowMs) => withState(targetId, state => {
       takeReport(state, report, core.routing, options.slotsPerTarget, nowMs)
-      if (state.reportMs === nowMs) core.serviceLimit.note(isCongested(state.reportedInFlight ?? 0, state.slots), core.inFlight, nowMs)
+      if (state.reportMs !== nowMs) return
+      state.reportsLoad = true
+      core.serviceLimit.note(isCongested(state.reportedInFlight ?? 0, state.slots), core.inFlight, nowMs)
     }),
     noteProbe: (targetId, result, nowMs) => withState(targetId, state => takeProbe(core, state, result, nowMs)),
     notePeer: (note, nowMs) => withState(note.targetId, state => takePeerNote(core, state, note, nowMs)),
--- a/packages/policy/src/types.ts
+++ b/packages/policy/src/types.ts
@@ -120,6 +120,8 @@
   lastAnswerMs?: number
   lastDrainSignMs: number
   reportedInFlight?: number
+  /** Its answers carry load reports. */
+  reportsLoad: boolean
   firstBytes: LatencyWindow
   /** Observation to tell peers, and when it was made. */
   note?: { observation: TargetNote['observation'], atMs: number }
--- a/packages/testbench/src/experiments/policy-simulation.ts
+++ b/packages/testbench/src/experiments/policy-simulation.ts
@@ -29,7 +29,7 @@
   nodes?: number
 }
 
-export type KindCounts = { requests: number, inTime: number, refused: number }
+export type KindCounts = { requests: number, inTime: number, refused: number, latencyUs: Histogram }
 
 export type SimulationResult = {
   latencyUs: Histogram
@@ -94,7 +94,7 @@
   latencyUs: newHistogram(),
   refusalUs: newHistogram(),
   bySecondUs: Array.from({ length: Math.ceil(durationMs / 1000) + 1 }, newHistogram),
-  kinds: new Map(kinds.map(kind => [kind.name, { requests: 0, inTime: 0, refused: 0 }])),
+  kinds: new Map(kinds.map(kind => [kind.name, { requests: 0, inTime: 0, refused: 0, latencyUs: newHistogram() }])),
   requests: 0,
   ok: 0,
   hedged: 0,
@@ -120,6 +120,7 @@
   result.extraAttempts += Math.max(0, request.attempts - 1)
   if (!request.kind.idempotent && request.runs > 1) result.repeated++
   if (request.outcome === 'not-run' && request.runs > 0) result.wronglyNotRun++
+  counts.latencyUs.recordValue(Math.round(latencyMs * 1000))
   result.latencyUs.recordValue(Math.round(latencyMs * 1000))
   result.bySecondUs[Math.floor(request.startedMs / 1000)]?.recordValue(Math.round(latencyMs * 1000))
 }
--- a/packages/testbench/src/experiments/run-policy-simulation.ts
+++ b/packages/testbench/src/experiments/run-policy-simulation.ts
@@ -21,7 +21,7 @@
     for (const field of ['requests', 'ok', 'hedged', 'extraAttempts', 'repeated', 'wronglyNotRun', 'lateAfterDrain'] as const) merged[field] += result[field]
     for (const [name, counts] of result.kinds) {
       const sum = merged.kinds.get(name)
-      if (sum) { sum.requests += counts.requests; sum.inTime += counts.inTime; sum.refused += counts.refused }
+      if (sum) { sum.requests += counts.requests; sum.inTime += counts.inTime; sum.refused += counts.refused; sum.latencyUs.add(counts.latencyUs) }
     }
   }
   return merged
@@ -63,6 +63,11 @@
       const result = runPolicy(deployment, policy, options)
       if (policy === 'two-choices') baseline = result
       console.log(`${deployment} ${options.scenario} ${options.noise} load=${options.load} ${policy} ${describe(result, baseline)}`)
+      if (options.detail) {
+        for (const [name, { latencyUs }] of result.kinds) {
+          console.log(`  ${name}`, [99, 99.9].map(percentile => `p${percentile}=${(latencyUs.getValueAtPercentile(percentile) / 1000).toFixed(1)}`).join(' '))
+        }
+      }
       if (options.detail) console.log('  p99 by second', result.bySecondUs.map(histogram => (histogram.getValueAtPercentile(99) / 1000).toFixed(0)).join(' '))
     }
   }
