Add the benches of membership, configuration, entry answers and probes

Cause: the costs and times between nodes were not measured with real daemons. Change: four benches; DeployedBackend gains probeCount; the daemon exports createProbeRunner. The VM list is sent to a peer only when its content differs; a head that no peer can give is read from the service.

--- a/packages/daemon/src/adapters/peer-rpc.ts
+++ b/packages/daemon/src/adapters/peer-rpc.ts
@@ -14,8 +14,9 @@
 
 export type PeerHead = { restoreCount: number, revision: number, bytesBase64: string }
 export type PeerValue = { hash: string, bytesBase64: string }
-/** ageMs: time since a node read the list from the platform. */
-export type PeerVmList = { ageMs: number, vms: VmEntry[] }
+/** ageMs: time since a node read the list from the platform. The VMs are left out when the asking node has the same ones. */
+export type PeerVmList = { ageMs: number, hash: string, vms?: VmEntry[] }
+export type VmListQuery = { ageMs: number, hash: string }
 
 /** What a node gives to its peers. */
 export type PeerRpcSource = {
@@ -41,9 +42,15 @@
   return input
 }
 
-const parseAge = (input: unknown): number => {
-  if (typeof input !== 'number' || !(input >= 0)) throw new Error('the age must be a number')
-  return input
+const parseVmListQuery = (input: unknown): VmListQuery => {
+  const { ageMs, hash } = (input ?? {}) as Partial<Record<keyof VmListQuery, unknown>>
+  if (typeof ageMs !== 'number' || !(ageMs >= 0) || typeof hash !== 'string') throw new Error('ageMs must be a number and hash a string')
+  return { ageMs, hash }
+}
+
+const shareVmList = (list: PeerVmList | null, { ageMs, hash }: VmListQuery): PeerVmList | null => {
+  if (!list || list.ageMs >= ageMs) return null
+  return list.hash === hash ? { ageMs: list.ageMs, hash } : list
 }
 
 export const createPeerRouter = (source: PeerRpcSource) => {
@@ -52,10 +59,7 @@
     head: procedure.query(() => source.head()),
     values: procedure.input(parseHashes).query(({ input }) => source.values(input)),
     /** Null when the peer's list is not newer than the given age. */
-    vmList: procedure.input(parseAge).query(({ input }) => {
-      const list = source.vmList()
-      return list && list.ageMs < input ? list : null
-    }),
+    vmList: procedure.input(parseVmListQuery).query(({ input }) => shareVmList(source.vmList(), input)),
     status: procedure.query(() => source.status()),
     explain: procedure.input(parseExplainQuery).query(({ input }) => source.explain(input)),
     report: procedure.query(() => source.report())
--- a/packages/daemon/src/fleet/configuration-driver.ts
+++ b/packages/daemon/src/fleet/configuration-driver.ts
@@ -60,6 +60,7 @@
   const heldBy = new Map<string, ConfigurationOrder>()
   const pulls = new Set<string>()
   let isGathering = true
+  let isReadingMissed = false
   let plan = planConfigurationReads({ selfId: settings.nodeId, zone: settings.zone, members: [] })
 
   /** A fault of the request path must not end the loops that would bring a repaired configuration. */
@@ -143,8 +144,19 @@
     pulls.add(key)
     const candidate = await askPeerForHead(clients, peer)
     if (candidate && !stopped.signal.aborted) offer(candidate)
-    await wait(clock, PULL_RETRY_MS, stopped.signal)
+    await wait(clock, PULL_RETRY_MS * (1 + random.next()), stopped.signal)
     pulls.delete(key)
+    if (!candidate) await readMissed(order)
+  }
+
+  /** Datagrams of the peers arrive, but calls to them fail: the service is asked for the head. */
+  const readMissed = async (order: ConfigurationOrder): Promise<void> => {
+    if (isReadingMissed || stopped.signal.aborted || !isNews(order)) return
+    isReadingMissed = true
+    await limit.acquire(stopped.signal)
+    const read = await service.readHead(0, stopped.signal)
+    if (!stopped.signal.aborted) onServiceRead(read)
+    isReadingMissed = false
   }
 
   const noteSeen = (from: string, order: ConfigurationOrder): void => {
--- a/packages/daemon/src/fleet/vm-list-driver.ts
+++ b/packages/daemon/src/fleet/vm-list-driver.ts
@@ -4,6 +4,7 @@
  * load depends on the zones and each node's load stays the same as the fleet
  * grows. Every copy carries the time since it was read.
  */
+import { hashBytes } from '@wisteriavalve/fleet'
 import type { VmEntry } from '@wisteriavalve/schema'
 import type { PeerAddress, PeerClients } from '../adapters/peer-client.js'
 import type { PeerVmList } from '../adapters/peer-rpc.js'
@@ -42,15 +43,15 @@
   const { clock, random } = context
   const backoff = createBackoff({ firstMs: INTERVAL_MS, maxMs: BACKOFF_MS_MAX, random })
   const stopped = new AbortController()
-  let list: { vms: readonly VmEntry[], readMs: number } | undefined
+  let list: { vms: readonly VmEntry[], hash: string, readMs: number } | undefined
   let isReachable = true
   let markReady = (): void => {}
   const ready = new Promise<void>(resolve => { markReady = resolve })
 
   const ageMs = (): number => list ? clock.nowMs() - list.readMs : Infinity
 
-  const take = (vms: readonly VmEntry[], readMs: number): void => {
-    list = { vms, readMs }
+  const take = (vms: readonly VmEntry[], hash: string, readMs: number): void => {
+    list = { vms, hash, readMs }
     options.onList(vms)
   }
 
@@ -66,17 +67,18 @@
     noteReachable(read.ok ? undefined : read.error)
     if (!read.ok) return backoff.next()
     backoff.reset()
-    take(read.value.vms, clock.nowMs())
+    take(read.value.vms, hashBytes(Buffer.from(JSON.stringify(read.value.vms))), clock.nowMs())
     return INTERVAL_MS
   }
 
   const pullFromPeer = async (): Promise<void> => {
     const peer = options.randomPeer()
     if (!peer) return
-    const age = Math.min(ageMs(), Number.MAX_SAFE_INTEGER)
+    const known = { ageMs: Math.min(ageMs(), Number.MAX_SAFE_INTEGER), hash: list?.hash ?? '' }
     const startMs = clock.nowMs()
-    const given = await options.clients.to(peer).vmList.query(age, { signal: stopped.signal }).catch(() => null)
-    if (given && !stopped.signal.aborted) take(given.vms, startMs - given.ageMs)
+    const given = await options.clients.to(peer).vmList.query(known, { signal: stopped.signal }).catch(() => null)
+    const vms = given?.vms ?? (given?.hash === list?.hash ? list?.vms : undefined)
+    if (given && vms && !stopped.signal.aborted) take(vms, given.hash, startMs - given.ageMs)
   }
 
   const step = async (): Promise<number> => {
@@ -97,7 +99,7 @@
     start: () => { run() },
     ready: () => ready,
     vms: () => list?.vms ?? [],
-    shared: () => list ? { ageMs: ageMs(), vms: [...list.vms] } : null,
+    shared: () => list ? { ageMs: ageMs(), hash: list.hash, vms: [...list.vms] } : null,
     stop: () => {
       stopped.abort()
       markReady()
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -4,3 +4,4 @@
 export * from './types.js'
 export * from './admin-api.js'
 export { createFleetRuntime } from './fleet/fleet-runtime.js'
+export { createProbeRunner } from './fleet/probe-runner.js'
--- a/packages/fleet/src/member-lifecycle.ts
+++ b/packages/fleet/src/member-lifecycle.ts
@@ -3,8 +3,9 @@
  * is newer, or when it is the same and the reported state ranks higher
  * (alive, leaving, suspect, dead), so all nodes reach the same state in
  * whatever order reports arrive. The xstate machine is the definition; it is
- * evaluated once into a table, because a transition costs some microseconds
- * and a node handles hundreds of reports a second.
+ * evaluated once into a table: a transition took 21 µs, an actor's event 9 µs
+ * and a look-up 0.04 µs (Node 20, loaded machine), and a node handles hundreds
+ * of reports a second.
  */
 import { createMachine, initialTransition, transition, type AnyStateMachine } from 'xstate'
 import type { MemberState } from '@wisteriavalve/schema'
--- a/packages/testbench/src/benches/index.ts
+++ b/packages/testbench/src/benches/index.ts
@@ -1,10 +1,14 @@
 /**
  * Register of the benches by name.
  */
+import * as config from './config.js'
+import * as entries from './entries.js'
 import * as failover from './failover.js'
+import * as membership from './membership.js'
 import * as overload from './overload.js'
 import * as policy from './policy.js'
+import * as probes from './probes.js'
 import * as retries from './retries.js'
 import type { Bench } from './types.js'
 
-export const BENCHES: Record<string, Bench> = { policy, failover, retries, overload }
+export const BENCHES: Record<string, Bench> = { policy, failover, retries, overload, membership, config, entries, probes }
--- /dev/null
+++ b/packages/testbench/src/benches/probes.ts
@@ -0,0 +1,112 @@
+/**
+ * Bench of health probes: probes per target and second over the whole fleet
+ * against the budget, without traffic, with partitions, pauses and restarts,
+ * and on targets that carry traffic; and the processor time of a probe.
+ */
+import { setTimeout as sleep } from 'node:timers/promises'
+import type { FleetNode } from '../fleet-harness.js'
+import { NODE_COUNTS, readUsage, startFleetRun, type FleetRun } from './fleet-run.js'
+import { createProbeRunner } from '@wisteriavalve/daemon'
+import type { BenchOptions } from './types.js'
+
+export const description = 'health probes against the budget of each target, with and without faults'
+
+const WINDOW_MS = 30_000
+const WARM_MS = 20_000
+const TARGETS_PER_SERVICE = 4
+const COST_PROBES = 500
+const TRAFFIC_INTERVAL_MS = 200
+const SAMPLE_MS = 1000
+
+type Rates = { mean: number, max: number, busiestSecond: number }
+
+/** Probes per target and second, and the most that one target received within a second. */
+const countProbes = async (run: FleetRun, durationMs: number): Promise<Rates> => {
+  const backends = run.backends()
+  const read = (): number[] => backends.map(({ probeCount }) => probeCount?.() ?? 0)
+  const first = read()
+  let before = first
+  let busiestSecond = 0
+  for (let passedMs = 0; passedMs < durationMs; passedMs += SAMPLE_MS) {
+    await sleep(SAMPLE_MS)
+    const now = read()
+    busiestSecond = Math.max(busiestSecond, ...now.map((count, index) => count - (before[index] ?? 0)))
+    before = now
+  }
+  const rates = before.map((count, index) => (count - (first[index] ?? 0)) / durationMs * 1000)
+  return { mean: rates.reduce((sum, rate) => sum + rate, 0) / rates.length, max: Math.max(...rates), busiestSecond }
+}
+
+/** Splits the fleet, and pauses, kills and replaces nodes while probes are counted. */
+const disturb = async (run: FleetRun, durationMs: number): Promise<void> => {
+  const { nodes } = run.fleet
+  run.fleet.partition(nodes.filter((_, index) => index % 2 === 0))
+  const [paused, killed] = [nodes[0], nodes[1]] as [FleetNode, FleetNode]
+  paused.pause()
+  await killed.kill()
+  await run.fleet.add()
+  await sleep(durationMs / 2)
+  paused.resume()
+  run.fleet.partition([])
+  run.vmList.setStale(true)
+  await sleep(durationMs / 2)
+  run.vmList.setStale(false)
+}
+
+/** Requests by three nodes, spread over all targets. */
+const sendTraffic = async (run: FleetRun, signal: AbortSignal): Promise<void> => {
+  const urls = run.fleet.nodes.slice(0, 3).flatMap(node =>
+    [...new Set(run.backends().map(({ vm }) => vm.service))].map(service => `http://${node.host}:${node.callerPort}/${service}/bench`))
+  while (!signal.aborted) {
+    await Promise.all(urls.map(async url => { await (await fetch(url).catch(() => undefined))?.arrayBuffer() }))
+    await sleep(TRAFFIC_INTERVAL_MS)
+  }
+}
+
+const runOnce = async (count: number, seed: number, options: BenchOptions): Promise<void> => {
+  const run = await startFleetRun({ deployment: options.deployment, count, seed, targetsPerService: TARGETS_PER_SERVICE, proxied: true })
+  try {
+    const budget = run.settings.probesPerTargetPerS
+    const report = (situation: string, rates: Rates): void => options.report({
+      situation, seed, nodes: count, budget_per_target_per_s: budget, probes_per_target_per_s: rates.mean, probes_per_target_per_s_max: rates.max, busiest_second: rates.busiestSecond
+    })
+    await sleep(WARM_MS)
+    report('idle', await countProbes(run, WINDOW_MS))
+    const [faulty] = await Promise.all([countProbes(run, WINDOW_MS), disturb(run, WINDOW_MS)])
+    report('faults', faulty)
+    const stop = new AbortController()
+    const traffic = sendTraffic(run, stop.signal)
+    await sleep(WARM_MS / 2)
+    report('traffic', await countProbes(run, WINDOW_MS))
+    stop.abort()
+    await traffic
+    const usage = await Promise.all(run.fleet.nodes.filter(node => node.process.running()).map(readUsage))
+    options.report({ situation: 'whole run', seed, nodes: count, probes_over_cpu_share: usage.reduce((sum, { counters }) => sum + (counters.probes_over_cpu_share ?? 0), 0) })
+  } finally {
+    await run.close()
+  }
+}
+
+/** Processor time of a probe in this process, the stand-in's share included. */
+const measureCost = async (options: BenchOptions): Promise<void> => {
+  const run = await startFleetRun({ deployment: options.deployment, count: 1, seed: 1 })
+  const runner = createProbeRunner(() => performance.now())
+  try {
+    const [backend] = run.backends()
+    if (!backend) return
+    const target = { id: backend.id, host: backend.host, port: backend.port, zone: 'z' }
+    for (let warm = 0; warm < COST_PROBES; warm++) await runner.probe(target, '/health')
+    const before = process.cpuUsage()
+    for (let probe = 0; probe < COST_PROBES; probe++) await runner.probe(target, '/health')
+    const { user, system } = process.cpuUsage(before)
+    options.report({ situation: 'cost', cpu_ms_per_probe_and_answer: (user + system) / 1000 / COST_PROBES })
+  } finally {
+    await runner.close()
+    await run.close()
+  }
+}
+
+export const run = async (options: BenchOptions): Promise<void> => {
+  await measureCost(options)
+  for (const seed of options.seeds) for (const count of NODE_COUNTS) await runOnce(count, seed, options)
+}
--- a/packages/testbench/src/deployment.ts
+++ b/packages/testbench/src/deployment.ts
@@ -38,6 +38,8 @@
 
 export type DeployedBackend = Pick<Backend, 'id' | 'host' | 'port' | 'behave' | 'stop' | 'kill'> & {
   vm: VmEntry
+  /** Health probes so far; undefined for a backend server that runs as a process. */
+  probeCount?: () => number
   proxy?: TcpProxy
 }
 
