--- a/packages/cli/src/command-line-page.ts
+++ b/packages/cli/src/command-line-page.ts
@@ -22,13 +22,13 @@
   '| Code | Name | Meaning |', '| --- | --- | --- |', ...EXIT_CODES.map(({ code, name, meaning }) => `| ${code} | ${name} | ${meaning} |`)
 ].join('\n')
 
-const MARKED = /(<!-- (help (\w+)|exit-codes) -->\n)[\s\S]*?(\n<!-- end -->)/g
+const MARKED = /(<!-- (?:help (\w+)|exit-codes) -->\n)[\s\S]*?(<!-- end -->)/g
 
 /** The page with its generated parts brought up to date. */
 export const updateCommandLinePage = async (page: string): Promise<string> => {
-  const commands = new Set([...page.matchAll(MARKED)].flatMap(([, , , command]) => command ?? []))
+  const commands = new Set([...page.matchAll(MARKED)].flatMap(([, , command]) => command ?? []))
   const helps = new Map<string, string>()
   for (const command of commands) helps.set(command, await renderHelp(command))
-  return page.replaceAll(MARKED, (_all, begin: string, _name: string, command: string | undefined, end: string) =>
-    `${begin}${command === undefined ? renderExitCodes() : helps.get(command)}${end}`)
+  return page.replaceAll(MARKED, (_all, begin: string, command: string | undefined, end: string) =>
+    `${begin}${command === undefined ? renderExitCodes() : helps.get(command)}\n${end}`)
 }
--- a/packages/cli/src/commands/explain.ts
+++ b/packages/cli/src/commands/explain.ts
@@ -6,7 +6,7 @@
 import type { ExplainQuery } from '@wisteriavalve/daemon/admin-api'
 import { addAdminOptions, describeMissing, gatherByOptions, outcomeOf, type AdminOptions } from '../admin/options.js'
 import type { FleetData } from '../admin/gather.js'
-import { describeEvents, mergeEvents, type NodeEvents } from '../explain-text.js'
+import { describeEvents, mergeEvents, type MergedEvent, type NodeEvents } from '../explain-text.js'
 import { countOf, printJson, printLines } from '../output.js'
 import { describeHealth, mergeTargets, type MergedTarget } from '../status/merge-targets.js'
 import { COLUMNS, wrapText } from '../text.js'
@@ -45,12 +45,24 @@
     : []
 }
 
+/** Routes of a busy target would hide everything else. */
+const ROUTES_MAX = 10
+const ROUTE_EVENT = 'request_routed'
+
+/** The latest routes and all other events, and how many routes were left out. */
+const shortenRoutes = (events: readonly MergedEvent[]) => {
+  const routes = events.filter(({ event }) => event === ROUTE_EVENT)
+  const kept = new Set(routes.slice(-ROUTES_MAX))
+  return { shown: events.filter(event => event.event !== ROUTE_EVENT || kept.has(event)), hiddenCount: routes.length - kept.size }
+}
+
 const describe = (data: FleetData<NodeEvents>, targets: readonly MergedTarget[]): string[] => {
-  const events = mergeEvents(data.nodes)
+  const { shown, hiddenCount } = shortenRoutes(mergeEvents(data.nodes))
   return [
     ...describeMissing(data),
     ...targets.flatMap(describeTarget),
-    ...(events.length > 0 ? describeEvents(events) : wrapText(NOTHING_FOUND, COLUMNS, ''))
+    ...(shown.length > 0 ? describeEvents(shown) : wrapText(NOTHING_FOUND, COLUMNS, '')),
+    ...(hiddenCount > 0 ? [`and ${countOf(hiddenCount, 'earlier route')}; --json shows all`] : [])
   ]
 }
 
--- a/packages/cli/src/commands/init.ts
+++ b/packages/cli/src/commands/init.ts
@@ -77,7 +77,7 @@
   if (!text.ok) return { failure: { failure: text.error } }
   const checked = checkAnswers(text.value)
   if (checked.state === 'unreadable') return { failure: { failure: failureOfFindings(from, checked) } }
-  const root: unknown = parse(text.value)
+  const root: unknown = parse(text.value, { maxAliasCount: -1 })
   return { draft: { ...(typeof root === 'object' && !Array.isArray(root) ? root : {}), format: 1 } }
 }
 
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -4,6 +4,12 @@
 import { exitCode } from './exit-codes.js'
 import { runTool } from './program.js'
 
+// A reader such as head may close the pipe early. Files are written before anything is printed.
+process.stdout.on('error', (error: { code?: string }) => {
+  if (error.code !== 'EPIPE') throw error
+  process.exit()
+})
+
 process.exitCode = exitCode(await runTool(process.argv.slice(2), {
   stdin: process.stdin,
   stdout: process.stdout,
--- a/packages/cli/src/output.ts
+++ b/packages/cli/src/output.ts
@@ -17,7 +17,7 @@
   if (lines.length > 0) io.stderr.write(`${lines.join('\n')}\n`)
 }
 
-const failureDocument = ({ result, message, details }: ToolFailure) => ({
+export const failureDocument = ({ result, message, details }: ToolFailure) => ({
   error: { resultCode: resultCode(result).code, name: result, message, ...(details === undefined ? {} : { details }) }
 })
 
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -5,7 +5,7 @@
 import { Command, CommanderError } from 'commander'
 import { COMMANDS } from './commands.js'
 import { EXIT_CODES, exitOfResult, type ExitName } from './exit-codes.js'
-import { printFailure } from './output.js'
+import { failureDocument, printFailure, printJson } from './output.js'
 import type { Io, Outcome } from './types.js'
 
 const exitHelp = (): string =>
@@ -35,6 +35,13 @@
   return program
 }
 
+/** Help and version end by an error too; a wrong command line was printed on stderr already. */
+const finishCommander = (error: CommanderError, args: readonly string[], io: Io): ExitName => {
+  if (error.exitCode === 0) return 'ok'
+  if (args.includes('--json')) printJson(io, failureDocument({ result: 'usage', message: error.message.replace(/^error: /, '') }))
+  return 'usage'
+}
+
 /** @param args arguments after the name of the tool */
 export const runTool = async (args: readonly string[], io: Io): Promise<ExitName> => {
   let exit: ExitName = 'ok'
@@ -46,7 +53,7 @@
     await createProgram(io, finish).parseAsync([...args], { from: 'user' })
     return exit
   } catch (error) {
-    if (error instanceof CommanderError) return error.exitCode === 0 ? 'ok' : 'usage'
+    if (error instanceof CommanderError) return finishCommander(error, args, io)
     io.stderr.write(`internal fault: ${error instanceof Error ? error.stack : String(error)}\n`)
     return 'internal'
   }
--- a/packages/cli/src/report/incidents.ts
+++ b/packages/cli/src/report/incidents.ts
@@ -28,17 +28,20 @@
 
 const isWithin = (atMs: number, { fromMs, toMs }: Interval): boolean => atMs >= fromMs && atMs < toMs
 
+/** What a node does right after its start is no answer to a fault. */
+const START_MS = 10_000
+
 const actionsDuring = (runs: readonly NodeRun[], service: string, span: Interval): Action[] => {
-  const isRelated = (event: EventEntry): boolean => event.automatic === true &&
+  const isRelated = (event: EventEntry, sinceWallMs: number): boolean => event.automatic === true && event.wallMs > sinceWallMs + START_MS &&
     (event.service === undefined || event.service === service) &&
     isWithin(event.wallMs, { fromMs: span.fromMs - MINUTE_MS, toMs: span.toMs + MINUTE_MS })
-  return mergeEvents(runs.map(({ nodeId, events }) => ({ nodeId, events: events.filter(isRelated) })))
+  return mergeEvents(runs.map(({ nodeId, events, sinceWallMs }) => ({ nodeId, events: events.filter(event => isRelated(event, sinceWallMs)) })))
     .map(({ wallMs, text, nodeIds }) => ({ wallMs, text, nodeCount: nodeIds.length }))
 }
 
 const hasNewConfiguration = (runs: readonly NodeRun[], span: Interval): boolean => runs.some(({ events, sinceWallMs }) =>
   // A node that starts adopts a configuration that was in force before.
-  events.some(({ event, wallMs }) => event === CONFIGURATION_EVENT && isWithin(wallMs, span) && wallMs > sinceWallMs + MINUTE_MS))
+  events.some(({ event, wallMs }) => event === CONFIGURATION_EVENT && isWithin(wallMs, span) && wallMs > sinceWallMs + START_MS))
 
 const judgeRecovery = (runs: readonly NodeRun[], span: Interval, points: readonly MinutePoint[], nowMs: number): Incident['recovery'] => {
   if (span.toMs + INCIDENT_GAP_MS > nowMs) return 'ongoing'
--- a/packages/cli/src/report/report-html.ts
+++ b/packages/cli/src/report/report-html.ts
@@ -3,7 +3,7 @@
  * image and no address of another machine.
  */
 import { formatDuration, formatMinute, formatTimeOfDay } from '../time.js'
-import { describeAction, describeBudget, describeData, formatPair, formatPercent, RECOVERY_TEXT } from './report-text.js'
+import { describeAction, describeBudget, describeCounts, describeData, formatPair, formatPercent, RECOVERY_TEXT } from './report-text.js'
 import { plotInTime } from './svg-plot.js'
 import type { BurnAlert, BurnWindow, Consumer, Incident, KindReport, LevelReport, ServiceLevelReport, ServiceReport } from './types.js'
 
@@ -37,7 +37,7 @@
   alerts.map(alert => ({ kind: alert.state, cells: [formatPair(alert), showWindow(alert.short), showWindow(alert.long), alert.threshold.toFixed(1), alert.state] })))
 
 const levelPart = (level: LevelReport): string => [
-  paragraph(`${level.counts.requests} requests, ${formatPercent(level.inTimePercent)} in time, weighted by kind`),
+  paragraph(describeCounts(level)),
   paragraph(describeBudget(level.budget)),
   alertTable(level.alerts)
 ].join('\n')
--- a/packages/cli/src/report/report-text.ts
+++ b/packages/cli/src/report/report-text.ts
@@ -8,7 +8,7 @@
 import type { Action, BurnAlert, BurnWindow, Consumer, ErrorBudget, Incident, KindReport, LevelReport, ServiceLevelReport, ServiceReport } from './types.js'
 
 export const formatPercent = (percent: number | undefined): string => {
-  if (percent === undefined) return 'no requests'
+  if (percent === undefined) return '-'
   // Rounding must not turn a share with failures into 100%.
   const rounded = percent.toFixed(3)
   return `${percent < 100 && rounded === '100.000' ? '99.999' : rounded}%`
@@ -34,8 +34,12 @@
   return `error budget of ${days}: ${usedPercent.toFixed(2)}% used in the ${formatDuration(coveredMs)} with data; at most ${leftPercentMax.toFixed(1)}% left, earlier use is not known`
 }
 
+export const describeCounts = ({ counts, inTimePercent }: LevelReport): string => inTimePercent === undefined
+  ? 'no requests'
+  : `${countOf(counts.requests, 'request')}, ${formatPercent(inTimePercent)} in time, weighted by kind`
+
 const describeLevel = (level: LevelReport): string[] => [
-  `  ${countOf(level.counts.requests, 'request')}, ${formatPercent(level.inTimePercent)} in time, weighted by kind`,
+  `  ${describeCounts(level)}`,
   ...wrapText(`  ${describeBudget(level.budget)}`, COLUMNS, '    '),
   ...alertTable(level.alerts).map(line => `  ${line}`)
 ]
--- a/packages/cli/src/status/status-text.ts
+++ b/packages/cli/src/status/status-text.ts
@@ -81,8 +81,10 @@
   const { nodes } = data
   const targets = mergeTargets(nodes)
   const services = [...new Set(targets.map(({ service }) => service))]
+  const fleets = [...new Set(nodes.map(({ fleet }) => fleet))]
   return [
-    `fleet ${[...new Set(nodes.map(({ fleet }) => fleet))].join(', ')}: ${countOf(nodes.length, 'node')} answered`,
+    `fleet ${fleets.join(', ')}: ${countOf(nodes.length, 'node')} answered`,
+    ...(fleets.length > 1 ? ['PROBLEM: the admin addresses belong to different fleets; ask one at a time'] : []),
     ...describeMissing(data),
     '',
     ...nodeTable(nodes),
--- /dev/null
+++ b/packages/cli/test/caller-client.test.ts
@@ -0,0 +1,59 @@
+/**
+ * Guards against a sample client that sends a request a second time although
+ * it may have run, or stays with an address that is gone.
+ */
+import type { RequestListener, ServerResponse } from 'node:http'
+import { join } from 'node:path'
+import { pathToFileURL } from 'node:url'
+import test, { type ExecutionContext } from 'ava'
+import { findClosedAddress, serve } from './fleet-double.js'
+import { ROOT } from './support.js'
+
+const { createCaller } = await import(pathToFileURL(join(ROOT, 'examples/caller-client.mjs')).href)
+
+const toAddress = (text: string) => ({ host: text.split(':')[0], port: Number(text.split(':')[1]) })
+
+/** Nodes that answer in turn as told; the first one gives the entry answer. */
+const serveNodes = async (t: ExecutionContext, ...answers: ((res: ServerResponse) => void)[]) => {
+  const seen: number[] = []
+  const addresses: ReturnType<typeof toAddress>[] = []
+  let entryCount = 0
+  const node = (index: number): RequestListener => (req, res) => {
+    if (req.url?.startsWith('/.well-known/wisteriavalve/entry?zone=lagos-a')) {
+      entryCount++
+      res.end(JSON.stringify({ addresses, lifetimeMs: 1000 }))
+    } else {
+      seen.push(index)
+      answers[index]?.(res)
+    }
+  }
+  for (const index of answers.keys()) addresses.push(toAddress(await serve(t, node(index))))
+  return { addresses, seen, entryCount: () => entryCount }
+}
+
+const order = { method: 'POST', path: '/orderdesk/orders', body: '{}' }
+const fail = (status: number, resultClass: string) => (res: ServerResponse): void => { res.writeHead(status, { 'x-result-class': resultClass }).end() }
+const answer = (res: ServerResponse): void => { res.end('ok') }
+
+test('a refused request and an address that is gone lead to the next address', async t => {
+  const nodes = await serveNodes(t, fail(503, 'not-run'), answer)
+  nodes.addresses.splice(1, 0, toAddress(await findClosedAddress()))
+  const { status } = await createCaller({ entries: [nodes.addresses[1], nodes.addresses[0]], zone: 'lagos-a' }).request(order)
+  t.deepEqual([status, nodes.seen], [200, [0, 1]])
+})
+
+test('a request that may have run is sent once', async t => {
+  for (const first of [fail(504, 'outcome-unknown'), fail(404, 'not-run'), (res: ServerResponse) => { res.destroy() }]) {
+    const nodes = await serveNodes(t, first, answer)
+    await createCaller({ entries: nodes.addresses, zone: 'lagos-a' }).request(order).catch(() => undefined)
+    t.deepEqual(nodes.seen, [0])
+  }
+})
+
+test('the entry answer is used for its lifetime and then asked for again', async t => {
+  const nodes = await serveNodes(t, answer)
+  let nowMs = 0
+  const caller = createCaller({ entries: nodes.addresses, zone: 'lagos-a', nowMs: () => nowMs })
+  for (nowMs of [0, 999, 1000]) await caller.request(order)
+  t.deepEqual([nodes.seen.length, nodes.entryCount()], [3, 2])
+})
--- a/packages/cli/test/report.test.ts
+++ b/packages/cli/test/report.test.ts
@@ -98,6 +98,8 @@
   t.deepEqual(recoveryOf(18, 18), ['no-traffic'])
   t.deepEqual(recoveryOf(18, 1, [createEvent(ago(20), { event: 'configuration_adopted' })]), ['after-configuration'])
   t.deepEqual(recoveryOf(60, 1), [])
+  const [incident] = build([createReport('a', ago(21), minutes(60, at => at >= 18 && at <= 22 ? 100 : 0), [createEvent(ago(21) + 500), createEvent(ago(20))])]).incidents
+  t.deepEqual(incident?.actions.map(({ wallMs }) => wallMs), [ago(20)])
 })
 
 test('a history fills longer windows, counts each minute once and survives a round trip', t => {
--- a/packages/questionnaire/src/document.ts
+++ b/packages/questionnaire/src/document.ts
@@ -5,6 +5,9 @@
 import { formatPath, type AnswerPath } from './paths.js'
 import type { Finding, Place } from './types.js'
 
+/** Every service may use the same anchor; nested aliases that grow without bound are refused. */
+const ALIAS_COUNT_MAX = 100_000
+
 export type AnswersDocument = {
   root: unknown
   /** Place of the value, or of the nearest part around it that exists. */
@@ -42,7 +45,7 @@
     }
   }
   try {
-    return { document: { root: parsed.toJS({ maxAliasCount: 100 }), placeOf } }
+    return { document: { root: parsed.toJS({ maxAliasCount: ALIAS_COUNT_MAX }), placeOf } }
   } catch (error) {
     return { faults: [{ severity: 'fault', path: formatPath([]), message: `is not valid YAML: ${(error as Error).message}` }] }
   }
--- a/packages/questionnaire/src/render-answers.ts
+++ b/packages/questionnaire/src/render-answers.ts
@@ -43,7 +43,7 @@
 /** Adds the default of each answer that was left out, and keeps comments. The text must be valid YAML. */
 export const completeAnswers = (text: string): string => {
   const document = parseDocument(text)
-  const root: unknown = document.toJS()
+  const root: unknown = document.toJS({ maxAliasCount: -1 })
   for (const question of QUESTIONS) {
     if (question.default === undefined || question.type.multiple) continue
     for (const path of placesOf(question, root)) {
