--- a/packages/fleet/src/constants.ts
+++ b/packages/fleet/src/constants.ts
@@ -10,6 +10,8 @@
 export const SUSPICION_PERIODS_MIN = 3
 export const SENDS_PER_LOG2 = 6
 export const DATAGRAM_BYTES_MAX = 1200
+/** Alive members fill a datagram only up to here, so that a node stays below 10 KB/s while hundreds join. */
+export const DATAGRAM_BYTES_ALIVE_MAX = 900
 /** Refreshes of load fill a datagram only up to here; together with the ping rate this keeps a node below 10 KB/s. */
 export const DATAGRAM_BYTES_LOAD_MAX = 700
 export const DEAD_MEMORY_MS = 60_000
@@ -43,8 +45,12 @@
 export const STATE_NOTES_QUEUED_MAX = 1024
 export const ANSWER_NOTES_QUEUED_MAX = 256
 export const UPDATES_QUEUED_MAX = 4096
-/** A repeated observation within this time is no news. */
-export const STATE_NOTE_REPEAT_MS = 5000
+/**
+ * A repeated observation within this time is no news. Copies of the VM list
+ * reach the last node some seconds after the first, and each one reports the
+ * same leaving VMs.
+ */
+export const STATE_NOTE_REPEAT_MS = 15_000
 export const ANSWER_NOTE_REPEAT_MS = 1000
 
 /** Heads whose values are being collected at the same time; the oldest one gives way. */
