--- a/packages/cli/src/commands/report.ts
+++ b/packages/cli/src/commands/report.ts
@@ -15,7 +15,7 @@
 import type { CommandModule, Io, Outcome, ToolFailure } from '../types.js'
 import { writeWhole } from '../write-file.js'
 
-type Options = AdminOptions & { html?: string, history?: string, force?: boolean }
+type Options = AdminOptions & { service?: string, html?: string, history?: string, force?: boolean }
 
 /** No file is an empty history; a file that is something else is left alone. */
 const readHistory = async (path: string): Promise<Result<NodeRun[], ToolFailure>> => {
@@ -29,6 +29,10 @@
   }
 }
 
+const selectService = (runs: NodeRun[], name: string | undefined): NodeRun[] => name === undefined
+  ? runs
+  : runs.map(run => ({ ...run, buckets: run.buckets.filter(({ service }) => service === name) }))
+
 type Collected = { runs: NodeRun[], report: ServiceLevelReport }
 
 const collect = async (options: Options, io: Io): Promise<Result<Collected, ToolFailure>> => {
@@ -39,7 +43,7 @@
   const nowMs = io.nowWallMs()
   const present = collectRuns(data.value.nodes, nowMs)
   const runs = mergeHistory(history.value, present.runs, nowMs)
-  return { ok: true, value: { runs, report: buildReport(runs, data.value, present.problems, nowMs) } }
+  return { ok: true, value: { runs, report: buildReport(selectService(runs, options.service), data.value, present.problems, nowMs) } }
 }
 
 const writeFiles = async (options: Options, { runs, report }: Collected): Promise<ToolFailure | undefined> => {
@@ -72,6 +76,7 @@
 up, and whether the fleet recovered by itself. Daemons remember one hour: with
 --history, each run adds its data to a file, and longer windows are filled from
 it.`)
+      .option('--service <name>', 'only one service')
       .option('--html <file>', 'write an HTML page with plots as well')
       .option('--force', 'replace the HTML page if it exists')
       .option('--history <file>', 'file that collects the data of all reports'))
--- a/packages/cli/src/report/build.ts
+++ b/packages/cli/src/report/build.ts
@@ -3,10 +3,11 @@
  */
 import type { BurnBucket, NodeReport } from '@wisteriavalve/schema'
 import type { FleetData } from '../admin/gather.js'
+import { aggregateBuckets } from './aggregate.js'
 import { measureLevel, toKindBuckets, type KindBuckets } from './burn.js'
 import { cleanReport } from './clean.js'
 import { findConsumers } from './consumers.js'
-import { joinIntervals } from './coverage.js'
+import { createCover, joinIntervals } from './coverage.js'
 import { findIncidents, sumMinutes } from './incidents.js'
 import type { BurnContext, KindReport, NodeRun, ServiceLevelReport, ServiceReport } from './types.js'
 
@@ -35,8 +36,8 @@
   groupBy(buckets, ({ kind }) => kind).map(([kind, group]) => toKindBuckets(kind, group))
 
 export const buildReport = (runs: readonly NodeRun[], data: FleetData<NodeReport>, problems: readonly string[], nowMs: number): ServiceLevelReport => {
-  const context: BurnContext = { runs, nowMs, isComplete: data.missing.length === 0 && problems.length === 0 }
-  const byService = groupBy(runs.flatMap(run => run.buckets), ({ service }) => service)
+  const context: BurnContext = { runs, nowMs, cover: createCover(runs, nowMs), isComplete: data.missing.length === 0 && problems.length === 0 }
+  const byService = groupBy(aggregateBuckets(runs), ({ service }) => service)
     .map(([service, group]) => ({ service, kinds: groupKinds(group) }))
   const spans = joinIntervals(runs.flatMap(({ intervals }) => intervals))
   const first = spans[0]
@@ -53,6 +54,17 @@
   }
 }
 
+/** Services in detail in a text or a page; with thousands of them, those that burn fastest matter. */
+const DETAILED_MAX = 20
+
+const hourBurn = ({ alerts }: ServiceReport): number => alerts[0]?.long.burnRate ?? 0
+
+/** The services to show, and how many are left out. */
+export const selectServices = ({ services }: ServiceLevelReport) => {
+  const shown = services.length <= DETAILED_MAX ? services : [...services].sort((a, b) => hourBurn(b) - hourBurn(a)).slice(0, DETAILED_MAX)
+  return { shown, leftOutCount: services.length - shown.length }
+}
+
 /** Cleans the reports of the nodes. */
 export const collectRuns = (reports: readonly NodeReport[], nowMs: number) => {
   const problems: string[] = []
--- a/packages/cli/src/report/burn.ts
+++ b/packages/cli/src/report/burn.ts
@@ -6,7 +6,6 @@
  */
 import type { BurnBucket, Objective } from '@wisteriavalve/schema'
 import { BURN_ALERTS, DAY_MS, MINUTE_MS } from './constants.js'
-import { coverWindow } from './coverage.js'
 import type { AlertState, BurnAlert, BurnContext, BurnWindow, Counts, ErrorBudget, KindCounts, LevelReport } from './types.js'
 
 const PERCENT = 100
@@ -52,13 +51,13 @@
   kinds.map(({ weight, objective, buckets }) =>
     ({ weight, objective, counts: addCounts(buckets.filter(({ minuteWallMs }) => minuteWallMs > fromMs - MINUTE_MS)) }))
 
-const measureWindow = (lengthMs: number, kinds: readonly KindBuckets[], { runs, nowMs }: BurnContext): BurnWindow => {
+const measureWindow = (lengthMs: number, kinds: readonly KindBuckets[], { cover, nowMs }: BurnContext): BurnWindow => {
   const counts = countSince(kinds, nowMs - lengthMs)
   return {
     lengthMs,
     counts: addCounts(counts.map(kind => kind.counts)),
     burnRate: burnRate(counts),
-    ...coverWindow(runs, { fromMs: nowMs - lengthMs, toMs: nowMs })
+    ...cover(lengthMs)
   }
 }
 
@@ -90,10 +89,10 @@
  * Counts the failures against the budget of the whole window, with the request
  * rate of the time with data standing for the rest of it.
  */
-const measureBudget = (kinds: readonly KindBuckets[], { runs, nowMs, isComplete }: BurnContext): ErrorBudget | undefined => {
+const measureBudget = (kinds: readonly KindBuckets[], { cover, nowMs, isComplete }: BurnContext): ErrorBudget | undefined => {
   const windowMs = windowDaysOf(kinds) * DAY_MS
   const rate = burnRate(countSince(kinds, nowMs - windowMs))
-  const coverage = coverWindow(runs, { fromMs: nowMs - windowMs, toMs: nowMs })
+  const coverage = cover(windowMs)
   if (rate === undefined || coverage.coveredMs === 0) return undefined
   const usedPercent = rate * Math.min(1, coverage.coveredMs / windowMs) * PERCENT
   return {
--- a/packages/cli/src/report/coverage.ts
+++ b/packages/cli/src/report/coverage.ts
@@ -2,7 +2,7 @@
  * For which part of a window there is data.
  */
 import { MINUTE_MS } from './constants.js'
-import type { Interval, NodeRun } from './types.js'
+import type { Coverage, Interval, NodeRun } from './types.js'
 
 /** Joins intervals that touch; the result is in order. */
 export const joinIntervals = (intervals: readonly Interval[], gapMs = 0): Interval[] => {
@@ -21,8 +21,6 @@
 const coveredMs = (intervals: readonly Interval[], window: Interval): number =>
   joinIntervals(intervals).reduce((sum, interval) => sum + overlapMs(interval, window), 0)
 
-export type Coverage = { coveredMs: number, isCovered: boolean }
-
 /**
  * A window counts as covered when some node has data at each moment of it, and
  * at its start at least half as many nodes as now: after a restart of most
@@ -39,3 +37,13 @@
     isCovered: total >= window.toMs - window.fromMs - MINUTE_MS && atStart > 0 && atStart * 2 >= countAt(window.toMs)
   }
 }
+
+/** Coverage of the time up to now; each length is worked out once, since all services and kinds ask for the same ones. */
+export const createCover = (runs: readonly NodeRun[], nowMs: number): (lengthMs: number) => Coverage => {
+  const known = new Map<number, Coverage>()
+  return lengthMs => {
+    const coverage = known.get(lengthMs) ?? coverWindow(runs, { fromMs: nowMs - lengthMs, toMs: nowMs })
+    known.set(lengthMs, coverage)
+    return coverage
+  }
+}
--- a/packages/cli/src/report/report-html.ts
+++ b/packages/cli/src/report/report-html.ts
@@ -3,7 +3,8 @@
  * image and no address of another machine.
  */
 import { formatDuration, formatMinute, formatTimeOfDay } from '../time.js'
-import { describeAction, describeBudget, describeCounts, describeData, formatPair, formatPercent, RECOVERY_TEXT } from './report-text.js'
+import { describeAction, describeBudget, describeCounts, describeData, describeLeftOut, formatPair, formatPercent, RECOVERY_TEXT } from './report-text.js'
+import { selectServices } from './build.js'
 import { plotInTime } from './svg-plot.js'
 import type { BurnAlert, BurnWindow, Consumer, Incident, KindReport, LevelReport, ServiceLevelReport, ServiceReport } from './types.js'
 
@@ -89,7 +90,8 @@
   warnings(report),
   '<h2>All services</h2>',
   levelPart(report.fleet),
-  ...report.services.map(service => servicePart(service, report)),
+  ...selectServices(report).shown.map(service => servicePart(service, report)),
+  ...describeLeftOut(report).map(text => paragraph(text)),
   '<h2>Incidents</h2>',
   report.incidents.length === 0 ? paragraph('None in the data.') : report.incidents.map(incidentPart).join('\n'),
   '</body></html>',
--- a/packages/cli/src/report/report-text.ts
+++ b/packages/cli/src/report/report-text.ts
@@ -3,6 +3,7 @@
  */
 import { countOf } from '../output.js'
 import { describeMissing } from '../admin/options.js'
+import { selectServices } from './build.js'
 import { COLUMNS, formatTable, wrapText } from '../text.js'
 import { formatDuration, formatMinute, formatTimeOfDay } from '../time.js'
 import type { Action, BurnAlert, BurnWindow, Consumer, ErrorBudget, Incident, KindReport, LevelReport, ServiceLevelReport, ServiceReport } from './types.js'
@@ -98,6 +99,11 @@
   ? `data of ${countOf(nodeCount, 'node')} from ${formatMinute(data.fromMs)} to ${formatMinute(nowMs)} UTC (${formatDuration(nowMs - data.fromMs)})`
   : 'no data'
 
+export const describeLeftOut = (report: ServiceLevelReport): string[] => {
+  const { leftOutCount } = selectServices(report)
+  return leftOutCount > 0 ? [`${countOf(leftOutCount, 'service')} with a lower burn rate over 1 h not shown; see --service or --json`] : []
+}
+
 export const describeReport = (report: ServiceLevelReport): string[] => [
   `service levels at ${formatMinute(report.nowMs)} UTC`,
   describeData(report),
@@ -106,8 +112,9 @@
   '',
   'all services',
   ...describeLevel(report.fleet),
-  ...report.services.flatMap(describeService),
+  ...selectServices(report).shown.flatMap(describeService),
   '',
+  ...describeLeftOut(report),
   report.incidents.length === 0 ? 'incidents: none in the data' : 'incidents (UTC):',
   ...report.incidents.flatMap(describeIncident)
 ]
--- a/packages/cli/src/report/types.ts
+++ b/packages/cli/src/report/types.ts
@@ -22,8 +22,13 @@
 
 export type KindCounts = { counts: Counts, weight: number, objective?: Objective }
 
+/** For which part of a window there is data; see coverage.ts. */
+export type Coverage = { coveredMs: number, isCovered: boolean }
+
 export type BurnContext = {
   runs: readonly NodeRun[]
+  /** Coverage of the last so many ms. */
+  cover: (lengthMs: number) => Coverage
   nowMs: number
   /** False when nodes or counts are missing. */
   isComplete: boolean
--- a/packages/cli/src/status/status-text.ts
+++ b/packages/cli/src/status/status-text.ts
@@ -76,11 +76,29 @@
   ]
 }
 
+/** Above this number, services without trouble are only counted. */
+const SERVICES_MAX = 20
+
+const describeServices = (targets: readonly MergedTarget[], all: boolean): string[] => {
+  const byService = new Map<string, MergedTarget[]>()
+  for (const target of targets) {
+    const group = byService.get(target.service)
+    if (group) group.push(target)
+    else byService.set(target.service, [target])
+  }
+  const services = [...byService]
+  const shown = all || services.length <= SERVICES_MAX ? services : services.filter(([, group]) => !group.every(isReadyEverywhere))
+  const calmCount = services.length - shown.length
+  return [
+    ...shown.flatMap(([service, group]) => describeService(service, group, all)),
+    ...(calmCount > 0 ? [`${countOf(calmCount, 'service')} with all targets ready for every node`] : [])
+  ]
+}
+
 /** @param all shows all targets and not only those that some node does not see as ready */
 export const describeStatus = (data: FleetData<NodeStatus>, all: boolean): string[] => {
   const { nodes } = data
   const targets = mergeTargets(nodes)
-  const services = [...new Set(targets.map(({ service }) => service))]
   const fleets = [...new Set(nodes.map(({ fleet }) => fleet))]
   return [
     `fleet ${fleets.join(', ')}: ${countOf(nodes.length, 'node')} answered`,
@@ -93,6 +111,6 @@
     '',
     ...describeMembers(nodes),
     '',
-    ...services.flatMap(service => describeService(service, targets.filter(target => target.service === service), all))
+    ...describeServices(targets, all)
   ]
 }
--- a/packages/cli/test/admin-commands.test.ts
+++ b/packages/cli/test/admin-commands.test.ts
@@ -42,6 +42,12 @@
   t.regex((await runBinary(['status', '--all', '--admin', await serveFleet(t, FLEET)])).stdout, /stock-1 .* ready/)
 })
 
+test('with many services, status shows those with trouble and counts the rest', async t => {
+  const targets = Array.from({ length: 2200 }, (_, index) => createTarget({ service: `s-${index}`, ...(index === 7 ? { health: 'cold' as const } : {}) }))
+  const { stdout } = await runBinary(['status', '--admin', await serveFleet(t, { statuses: [createStatus('entry-1', { targets })] })])
+  t.regex(stdout, /\nservice s-7: 1 target, 0 ready[^]*\n2199 services with all targets ready for every node\n$/)
+})
+
 test('missing nodes are named by each command, the exit code is 6 and --json says incomplete', async t => {
   const address = await serveFleet(t, { ...FLEET, reports: reports(), missing: MISSING })
   for (const args of [['status'], ['explain', '--fleet'], ['report']]) {
@@ -130,6 +136,7 @@
   t.regex(stdout, /30m\/6h +[\d.]+ +3\.33 \(1h of data\) +6\.0 +unknown/)
   t.regex(stdout, /200 of 1000 not in time; recovered by\s+itself/)
   t.regex(stdout, /was taken out for a while/)
+  t.regex((await runBinary(['report', '--admin', address, '--service', 'other'])).stdout, /all services\n {2}no requests/)
   const page = readFileSync(html, 'utf8')
   t.regex(page, /<svg .*<polyline class="share"/)
   t.notRegex(page, /https?:|src=|url\(|@import|<script|<link/)
--- a/packages/cli/test/report.test.ts
+++ b/packages/cli/test/report.test.ts
@@ -102,6 +102,18 @@
   t.deepEqual(incident?.actions.map(({ wallMs }) => wallMs), [ago(20)])
 })
 
+test('at 2,200 services the ones that burn fastest are shown, and the report stays quick', t => {
+  const buckets = Array.from({ length: 20_000 }, (_, index) =>
+    createBucket(ago(1 + Math.floor(index / 2200)), 100, index % 2200 === 1234 ? 50 : 0, { service: `s-${index % 2200}` }))
+  const reports = Array.from({ length: 24 }, (_, index) => createReport(`n-${index}`, ago(90), buckets))
+  const startMs = performance.now()
+  const lines = describeReport(build(reports))
+  t.log(`services=2200 nodes=24 buckets=${24 * buckets.length} build_ms=${Math.round(performance.now() - startMs)}`)
+  t.is(lines.filter(line => line.startsWith('service s-')).length, 20)
+  t.is(lines.find(line => line.startsWith('service s-')), 'service s-1234')
+  t.true(lines.includes('2180 services with a lower burn rate over 1 h not shown; see --service or --json'))
+})
+
 test('a history fills longer windows, counts each minute once and survives a round trip', t => {
   const collect = (nowMs: number) => collectRuns([createReport('a', NOW - 30 * HOUR_MS, Array.from({ length: 60 }, (_, index) => createBucket(nowMs - (index + 1) * MINUTE_MS, 100, 0)))], nowMs).runs
   let runs = collect(NOW - 25 * HOUR_MS)
