End connections and daemons of the test bench for good

Cause: npm run demo hung in about half of the runs after its last line, with one core busy and no JavaScript running. socket.resetAndDestroy of Node 20 sends a FIN first; when one is under way the reset fails with EINVAL and leaks the open handle (seen in a trial with 200 connections). Change: resetSocket resets without a FIN and only closes where one is under way. Daemons end with the process that started them.

--- a/packages/testbench/src/backend/server.ts
+++ b/packages/testbench/src/backend/server.ts
@@ -8,7 +8,7 @@
  */
 import http from 'node:http'
 import { createRandom, type Random } from '@wisteriavalve/common'
-import { closeServer, listen, takeLoopbackHost } from '../net.js'
+import { closeServer, listen, resetSocket, takeLoopbackHost } from '../net.js'
 import { CHECKSUM_HEADER, checksum, createAnswerBody } from './answer.js'
 import { startNeighbours } from './neighbours.js'
 import { createSlots, type Job, type Slots } from './slots.js'
@@ -99,7 +99,7 @@
     response.end(body, () => state.note({ type: 'answered', requestId }))
     return
   }
-  response.write(body.subarray(0, breakAfter), () => { response.socket?.resetAndDestroy() })
+  response.write(body.subarray(0, breakAfter), () => { if (response.socket) resetSocket(response.socket) })
 }
 
 const run = (state: State, request: http.IncomingMessage, response: http.ServerResponse, requestId: string, query: URLSearchParams): void => {
@@ -205,7 +205,7 @@
     clearTimeout(coldTimer)
     stopNeighbours?.()
     const closed = closeServer(server)
-    for (const socket of connections) reset ? socket.resetAndDestroy() : socket.destroySoon()
+    for (const socket of connections) reset ? resetSocket(socket) : socket.destroySoon()
     await closed
   }
 
--- a/packages/testbench/src/daemon-process.ts
+++ b/packages/testbench/src/daemon-process.ts
@@ -1,7 +1,7 @@
 /**
  * One real daemon as a child process, with its log lines.
  */
-import { spawn } from 'node:child_process'
+import { spawn, type ChildProcess } from 'node:child_process'
 import { once } from 'node:events'
 import { createInterface } from 'node:readline'
 import { fileURLToPath } from 'node:url'
@@ -21,10 +21,24 @@
 const LOG_LINES_MAX = 20_000
 export const WAIT_TIMEOUT_MS = 20_000
 
+const running = new Set<ChildProcess>()
+
+/** The end of this process, also by a signal, ends its daemons. */
+const endWithThisProcess = (child: ChildProcess): void => {
+  if (running.size === 0 && process.listenerCount('SIGTERM') === 0) {
+    process.once('exit', () => running.forEach(each => each.kill('SIGKILL')))
+    process.once('SIGTERM', () => process.exit(143))
+    process.once('SIGINT', () => process.exit(130))
+  }
+  running.add(child)
+  child.once('exit', () => running.delete(child))
+}
+
 /** @param settings environment variables without their prefix, as docs/settings.md lists them */
 export const startDaemonProcess = (settings: Record<string, string>): DaemonProcess => {
   const environment = Object.fromEntries(Object.entries(settings).map(([name, value]) => [`WISTERIAVALVE_${name}`, value]))
   const child = spawn(process.execPath, [BIN], { env: { PATH: process.env.PATH, ...environment }, stdio: ['ignore', 'pipe', 'pipe'] })
+  endWithThisProcess(child)
   const lines: string[] = []
   const listeners = new Set<(line: string) => void>()
   for (const stream of [child.stdout, child.stderr]) {
--- a/packages/testbench/src/fleet-harness.ts
+++ b/packages/testbench/src/fleet-harness.ts
@@ -65,7 +65,6 @@
 }
 
 const READY_PATH = '/.well-known/wisteriavalve/ready'
-const STOP_TIMEOUT_MS = 5000
 
 const takePorts = async (host: string): Promise<Ports> => ({
   caller: await takeFreeTcpPort(host),
@@ -147,13 +146,7 @@
 }
 
 const closeNode = async (node: FleetNode): Promise<void> => {
-  if (node.process.running()) {
-    node.process.signal('SIGCONT')
-    node.process.signal('SIGTERM')
-    const timer = setTimeout(() => node.process.signal('SIGKILL'), STOP_TIMEOUT_MS)
-    await node.process.exited
-    clearTimeout(timer)
-  }
+  if (node.process.running()) await node.kill()
   await Promise.all([node.gossipProxy?.close(), node.peerProxy?.close()])
 }
 
--- a/packages/testbench/src/platform/outage.ts
+++ b/packages/testbench/src/platform/outage.ts
@@ -3,7 +3,7 @@
  * platform's services.
  */
 import http from 'node:http'
-import { closeServer, listen, takeLoopbackHost } from '../net.js'
+import { closeServer, listen, resetSocket, takeLoopbackHost } from '../net.js'
 
 /** refuse: connections are reset; hang: requests are accepted and never answered. */
 export type Outage = 'none' | 'refuse' | 'hang'
@@ -23,7 +23,7 @@
     else if (outage === 'refuse') request.socket.destroy()
   })
   server.keepAliveTimeout = 60_000
-  server.on('connection', socket => { if (outage === 'refuse') socket.resetAndDestroy() })
+  server.on('connection', socket => { if (outage === 'refuse') resetSocket(socket) })
   const host = takeLoopbackHost()
   const port = await listen(server, host)
 
--- a/packages/testbench/src/proxy/tcp.ts
+++ b/packages/testbench/src/proxy/tcp.ts
@@ -5,7 +5,7 @@
  */
 import net from 'node:net'
 import { createRandom } from '@wisteriavalve/common'
-import { closeServer, listen, takeLoopbackHost } from '../net.js'
+import { closeServer, listen, resetSocket, takeLoopbackHost } from '../net.js'
 
 export type Direction = 'to-server' | 'to-caller'
 
@@ -61,8 +61,8 @@
 
   const reset = (link: Link): void => {
     links.delete(link)
-    link.caller.resetAndDestroy()
-    link.server.resetAndDestroy()
+    resetSocket(link.caller)
+    resetSocket(link.server)
   }
 
   /** Bytes that may still pass before the connection is reset; undefined without a limit. */
@@ -98,7 +98,7 @@
     }
     from.on('data', (chunk: Buffer) => later(() => forward(chunk)))
     from.on('end', () => later(() => to.end()))
-    from.on('error', () => pass(link, direction, () => { to.resetAndDestroy() }))
+    from.on('error', () => pass(link, direction, () => { resetSocket(to) }))
     from.on('close', () => later(() => {
       links.delete(link)
       to.destroySoon()
@@ -107,7 +107,7 @@
 
   const accept = (caller: net.Socket): void => {
     if (partitioned) {
-      caller.resetAndDestroy()
+      resetSocket(caller)
       return
     }
     const server = net.connect({ host: options.targetHost, port: options.targetPort, allowHalfOpen: true })
