--- /dev/null
+++ b/packages/testbench/src/experiments/deployments.ts
@@ -0,0 +1,66 @@
+/**
+ * Sizes of the two deployments, and the mix of requests that the experiment
+ * sends. Service times are assumptions of the experiment; no deployment states
+ * them.
+ */
+export type SimulatedKind = {
+  name: string
+  share: number
+  idempotent: boolean
+  weight: number
+  deadlineMs: number
+}
+
+export type SimulatedService = { name: string, targets: number, slots: number, connections: number }
+
+export type Deployment = {
+  zones: string[]
+  nodes: number
+  entryVmCountMax: number
+  betweenZonesMs: number
+  callersMs: number
+  services: SimulatedService[]
+}
+
+export const WITHIN_ZONE_MS = 0.1
+
+export const deployments: Record<'okonkwo' | 'authority', Deployment> = {
+  okonkwo: {
+    zones: ['lagos-a', 'lagos-b', 'ibadan-c'],
+    nodes: 20,
+    entryVmCountMax: 24,
+    betweenZonesMs: 0.5,
+    callersMs: 3,
+    services: [
+      { name: 'stockview', targets: 16, slots: 4, connections: 300 },
+      { name: 'orderdesk', targets: 8, slots: 4, connections: 300 },
+      { name: 'mediahall', targets: 6, slots: 4, connections: 300 }
+    ]
+  },
+  authority: {
+    zones: ['kgn-a', 'kgn-b', 'kgn-c'],
+    nodes: 20,
+    entryVmCountMax: 24,
+    betweenZonesMs: 1,
+    callersMs: 8,
+    services: [
+      { name: 'registry', targets: 17, slots: 6, connections: 320 },
+      { name: 'offers', targets: 9, slots: 6, connections: 320 },
+      { name: 'auditions', targets: 6, slots: 6, connections: 320 }
+    ]
+  }
+}
+
+/** Deadlines and weights of the answers in examples/; shares as the load generator has them. */
+export const kinds: SimulatedKind[] = [
+  { name: 'page', share: 0.4, idempotent: true, weight: 20, deadlineMs: 800 },
+  { name: 'check', share: 0.4, idempotent: true, weight: 40, deadlineMs: 400 },
+  { name: 'order', share: 0.1, idempotent: false, weight: 90, deadlineMs: 3000 },
+  { name: 'pay', share: 0.1, idempotent: false, weight: 100, deadlineMs: 10_000 }
+]
+
+/** A page takes 10 to 50 ms. */
+export const SERVICE_MEDIAN_MS = 20
+/** Standard deviation of the logarithm of the service time. */
+export const SERVICE_SIGMA = 0.3
+export const meanServiceMs = SERVICE_MEDIAN_MS * Math.exp(SERVICE_SIGMA ** 2 / 2)
