--- a/packages/cli/src/report/report-text.ts
+++ b/packages/cli/src/report/report-text.ts
@@ -3,12 +3,13 @@
  */
 import { countOf } from '../output.js'
 import { describeMissing } from '../admin/options.js'
+import { selectServices } from './build.js'
 import { COLUMNS, formatTable, wrapText } from '../text.js'
 import { formatDuration, formatMinute, formatTimeOfDay } from '../time.js'
 import type { Action, BurnAlert, BurnWindow, Consumer, ErrorBudget, Incident, KindReport, LevelReport, ServiceLevelReport, ServiceReport } from './types.js'
 
 export const formatPercent = (percent: number | undefined): string => {
-  if (percent === undefined) return 'no requests'
+  if (percent === undefined) return '-'
   // Rounding must not turn a share with failures into 100%.
   const rounded = percent.toFixed(3)
   return `${percent < 100 && rounded === '100.000' ? '99.999' : rounded}%`
@@ -34,8 +35,12 @@
   return `error budget of ${days}: ${usedPercent.toFixed(2)}% used in the ${formatDuration(coveredMs)} with data; at most ${leftPercentMax.toFixed(1)}% left, earlier use is not known`
 }
 
+export const describeCounts = ({ counts, inTimePercent }: LevelReport): string => inTimePercent === undefined
+  ? 'no requests'
+  : `${countOf(counts.requests, 'request')}, ${formatPercent(inTimePercent)} in time, weighted by kind`
+
 const describeLevel = (level: LevelReport): string[] => [
-  `  ${countOf(level.counts.requests, 'request')}, ${formatPercent(level.inTimePercent)} in time, weighted by kind`,
+  `  ${describeCounts(level)}`,
   ...wrapText(`  ${describeBudget(level.budget)}`, COLUMNS, '    '),
   ...alertTable(level.alerts).map(line => `  ${line}`)
 ]
@@ -94,6 +99,11 @@
   ? `data of ${countOf(nodeCount, 'node')} from ${formatMinute(data.fromMs)} to ${formatMinute(nowMs)} UTC (${formatDuration(nowMs - data.fromMs)})`
   : 'no data'
 
+export const describeLeftOut = (report: ServiceLevelReport): string[] => {
+  const { leftOutCount } = selectServices(report)
+  return leftOutCount > 0 ? [`${countOf(leftOutCount, 'service')} with a lower burn rate over 1 h not shown; see --service or --json`] : []
+}
+
 export const describeReport = (report: ServiceLevelReport): string[] => [
   `service levels at ${formatMinute(report.nowMs)} UTC`,
   describeData(report),
@@ -102,8 +112,9 @@
   '',
   'all services',
   ...describeLevel(report.fleet),
-  ...report.services.flatMap(describeService),
+  ...selectServices(report).shown.flatMap(describeService),
   '',
+  ...describeLeftOut(report),
   report.incidents.length === 0 ? 'incidents: none in the data' : 'incidents (UTC):',
   ...report.incidents.flatMap(describeIncident)
 ]
