Complete heads in linear time and state the probe bound exactly

Cause: collecting 2,200 services examined all of them again for each value; the probe test allowed one probe per node above the bound.

--- a/packages/daemon/src/fleet/probe-driver.ts
+++ b/packages/daemon/src/fleet/probe-driver.ts
@@ -28,8 +28,8 @@
 }
 
 const PLAN_INTERVAL_MS = 200
-/** Processor time of one probe, measured by the bench `probes` (connection, request, parsing). */
-const PROBE_CPU_MS = 1
+/** Upper estimate of a probe's processor time: the bench `probes` measured 2.3 ms with the stand-in's part on a loaded machine. */
+const PROBE_CPU_MS = 2
 
 type Answered = { requestMs?: number, probeMs?: number }
 type Entry = { service: string, target: Target, healthPath: string }
--- a/packages/daemon/src/fleet/value-fetcher.ts
+++ b/packages/daemon/src/fleet/value-fetcher.ts
@@ -72,7 +72,7 @@
 
   const readOne = async (hash: string): Promise<void> => {
     await limit.acquire(stopped.signal)
-    if (stopped.signal.aborted || !state.pendingHashes().includes(hash)) return
+    if (stopped.signal.aborted || !state.isPending(hash)) return
     const value = await service.readValue(hash, stopped.signal)
     if (value.ok && value.value) provide(hash, value.value)
   }
--- a/packages/fleet/src/configuration-state.ts
+++ b/packages/fleet/src/configuration-state.ts
@@ -21,7 +21,14 @@
   services: readonly string[]
 }
 
-type Pending = { order: ConfigurationOrder, head: Head, bytes: Uint8Array, adoption: Adoption }
+type Pending = {
+  order: ConfigurationOrder
+  head: Head
+  bytes: Uint8Array
+  adoption: Adoption
+  /** Values of the current round that are not there yet. */
+  missing: Set<string>
+}
 type Parsed = FleetSettings | Shard | ServiceConfiguration
 
 export const createConfigurationState = (options: ConfigurationStateOptions): ConfigurationState => {
@@ -83,15 +90,15 @@
   /** Takes a head as far as the values allow. */
   const advance = (head: Pending): ConfigurationStep => {
     const roots = rootHashes(head.head)
-    const missingRoots = missing(roots)
-    if (missingRoots.length > 0) return { step: 'fetch', hashes: missingRoots }
+    head.missing = new Set(missing(roots))
+    if (head.missing.size > 0) return { step: 'fetch', hashes: [...head.missing] }
     const settings = read(head.head.settingsHash, bytes => parseFleetSettings(bytes, options.fleet))
     if (!settings.ok) return reject(head, settings.error)
     const serviceHashes = readShards(head)
     if (!serviceHashes.ok) return reject(head, serviceHashes.error)
     head.adoption.send({ type: 'roots-complete' })
-    const missingServices = missing([...serviceHashes.value.values()])
-    if (missingServices.length > 0) return { step: 'fetch', hashes: [...new Set(missingServices)] }
+    head.missing = new Set(missing([...serviceHashes.value.values()]))
+    if (head.missing.size > 0) return { step: 'fetch', hashes: [...head.missing] }
     const services = readServices(serviceHashes.value)
     if (!services.ok) return reject(head, services.error)
     const hashes = new Set([...roots, ...serviceHashes.value.values()])
@@ -140,35 +147,37 @@
       rejected.set(orderKey(order), head.error)
       return { step: 'rejected', fault: head.error }
     }
-    const entry = { order, head: head.value, bytes: candidate.bytes, adoption: createAdoption() }
+    const entry = { order, head: head.value, bytes: candidate.bytes, adoption: createAdoption(), missing: new Set<string>() }
     addPending(entry)
     return pending.includes(entry) ? advance(entry) : { step: 'ignored', reason: 'older' }
   }
 
-  /** Advances the pending heads, newest first; tells the first result that is not a fetch. */
-  const advanceAll = (): ConfigurationStep => {
-    let fetch: ConfigurationStep | undefined
-    for (const head of [...pending]) {
-      const step = advance(head)
-      if (step.step !== 'fetch') return step
-      fetch ??= step
+  /** Advances the heads whose round is complete, newest first, until one is in force. */
+  const advanceComplete = (heads: readonly Pending[]): ConfigurationStep => {
+    let last: ConfigurationStep | undefined
+    for (const head of heads) {
+      if (head.missing.size > 0) continue
+      last = advance(head)
+      if (last.step === 'adopted') return last
     }
-    return fetch ?? { step: 'ignored', reason: 'same' }
+    return last ?? { step: 'fetch', hashes: pendingHashes() }
   }
 
   const provideValue = (hash: string, bytes: Uint8Array): ConfigurationStep => {
     if (hashBytes(bytes) !== hash) return { step: 'rejected', fault: { code: 'value-hash-mismatch', message: `value ${hash} has other bytes` } }
-    if (!pendingHashes().includes(hash)) return { step: 'ignored', reason: 'same' }
+    const heads = pending.filter(head => head.missing.delete(hash))
+    if (heads.length === 0) return { step: 'ignored', reason: 'same' }
     values.set(hash, bytes)
-    return advanceAll()
+    return heads.some(head => head.missing.size === 0) ? advanceComplete(heads) : { step: 'fetch', hashes: [] }
   }
 
-  const pendingHashes = (): string[] => [...new Set(pending.flatMap(head => missing(referredBy(head))))]
+  const pendingHashes = (): string[] => [...new Set(pending.flatMap(head => [...head.missing]))]
 
   return {
     offerHead,
     provideValue,
     pendingHashes,
+    isPending: hash => pending.some(head => head.missing.has(hash)),
     pendingOrders: () => pending.map(({ order }) => order),
     adopted: () => inForce?.configuration,
     headBytes: () => inForce?.bytes,
--- a/packages/fleet/src/probe-planner.ts
+++ b/packages/fleet/src/probe-planner.ts
@@ -3,8 +3,10 @@
  * target whatever the nodes know of each other: each node has the fixed share
  * bound / most entry VMs, from a token bucket with a depth of one. A token
  * that falls due while the target answers others is lost and not saved;
- * otherwise all nodes would probe together when traffic ends. In any window of
- * T seconds a node sends a target at most 1 + T × share probes.
+ * otherwise all nodes would probe together when traffic ends. Two probes of a
+ * node to a target are at least most entry VMs / bound seconds apart, so the
+ * whole fleet keeps the bound in every window of that length; within shorter
+ * ones the probes of different nodes can fall together.
  */
 import { PAUSE_GAP_MS, PROBE_TRAFFIC_QUIET_MS } from './constants.js'
 import type { ProbeCandidate, ProbePlanner, ProbePlannerOptions } from './types.js'
@@ -30,8 +32,9 @@
 
   const isInformed = ({ lastAnswerMs, lastProbeAnswerMs }: ProbeCandidate, nowMs: number): boolean => {
     const bound = 1000 / probesPerTargetPerS
+    // With the whole interval here, half of the slots would be lost and information would be twice as old.
     return (lastAnswerMs !== undefined && nowMs - lastAnswerMs < Math.max(PROBE_TRAFFIC_QUIET_MS, bound)) ||
-      (lastProbeAnswerMs !== undefined && nowMs - lastProbeAnswerMs < bound)
+      (lastProbeAnswerMs !== undefined && nowMs - lastProbeAnswerMs < bound / 2)
   }
 
   const takeToken = (bucket: Bucket): boolean => {
--- a/packages/fleet/src/types.ts
+++ b/packages/fleet/src/types.ts
@@ -81,10 +81,11 @@
 
 export type ConfigurationState = {
   offerHead: (candidate: HeadCandidate) => ConfigurationStep
-  /** Gives the bytes of a value that a fetch step asked for. */
+  /** Gives the bytes of a value that a fetch step asked for; pendingHashes tells what is still missing. */
   provideValue: (hash: string, bytes: Uint8Array) => ConfigurationStep
   /** Values that the heads under way still miss, those of the newest head first. */
   pendingHashes: () => string[]
+  isPending: (hash: string) => boolean
   /** Orders of the heads under way, newest first. */
   pendingOrders: () => ConfigurationOrder[]
   adopted: () => AdoptedConfiguration | undefined
--- a/packages/fleet/test/entry-and-probes.test.ts
+++ b/packages/fleet/test/entry-and-probes.test.ts
@@ -85,14 +85,15 @@
         if (nowMs >= (pausedUntil[node] ?? 0)) for (const target of planner.next([{ targetId: 'a' }], nowMs)) if (target === 'a') sent.push(nowMs)
       })
     }
-    // Each node may send one probe more than its share in a window.
-    return [1000, 12_000, 60_000, durationMs].every(windowMs => {
+    // A node sends at most one probe in 24 / bound seconds, so the whole bound holds for windows of that length.
+    return [1, 2, 5].every(cycles => {
+      const windowMs = cycles * 24_000 / bound
       let start = 0
       return sent.every((atMs, end) => {
         while ((sent[start] ?? 0) <= atMs - windowMs) start++
-        return end - start + 1 <= 20 * (1 + windowMs / 1000 * bound / 24)
+        return end - start + 1 <= windowMs / 1000 * bound
       })
-    }) && sent.length <= durationMs / 1000 * bound
+    })
   }), { seed, numRuns: 40 })
   t.pass()
 })
--- a/packages/testbench/src/benches/probes.ts
+++ b/packages/testbench/src/benches/probes.ts
@@ -17,14 +17,30 @@
 const COST_PROBES = 500
 const TRAFFIC_INTERVAL_MS = 200
 const SAMPLE_MS = 1000
+/** A target carries traffic when no two of its requests are further apart. */
+const TRAFFIC_GAP_MS = 2000
 
-type Rates = { mean: number, max: number, busiestSecond: number }
+type Rates = {
+  mean: number
+  max: number
+  busiestSecond: number
+  /** Targets that ran requests throughout, and the probes that they received. */
+  carrying: { targets: number, probes: number }
+}
+
+const carriesTraffic = (run: FleetRun, serverId: string, fromMs: number, toMs: number): boolean => {
+  const times = run.record.events()
+    .filter(event => event.type === 'started' && event.serverId === serverId && event.timeMs >= fromMs && event.timeMs <= toMs)
+    .map(({ timeMs }) => timeMs)
+  return [fromMs, ...times].every((timeMs, index) => (times[index] ?? toMs) - timeMs < TRAFFIC_GAP_MS)
+}
 
 /** Probes per target and second, and the most that one target received within a second. */
 const countProbes = async (run: FleetRun, durationMs: number): Promise<Rates> => {
   const backends = run.backends()
   const read = (): number[] => backends.map(({ probeCount }) => probeCount?.() ?? 0)
   const first = read()
+  const fromMs = Date.now()
   let before = first
   let busiestSecond = 0
   for (let passedMs = 0; passedMs < durationMs; passedMs += SAMPLE_MS) {
@@ -33,8 +49,12 @@
     busiestSecond = Math.max(busiestSecond, ...now.map((count, index) => count - (before[index] ?? 0)))
     before = now
   }
+  const toMs = Date.now()
+  const carrying = backends
+    .map(({ id }, index) => ({ id, probes: (before[index] ?? 0) - (first[index] ?? 0) }))
+    .filter(({ id }) => carriesTraffic(run, id, fromMs, toMs))
   const rates = before.map((count, index) => (count - (first[index] ?? 0)) / durationMs * 1000)
-  return { mean: rates.reduce((sum, rate) => sum + rate, 0) / rates.length, max: Math.max(...rates), busiestSecond }
+  return { mean: rates.reduce((sum, rate) => sum + rate, 0) / rates.length, max: Math.max(...rates), busiestSecond, carrying: { targets: carrying.length, probes: carrying.reduce((sum, { probes }) => sum + probes, 0) } }
 }
 
 /** Splits the fleet, and pauses, kills and replaces nodes while probes are counted. */
@@ -68,7 +88,7 @@
   try {
     const budget = run.settings.probesPerTargetPerS
     const report = (situation: string, rates: Rates): void => options.report({
-      situation, seed, nodes: count, budget_per_target_per_s: budget, probes_per_target_per_s: rates.mean, probes_per_target_per_s_max: rates.max, busiest_second: rates.busiestSecond
+      situation, seed, nodes: count, budget_per_target_per_s: budget, probes_per_target_per_s: rates.mean, probes_per_target_per_s_max: rates.max, busiest_second: rates.busiestSecond, targets_with_traffic: rates.carrying.targets, probes_on_them: rates.carrying.probes
     })
     await sleep(WARM_MS)
     report('idle', await countProbes(run, WINDOW_MS))
