Announce suspected members at once; bound the line on a service that is behind

Cause: with 10 of 20 nodes killed, answers contained dead nodes for 8 s, mostly because a suspicion spread with the pings only. Change: a new suspicion is sent on at once within the limit of bursts; configuration_service_behind is logged at most once a minute; the probe bench reports control traffic under load.

--- a/packages/daemon/src/fleet/configuration-status.ts
+++ b/packages/daemon/src/fleet/configuration-status.ts
@@ -18,10 +18,13 @@
 
 /** Failures in a row before the service counts as unreachable; one can be a lost packet. */
 const FAILURES_MIN = 2
+/** Reads that reach a current and a stale replica in turn would write a line each time. */
+const BEHIND_LOG_INTERVAL_MS = 60_000
 
 export const createConfigurationStatus = (context: DaemonContext): ConfigurationStatus => {
   let rejection: string | undefined
   let behind: string | undefined
+  let nextBehindLogMs = -Infinity
   let failure: string | undefined
   let failureCount = 0
 
@@ -44,7 +47,8 @@
   }
 
   const noteBehind = (reason: string | undefined): void => {
-    if (reason !== undefined && behind === undefined) {
+    if (reason !== undefined && behind === undefined && context.clock.nowMs() >= nextBehindLogMs) {
+      nextBehindLogMs = context.clock.nowMs() + BEHIND_LOG_INTERVAL_MS
       write('configuration_service_behind', { result_code: resultCode('configuration-service-behind').code, message: reason }, `The configuration service is behind: ${reason}.`)
     }
     behind = reason
--- a/packages/fleet/src/membership.ts
+++ b/packages/fleet/src/membership.ts
@@ -68,8 +68,8 @@
     updates.add(record.update.nodeId, record.update)
     candidates.delete(record.update.nodeId)
     if (previous === undefined) detector.noteMember(record.update.nodeId)
-    // Entry answers of every node have to leave out a leaving node within seconds.
-    if (record.update.state === 'leaving' && previous === 'alive') bursts.request()
+    // Entry answers of every node have to leave out a leaving or silent node within seconds.
+    if (previous === 'alive' && (record.update.state === 'leaving' || record.update.state === 'suspect')) bursts.request()
     return record.update.state === previous ? [] : [{ type: 'member-changed', member: record.update, previous }]
   }
 
--- a/packages/testbench/src/benches/probes.ts
+++ b/packages/testbench/src/benches/probes.ts
@@ -5,7 +5,7 @@
  */
 import { setTimeout as sleep } from 'node:timers/promises'
 import type { FleetNode } from '../fleet-harness.js'
-import { NODE_COUNTS, readUsage, startFleetRun, type FleetRun } from './fleet-run.js'
+import { measureIdle, NODE_COUNTS, readUsage, startFleetRun, type FleetRun } from './fleet-run.js'
 import { createProbeRunner } from '@wisteriavalve/daemon'
 import type { BenchOptions } from './types.js'
 
@@ -97,11 +97,14 @@
     const stop = new AbortController()
     const traffic = sendTraffic(run, stop.signal)
     await sleep(WARM_MS / 2)
-    report('traffic', await countProbes(run, WINDOW_MS))
+    const running = run.fleet.nodes.filter(node => node.process.running())
+    const [rates, usage] = await Promise.all([countProbes(run, WINDOW_MS), measureIdle(running, WINDOW_MS)])
+    report('traffic', rates)
+    options.report({ situation: 'control traffic under load', seed, nodes: count, bytes_per_s: usage.bytes_per_s, bytes_per_s_max: usage.bytes_per_s_max })
     stop.abort()
     await traffic
-    const usage = await Promise.all(run.fleet.nodes.filter(node => node.process.running()).map(readUsage))
-    options.report({ situation: 'whole run', seed, nodes: count, probes_over_cpu_share: usage.reduce((sum, { counters }) => sum + (counters.probes_over_cpu_share ?? 0), 0) })
+    const usages = await Promise.all(running.map(readUsage))
+    options.report({ situation: 'whole run', seed, nodes: count, probes_over_cpu_share: usages.reduce((sum, { counters }) => sum + (counters.probes_over_cpu_share ?? 0), 0) })
   } finally {
     await run.close()
   }
