Test the check directly before the write

Cause: with the check before the write taken out by hand, no test failed. Change: two tests act between the choice of a target and the write: the target begins to drain, and the process stands still for 700 ms.

--- a/packages/daemon/test/at-most-once.test.ts
+++ b/packages/daemon/test/at-most-once.test.ts
@@ -8,7 +8,7 @@
 import test from 'ava'
 import { Client, errors } from 'undici'
 import { sendRequest, type SendFailure } from '../src/adapters/backend-http.js'
-import { call, kind, ORDER, READ, service, startBackend, startDaemon, startDaemonProcess, startRawBackend } from './support.js'
+import { call, kind, ORDER, READ, service, startBackend, startDaemon, startDaemonProcess, startRawBackend, type TestDaemon } from './support.js'
 import './exit.js'
 
 const OK = 'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'
@@ -147,3 +147,53 @@
   t.is((await inTime).body, 'ok')
   t.deepEqual(paths, ['/shop/first', '/shop/in-time'])
 })
+
+/** Calls a function once, between the choice of a target and the write. */
+const betweenChoiceAndWrite = (daemon: TestDaemon, run: () => void): void => {
+  const { add } = daemon.events
+  let isDone = false
+  daemon.events.add = entry => {
+    add(entry)
+    if (entry.event !== 'request_routed' || isDone) return
+    isDone = true
+    run()
+  }
+}
+
+const countRoutes = (daemon: TestDaemon): number => daemon.events.find(({ event }) => event === 'request_routed').length
+
+const startTwo = async (): Promise<{ daemon: TestDaemon, hits: string[] }> => {
+  const hits: string[] = []
+  const ports = await Promise.all(['t1', 't2'].map(name => startBackend((req, res) => {
+    hits.push(name)
+    req.resume().on('end', () => res.end('ok'))
+  })))
+  return { daemon: await startDaemon([service(ports)]), hits }
+}
+
+test('a target that begins to drain after it was chosen does not get the request', async t => {
+  const { daemon, hits } = await startTwo()
+  let chosen: string | undefined
+  betweenChoiceAndWrite(daemon, () => {
+    chosen = daemon.events.find(({ event }) => event === 'request_routed')[0]?.targetId
+    daemon.fleet.setTargets('shop', { targets: daemon.targets, leavingIds: [chosen ?? ''] })
+  })
+  t.is((await call(daemon.port, { method: 'POST', body: 'x' })).body, 'ok')
+  t.is(hits.length, 1)
+  t.not(hits[0], chosen)
+})
+
+// Serial, since it stops this process and with it the daemons of other tests.
+test.serial('what was decided before a pause of the process is decided anew and sent once', async t => {
+  const { daemon, hits } = await startTwo()
+  const stopFor = (ms: number) => () => { Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, ms) }
+  betweenChoiceAndWrite(daemon, stopFor(700))
+  t.is((await call(daemon.port, { method: 'POST', body: 'x' })).body, 'ok')
+  t.is(hits.length, 1)
+  t.is(countRoutes(daemon), 2)
+  betweenChoiceAndWrite(daemon, stopFor(700))
+  const late = await call(daemon.port, { method: 'POST', headers: { 'x-request-timeout-ms': '500' }, body: 'x' })
+  t.is(late.headers['x-result-class'], 'not-run')
+  t.is((await call(daemon.port)).body, 'ok')
+  t.is(hits.length, 2)
+})
--- a/packages/daemon/test/support.ts
+++ b/packages/daemon/test/support.ts
@@ -12,7 +12,7 @@
 import type { ExecutionContext } from 'ava'
 import { createEventRecord, createRandom, createSystemClock, type EventRecord } from '@wisteriavalve/common'
 import type { AdoptedConfiguration } from '@wisteriavalve/fleet'
-import type { Kind, ServiceConfiguration, TargetNote } from '@wisteriavalve/schema'
+import type { Kind, ServiceConfiguration, Target, TargetNote } from '@wisteriavalve/schema'
 import { createDaemon, type Daemon, type DaemonOptions } from '../src/daemon.js'
 import { createLog } from '../src/logs.js'
 import { parseSettings } from '../src/settings.js'
@@ -103,7 +103,7 @@
   WISTERIAVALVE_SEED: '7'
 }
 
-export type TestDaemon = { daemon: Daemon, port: number, adminPort: number, lines: string[], events: EventRecord, fleet: FakeFleet }
+export type TestDaemon = { daemon: Daemon, port: number, adminPort: number, lines: string[], events: EventRecord, fleet: FakeFleet, targets: Target[] }
 
 export const startDaemon = async (services: readonly ServiceConfiguration[], options: DaemonOptions = {}): Promise<TestDaemon> => {
   const settings = parseSettings([], SETTING_ENV)
@@ -113,7 +113,7 @@
   const fleet = createFakeFleet(services)
   const daemon = createDaemon({ settings: settings.value, clock: createSystemClock(), random: createRandom(7), log: createLog('info', line => lines.push(line)), events }, fleet, options)
   await daemon.start()
-  return { daemon, port: daemon.callerPort(), adminPort: daemon.adminPort(), lines, events, fleet }
+  return { daemon, port: daemon.callerPort(), adminPort: daemon.adminPort(), lines, events, fleet, targets: services.flatMap(({ targets }) => targets) }
 }
 
 export type DaemonProcess = { child: ChildProcess, port: number, lines: string[], nextLine: (text: string) => Promise<string> }
