Cancel pipelined requests of a caller that left, and watch unused connections

Cause: node:http closes only the response that is being written, so requests pipelined behind it stayed in flight, and a stop would have waited for them. A connection that was opened but not used had no error listener until undici's first request, so its reset would have ended the process. Change: the caller's socket closes all its calls; an opened connection has an error listener and is forgotten when it closes.

--- a/packages/daemon/src/adapters/backend-http.ts
+++ b/packages/daemon/src/adapters/backend-http.ts
@@ -81,7 +81,8 @@
   socket.once('connect', () => {
     socket.setTimeout(0)
     socket.removeAllListeners('timeout')
-    socket.off('error', onError)
+    // undici listens from the first request on; before it, an error would end the process.
+    socket.off('error', onError).on('error', () => undefined)
     onOpen({ client: createClient(target, socket), socket })
   })
 }
--- a/packages/daemon/src/adapters/caller-http.ts
+++ b/packages/daemon/src/adapters/caller-http.ts
@@ -110,16 +110,18 @@
   return `HTTP/1.1 ${status} Refused\r\nconnection: close\r\ncontent-type: application/json\r\n${retryAfter}x-result-code: ${code}\r\nx-result-class: ${resultClass}\r\ncontent-length: ${body.length}\r\n\r\n${body}`
 }
 
+const ignore = (): void => undefined
+
 const endWith = (socket: Duplex, text: string): void => {
   socket.end(text, () => { setTimeout(() => socket.destroy(), LINGER_MS) })
 }
 
 /** Without a listener node:http would close the connection in the middle of other requests' responses. */
-const listenForMalformed = (server: Server, openCalls: WeakMap<Duplex, number>, onMalformed: CallerServerOptions['onMalformed']): void => {
+const listenForMalformed = (server: Server, openCalls: WeakMap<Duplex, Set<Call>>, onMalformed: CallerServerOptions['onMalformed']): void => {
   server.on('clientError', (error: Error & { code?: string }, socket) => {
     const name = PARSE_RESULTS[error.code ?? ''] ?? 'request-malformed'
     if (error.code !== 'ECONNRESET' && error.code !== 'EPIPE') onMalformed(name, (socket as Socket).remoteAddress ?? '', error.message)
-    if (!socket.writable || error.code === 'ECONNRESET' || (openCalls.get(socket) ?? 0) > 0) socket.destroy()
+    if (!socket.writable || error.code === 'ECONNRESET' || (openCalls.get(socket)?.size ?? 0) > 0) socket.destroy()
     else endWith(socket, rawFailure(name))
   })
   server.on('connect', (_req, socket) => endWith(socket, rawFailure('request-malformed')))
@@ -131,7 +133,7 @@
  * that only half-closed would keep the requests of all others that left.
  */
 export const createCallerServer = ({ onCall, onFault, acceptConnection, onConnectionClosed, onMalformed }: CallerServerOptions): CallerServer => {
-  const openCalls = new WeakMap<Duplex, number>()
+  const openCalls = new WeakMap<Duplex, Set<Call>>()
   let connectionCount = 0
   const server = createServer({
     maxHeaderSize: HEADER_BYTES_MAX,
@@ -142,14 +144,15 @@
     noDelay: true
   })
 
+  const close = (call: Call): void => {
+    if (openCalls.get(call.req.socket)?.delete(call)) call.onClosed?.()
+  }
+
   const accept = (req: IncomingMessage, res: ServerResponse, expectsContinue: boolean): void => {
     const { socket } = req
     const call: Call = { req, res, address: socket.remoteAddress ?? '', expectsContinue }
-    openCalls.set(socket, (openCalls.get(socket) ?? 0) + 1)
-    res.once('close', () => {
-      openCalls.set(socket, (openCalls.get(socket) ?? 1) - 1)
-      call.onClosed?.()
-    })
+    openCalls.get(socket)?.add(call)
+    res.once('close', () => close(call)).on('error', ignore)
     try {
       onCall(call)
     } catch (error) {
@@ -165,8 +168,12 @@
     const address = socket.remoteAddress ?? ''
     connectionCount++
     const isAccepted = acceptConnection(address)
+    const calls = new Set<Call>()
+    openCalls.set(socket, calls)
     socket.once('close', () => {
       connectionCount--
+      // The responses of pipelined requests that wait for an earlier one are not closed by node:http.
+      for (const call of calls) close(call)
       if (isAccepted) onConnectionClosed(address)
     })
     if (!isAccepted) endWith(socket, rawFailure('caller-limit'))
--- a/packages/daemon/src/backend-connections.ts
+++ b/packages/daemon/src/backend-connections.ts
@@ -92,10 +92,14 @@
       isHeldByCaller: undefined
     }
     connections.push(connection)
-    opened.client.on('disconnect', () => {
+    const onClosed = (): void => {
+      if (connection.isClosed) return
       closeQuietly(connection)
       serve()
-    })
+    }
+    opened.client.on('disconnect', onClosed)
+    // undici tells nothing of a socket that it has not used yet. Later, so that it first fails the running request itself.
+    opened.socket.once('close', () => setImmediate(onClosed))
     // A new connection goes to the request that waits the longest; an idle older one may not be fresh enough for it.
     const waiter = waiters.shift()
     if (waiter) assign(connection, waiter)
--- a/packages/daemon/test/limits.test.ts
+++ b/packages/daemon/test/limits.test.ts
@@ -6,7 +6,7 @@
 import { request, type IncomingMessage } from 'node:http'
 import test from 'ava'
 import type { ServiceConfiguration } from '@wisteriavalve/schema'
-import { call, deferred, kind, ORDER, rawCaller, READ, service, startBackend, startDaemon } from './support.js'
+import { call, closed, deferred, kind, ORDER, rawCaller, READ, service, startBackend, startDaemon } from './support.js'
 import './exit.js'
 
 const ok = () => startBackend((req, res) => { req.resume().on('end', () => res.end('ok')) })
@@ -85,3 +85,15 @@
   t.deepEqual(JSON.parse(answer.body), { addresses: [{ host: '127.0.0.1', port: 1, zone: 'b' }], lifetimeMs: 300 })
   t.is(answer.headers['cache-control'], 'no-store')
 })
+
+test('all pipelined requests of a caller that left are cancelled', async t => {
+  const held: IncomingMessage[] = []
+  const arrived = deferred<void>()
+  const port = await startBackend(req => { if (held.push(req) === 2) arrived.resolve() })
+  const daemon = await startDaemon([service([port])])
+  const caller = rawCaller(daemon.port, 'GET /shop/x HTTP/1.1\r\nhost: h\r\n\r\n'.repeat(2))
+  await arrived.promise
+  caller.socket.destroy()
+  await Promise.all(held.map(closed))
+  t.is(daemon.events.find(({ resultCode }) => resultCode === 'WV-2007').length, 2)
+})
--- a/packages/daemon/test/resilience.test.ts
+++ b/packages/daemon/test/resilience.test.ts
@@ -5,8 +5,10 @@
  */
 import { request, type IncomingMessage, type ServerResponse } from 'node:http'
 import { once } from 'node:events'
-import type { Socket } from 'node:net'
+import { createServer, type AddressInfo, type Socket } from 'node:net'
 import test from 'ava'
+import { createSystemClock } from '@wisteriavalve/common'
+import { createTargetConnections } from '../src/backend-connections.js'
 import { call, closed, closedPort, deferred, kind, ORDER, READ, service, startBackend, startDaemon, startRawBackend, UPLOAD } from './support.js'
 import './exit.js'
 
@@ -171,3 +173,21 @@
   t.is(failed.headers['x-result-code'], 'WV-2004')
   stalled.destroy()
 })
+
+test('an opened connection that was not used and is reset is forgotten', async t => {
+  const accepted = deferred<Socket>()
+  const server = createServer(socket => accepted.resolve(socket))
+  server.listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  const target = { id: 't1', host: '127.0.0.1', port: (server.address() as AddressInfo).port, zone: 'a' }
+  const pool = createTargetConnections({ target, share: () => 1, clock: createSystemClock(), nextId: () => 1 })
+  const waiter = { idempotent: true, use: () => t.fail(), fail: () => t.fail() }
+  pool.acquire(waiter)
+  pool.cancel(waiter)
+  const socket = await accepted.promise
+  t.is(pool.count(), 1)
+  await new Promise(resolve => setTimeout(resolve, 50))
+  socket.resetAndDestroy()
+  while (pool.count() > 0) await new Promise(setImmediate)
+  t.pass()
+})
