--- a/packages/daemon/src/intake.ts
+++ b/packages/daemon/src/intake.ts
@@ -4,7 +4,7 @@
  */
 import { classifyRequest, type ServiceIndex } from '@wisteriavalve/policy'
 import type { Kind, ResultName, ServiceConfiguration } from '@wisteriavalve/schema'
-import { isRequestId, isTooDeep, parseControlHeaders, type ControlHeaders } from './headers.js'
+import { isTooDeep, parseControlHeaders, type ControlHeaders } from './headers.js'
 import type { Call } from './adapters/caller-http.js'
 
 export type Examined =
@@ -42,7 +42,6 @@
   if (hasOtherEncoding(headers['transfer-encoding'])) return refuse('request-malformed', 'the transfer-encoding is not supported')
   const control = parseControlHeaders(headers)
   if ('invalid' in control) return refuse('request-malformed', `invalid ${control.invalid}`)
-  if (headers['x-request-id'] !== undefined && !isRequestId(headers['x-request-id'])) return refuse('request-malformed', 'invalid x-request-id')
   if (isTooDeep(control.depth)) return refuse('call-too-deep')
   const classified = classifyRequest(index, { method, path: target.path, host: target.host ?? headers.host })
   if (!classified.ok) return refuse('service-unknown')
--- a/packages/daemon/src/request-pipeline.ts
+++ b/packages/daemon/src/request-pipeline.ts
@@ -7,7 +7,7 @@
 import { answerFailure, type Call } from './adapters/caller-http.js'
 import { startAttempt } from './attempts.js'
 import type { Exchange } from './exchange.js'
-import { forwardedRequestHeaders } from './headers.js'
+import { forwardedRequestHeaders, isRequestId } from './headers.js'
 import { examineCall, type Examined } from './intake.js'
 import type { PipelineContext } from './pipeline-context.js'
 import { createRequestBody } from './request-body.js'
@@ -36,7 +36,7 @@
   const { kind, control, path } = accepted
   const nowMs = context.clock.nowMs()
   const givenId = call.req.headers['x-request-id']
-  const id = typeof givenId === 'string' ? givenId : context.nextRequestId()
+  const id = isRequestId(givenId) ? givenId : context.nextRequestId()
   const exchange: Exchange = {
     id,
     call,
