Bound the wait for a connection and retry without budget when none opened

Change: connect timeout 150 ms (a connection takes about 1 ms, the kernel repeats a SYN after 1 s); a retry after a connection that did not open counts against the allowance of the request but not against the budget. Ruled out: hedging before the request is written, which would open two connections for each slow handshake.

--- a/packages/cli/src/report/svg-plot.ts
+++ b/packages/cli/src/report/svg-plot.ts
@@ -39,6 +39,8 @@
 export const plotInTime = (points: readonly MinutePoint[], span: Interval, objectives: readonly PlotLine[]): string => {
   const min = axisMin(points, objectives)
   const x = (atMs: number): number => LEFT + (atMs - span.fromMs) / Math.max(1, span.toMs - span.fromMs) * (WIDTH - LEFT - 10)
+  // A point stands in the middle of its minute; data can begin or end within a minute.
+  const xOfMinute = (minuteMs: number): number => x(Math.min(span.toMs, Math.max(span.fromMs, minuteMs + MINUTE_MS / 2)))
   const y = (percent: number): number => TOP + (PERCENT - percent) / (PERCENT - min) * (HEIGHT - TOP - BOTTOM)
   const line = (percent: number, kind: string): string =>
     `<line class="${kind}" x1="${LEFT}" x2="${WIDTH - 10}" y1="${round(y(percent))}" y2="${round(y(percent))}"/>`
@@ -46,8 +48,8 @@
   const time = (atMs: number, anchor: string): string =>
     `<text class="axis" x="${round(x(atMs))}" y="${HEIGHT - 6}" text-anchor="${anchor}">${formatMinute(atMs)}</text>`
   const paths = splitRuns(points).map(run => run.length === 1
-    ? `<circle class="share" cx="${round(x(run[0]?.minuteMs ?? 0))}" cy="${round(y(shareOf(run[0] as MinutePoint)))}" r="2"/>`
-    : `<polyline class="share" points="${run.map(point => `${round(x(point.minuteMs))},${round(y(shareOf(point)))}`).join(' ')}"/>`)
+    ? `<circle class="share" cx="${round(xOfMinute(run[0]?.minuteMs ?? 0))}" cy="${round(y(shareOf(run[0] as MinutePoint)))}" r="2"/>`
+    : `<polyline class="share" points="${run.map(point => `${round(xOfMinute(point.minuteMs))},${round(y(shareOf(point)))}`).join(' ')}"/>`)
   return [
     `<svg viewBox="0 0 ${WIDTH} ${HEIGHT}" role="img" aria-label="share of requests in time, by the minute">`,
     line(PERCENT, 'grid'), line(min, 'grid'), label(PERCENT), label(min),
--- a/packages/daemon/src/attempts.ts
+++ b/packages/daemon/src/attempts.ts
@@ -209,7 +209,9 @@
     attempts: exchange.attemptCount,
     allowance: exchange.allowance
   }, failure, nowMs)
-  if (decision !== 'retry' || !exchange.runtime.retryBudget.tryTake('retry', nowMs)) return false
+  if (decision !== 'retry') return false
+  // A connection that did not open carried nothing, so going on adds no load that the budget would have to bound.
+  if (failure !== 'connect-failed' && !exchange.runtime.retryBudget.tryTake('retry', nowMs)) return false
   exchange.allowance -= 1
   return true
 }
--- a/packages/daemon/src/constants.ts
+++ b/packages/daemon/src/constants.ts
@@ -16,7 +16,11 @@
 export const LINGER_BYTES_MAX = 1_048_576
 export const LINGER_MS = 1_000
 
-export const CONNECT_TIMEOUT_MS = 1_000
+/**
+ * A connection opens within a few ms in a region. The kernel repeats a lost SYN
+ * only after 1 s, so longer waiting would use up deadlines and bring nothing.
+ */
+export const CONNECT_TIMEOUT_MS = 150
 /** Idle time of a connection to a backend server that names none. */
 export const BACKEND_IDLE_MS = 4_000
 export const RESPONSE_HEADER_BYTES_MAX = 65_536
