Bound the histograms to an hour

Cause: they held the durations since the start. Change: two halves of an hour, the older one dropped when the newer is full.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -51,7 +51,7 @@
   const lifecycle = createLifecycle(() => undefined)
   const burn = createBurnBuckets()
   const nodeEvents = createNodeEvents({ clock, events, log })
-  const metrics = createMetrics(() => ({
+  const metrics = createMetrics(clock, () => ({
     caller_connections: callers.connectionCount(),
     in_flight: pipeline.inFlightCount(),
     load_percent: runtimes.loadPercent(clock.nowMs()),
@@ -82,6 +82,7 @@
     if (notes.length > 0) fleet.shareNotes(notes)
     if (nowMs - loadToldMs < LOAD_INTERVAL_MS) return
     loadToldMs = nowMs
+    metrics.rotate(nowMs)
     fleet.setLoadPercent(runtimes.loadPercent(nowMs))
   }
 
--- a/packages/daemon/src/metrics.ts
+++ b/packages/daemon/src/metrics.ts
@@ -4,10 +4,12 @@
  */
 import { build, type Histogram } from 'hdr-histogram-js'
 import { Counter, Gauge, Registry } from 'prom-client'
+import type { Clock } from '@wisteriavalve/common'
 import type { Kind } from '@wisteriavalve/schema'
 
 const QUANTILES = [50, 90, 99, 99.9]
 const US_PER_MS = 1_000
+const HALF_WINDOW_MS = 1_800_000
 
 export type KindCounts = { service: string, kind: string, byResult: Map<string, number> }
 
@@ -17,6 +19,8 @@
   recordAnswer: (durationMs: number) => void
   recordDispatch: (durationMs: number) => void
   add: (counter: CounterName) => void
+  /** To be called now and then, so that old durations are dropped. */
+  rotate: (nowMs: number) => void
   counters: () => Record<string, number>
   text: () => Promise<string>
 }
@@ -29,17 +33,41 @@
   bitBucketSize: 32, autoResize: true, lowestDiscernibleValue: 1, highestTrackableValue: 3_600_000 * US_PER_MS, numberOfSignificantValueDigits: 2, useWebAssembly: false
 })
 
-const record = (histogram: Histogram, durationMs: number): void =>
-  histogram.recordValue(Math.max(1, Math.round(durationMs * US_PER_MS)))
+type Durations = { record: (durationMs: number) => void, rotate: (nowMs: number) => void, quantileMs: (percentile: number) => number }
 
-const addSummary = (registry: Registry, name: string, help: string, histogram: Histogram): void => {
+/** Durations of the last half to whole hour: the older half is dropped when the newer one is full. */
+const createDurations = (clock: Clock): Durations => {
+  let older = createHistogram()
+  let newer = createHistogram()
+  let newerSinceMs = clock.nowMs()
+
+  const rotate = (nowMs: number): void => {
+    if (nowMs - newerSinceMs < HALF_WINDOW_MS) return
+    newerSinceMs = nowMs
+    older = newer
+    newer = createHistogram()
+  }
+
+  return {
+    rotate,
+    record: durationMs => newer.recordValue(Math.max(1, Math.round(durationMs * US_PER_MS))),
+    quantileMs: percentile => {
+      const all = createHistogram()
+      all.add(older)
+      all.add(newer)
+      return all.totalCount === 0 ? 0 : all.getValueAtPercentile(percentile) / US_PER_MS
+    }
+  }
+}
+
+const addSummary = (registry: Registry, name: string, help: string, durations: Durations): void => {
   const gauge = new Gauge({
     name,
     help,
     labelNames: ['quantile'],
     registers: [registry],
     collect: () => {
-      for (const quantile of QUANTILES) gauge.set({ quantile: String(quantile / 100) }, histogram.getValueAtPercentile(quantile) / US_PER_MS)
+      for (const quantile of QUANTILES) gauge.set({ quantile: String(quantile / 100) }, durations.quantileMs(quantile))
     }
   })
 }
@@ -72,11 +100,11 @@
 }
 
 /** @param gauges further values of the node, read when metrics are asked for */
-export const createMetrics = (gauges: Gauges): Metrics => {
+export const createMetrics = (clock: Clock, gauges: Gauges): Metrics => {
   const results = new Map<string, KindCounts>()
   const counts: Record<CounterName, number> = { retries: 0, hedges: 0, refused: 0, pauses: 0, retired_connections: 0 }
-  const answers = createHistogram()
-  const dispatches = createHistogram()
+  const answers = createDurations(clock)
+  const dispatches = createDurations(clock)
   const registry = new Registry()
 
   const countResult = (service: string, kind: Kind, result: string): void => {
@@ -100,9 +128,13 @@
   addGauges(registry, () => ({ ...counts, ...gauges() }))
   return {
     countResult,
-    recordAnswer: durationMs => record(answers, durationMs),
-    recordDispatch: durationMs => record(dispatches, durationMs),
+    recordAnswer: answers.record,
+    recordDispatch: dispatches.record,
     add: counter => { counts[counter]++ },
+    rotate: nowMs => {
+      answers.rotate(nowMs)
+      dispatches.rotate(nowMs)
+    },
     counters: () => ({ ...resultTotals(), ...counts, ...gauges() }),
     text: () => registry.metrics()
   }
