Listen for the test signal before the daemon starts

Cause: in one of several runs the test of an unexpected error did not end. The process of the test logged its start before it listened for SIGUSR2, so an early signal ended it without the log line that the test waits for. Change: the listener is set before the start. The check is as strict as before.

--- a/packages/daemon/test/daemon-process.ts
+++ b/packages/daemon/test/daemon-process.ts
@@ -6,5 +6,6 @@
 import { createFakeFleet } from './support.js'
 
 const services = JSON.parse(process.env.TEST_SERVICES ?? '[]') as ServiceConfiguration[]
-await run(process.argv.slice(2), process.env, () => createFakeFleet(services, Number(process.env.TEST_ENTRY_LIFETIME_MS ?? 300)))
+// Before the start: a signal without a listener ends the process.
 process.on('SIGUSR2', () => { throw new Error(process.env.TEST_FAULT) })
+await run(process.argv.slice(2), process.env, () => createFakeFleet(services, Number(process.env.TEST_ENTRY_LIFETIME_MS ?? 300)))
