Count a connection that opened during a pause as opened

Cause: a test failed in one of several runs of all tests of the daemon. When the process stands still for longer than the connect timeout of 150 ms, the timer runs before the event of the connection that opened meanwhile, and the request is told that no connection opened. Change: the timeout is decided one phase of the event loop later.

--- a/packages/daemon/src/adapters/backend-http.ts
+++ b/packages/daemon/src/adapters/backend-http.ts
@@ -76,7 +76,10 @@
     onFail(message)
   }
   const onError = (error: Error): void => fail(error.message)
-  socket.setTimeout(CONNECT_TIMEOUT_MS, () => fail(`no connection within ${CONNECT_TIMEOUT_MS} ms`))
+  // After a pause of this process the timer runs before the event of a connection that opened meanwhile.
+  socket.setTimeout(CONNECT_TIMEOUT_MS, () => setImmediate(() => {
+    if (socket.connecting) fail(`no connection within ${CONNECT_TIMEOUT_MS} ms`)
+  }))
   socket.once('error', onError)
   socket.once('connect', () => {
     socket.setTimeout(0)
--- a/packages/daemon/test/at-most-once.test.ts
+++ b/packages/daemon/test/at-most-once.test.ts
@@ -7,7 +7,8 @@
 import { connect, type Socket } from 'node:net'
 import test from 'ava'
 import { Client, errors } from 'undici'
-import { sendRequest, type SendFailure } from '../src/adapters/backend-http.js'
+import { openBackendSocket, sendRequest, type SendFailure } from '../src/adapters/backend-http.js'
+import { CONNECT_TIMEOUT_MS } from '../src/constants.js'
 import { call, kind, ORDER, READ, service, startBackend, startDaemon, startDaemonProcess, startRawBackend, type TestDaemon } from './support.js'
 import './exit.js'
 
@@ -160,6 +161,13 @@
   }
 }
 
+test.serial('a connection that opened during a pause of the process counts as opened', async t => {
+  const port = await startBackend((_req, res) => res.end())
+  const opened = new Promise<string>(resolve => openBackendSocket({ host: '127.0.0.1', port }, () => resolve('open'), resolve))
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 2 * CONNECT_TIMEOUT_MS)
+  t.is(await opened, 'open')
+})
+
 const countRoutes = (daemon: TestDaemon): number => daemon.events.find(({ event }) => event === 'request_routed').length
 
 const startTwo = async (): Promise<{ daemon: TestDaemon, hits: string[] }> => {
