--- a/packages/daemon/src/adapters/backend-http.ts
+++ b/packages/daemon/src/adapters/backend-http.ts
@@ -10,6 +10,7 @@
  */
 import { connect, type Socket } from 'node:net'
 import type { Readable } from 'node:stream'
+import { resetSocket } from '@wisteriavalve/common'
 import { Client } from 'undici'
 import { BACKEND_IDLE_MS, CONNECT_TIMEOUT_MS, RESPONSE_HEADER_BYTES_MAX } from '../constants.js'
 import { rawHeader } from '../headers.js'
@@ -60,7 +61,7 @@
 
 /** Resets a connection, so that the backend server cannot take what it got for complete. */
 export const closeBackendSocket = ({ client, socket }: BackendSocket): void => {
-  socket.resetAndDestroy()
+  resetSocket(socket)
   client.destroy(CLOSED, () => undefined)
 }
 
--- a/packages/daemon/src/backend-connections.ts
+++ b/packages/daemon/src/backend-connections.ts
@@ -18,6 +18,8 @@
 
 export type ConnectionWaiter = {
   idempotent: boolean
+  /** When given, only a connection that was opened or answered after this time is used. */
+  provenSinceMs?: number
   /** Called once with a connection that is marked as busy. */
   use: (connection: BackendConnection) => void
   /** Called instead when no connection could be opened. */
@@ -129,7 +131,7 @@
 
   /** @returns the connection for the request; undefined when it has to wait for one */
   const choose = (waiter: ConnectionWaiter): ConnectionChoice =>
-    chooseConnection(connections, { idempotent: waiter.idempotent, share: share() }, clock.nowMs())
+    chooseConnection(connections, { idempotent: waiter.idempotent, provenSinceMs: waiter.provenSinceMs, share: share() }, clock.nowMs())
 
   /** Opens a connection for requests that wait, as long as fewer are opening than requests wait. */
   const openFor = (choice: ConnectionChoice): void => {
--- a/packages/policy/src/target-health.ts
+++ b/packages/policy/src/target-health.ts
@@ -46,7 +46,7 @@
   const ejections = nowMs - context.lastEjectionEndMs > EJECTION_FORGET_MS ? 0 : context.ejections
   const endMs = nowMs + ejectionTimeMs(ejections)
   return {
-    ...enter(context, nowMs, `${reason}; ejected for ${endMs - nowMs} ms`, endMs),
+    ...enter(context, nowMs, `${reason}; ejected for ${Math.round(endMs - nowMs)} ms`, endMs),
     ejections: ejections + 1,
     lastEjectionEndMs: endMs
   }
--- a/packages/policy/src/target-notes.ts
+++ b/packages/policy/src/target-notes.ts
@@ -1,9 +1,10 @@
 /**
  * Observations that nodes share. Draining is always believed; that a target is
- * dead only lowers its score, because the peer may be on the other side of a
- * partition.
+ * dead only makes it the last choice for a short time, because the peer may be
+ * on the other side of a partition.
  */
 import type { TargetNote } from '@wisteriavalve/schema'
+import { AVOID_MAX_MS } from './concurrency-limit.js'
 import { takeReport } from './load-estimate.js'
 import type { TableCore } from './table-core.js'
 import { takeDraining } from './target-outcomes.js'
@@ -22,6 +23,7 @@
   if (note.observation === 'draining' && !isOutdated(state, observedMs)) takeDraining(core, state, 'peer', observedMs, nowMs)
   if (note.observation === 'dead' && (state.lastAnswerMs ?? -Infinity) < observedMs) {
     addPhantom(state, state.slots, core.routing.slowLatencyMs, nowMs)
+    state.avoidUntilMs = Math.max(state.avoidUntilMs, nowMs + AVOID_MAX_MS)
   }
   if (note.inFlight !== undefined) {
     takeReport(state, { inFlight: note.inFlight }, core.routing, core.options.slotsPerTarget, observedMs)
--- a/packages/policy/src/target-outcomes.ts
+++ b/packages/policy/src/target-outcomes.ts
@@ -2,7 +2,7 @@
  * What an attempt's outcome or a probe says about a target.
  */
 import { DRAIN_FORGET_MS, PROBATION_ANSWERS } from './constants.js'
-import { lowerLimit, raiseLimit } from './concurrency-limit.js'
+import { avoidTarget, lowerLimit, raiseLimit } from './concurrency-limit.js'
 import { takeReport } from './load-estimate.js'
 import { judgeOutcomes, sendHealth, type TableCore } from './table-core.js'
 import { confirmDropped } from './target-list.js'
@@ -37,6 +37,8 @@
 
 const takeAnswer = (core: TableCore, state: TargetState, nowMs: number): void => {
   addOutcome(state, false)
+  state.refusalsInRow = 0
+  state.avoidUntilMs = -Infinity
   state.lastAnswerMs = nowMs
   // Without reports, an answer is the only sign that the target takes more.
   if (!state.reportsLoad) core.serviceLimit.note(false, core.inFlight + 1, nowMs)
@@ -47,6 +49,7 @@
 export const takeFailure = (core: TableCore, state: TargetState, failure: AttemptFailure, durationMs: number, nowMs: number): void => {
   if (failure === 'cancelled') return
   const slowMs = Math.max(durationMs, core.routing.slowLatencyMs)
+  if (failure === 'refused' || failure === 'connect-failed') avoidTarget(state, nowMs)
   if (failure === 'refused') {
     lowerLimit(state, nowMs)
     core.serviceLimit.note(true, core.inFlight + 1, nowMs)
--- a/packages/policy/src/types.ts
+++ b/packages/policy/src/types.ts
@@ -117,6 +117,10 @@
   outcomes: number[]
   outcomePosition: number
   limitLoweredMs: number
+  /** Refusals and connections that did not open since the last answer. */
+  refusalsInRow: number
+  /** Until then the target is used only when no other one can be. */
+  avoidUntilMs: number
   lastAnswerMs?: number
   lastDrainSignMs: number
   reportedInFlight?: number
@@ -269,6 +273,8 @@
 
 export type ConnectionRequest = {
   idempotent: boolean
+  /** When given, the connection must have been opened or have answered after this time. */
+  provenSinceMs?: number
   /** Connections that this node may hold to the target. */
   share: number
 }
--- a/packages/policy/test/target-health.test.ts
+++ b/packages/policy/test/target-health.test.ts
@@ -182,3 +182,17 @@
   t.deepEqual(table.takeNotes(30), [{ service: 's', targetId: 't0', observation: 'draining', ageMs: 20 }])
   t.deepEqual(table.takeNotes(40), [])
 })
+
+test('a target that cannot be reached, here or as a peer says, is the last choice for a short time', t => {
+  const own = createTable(3)
+  attempt(own, 't0', 'connect-failed', 1000)
+  t.is(share(own, 't0', 1010, 'random'), 0)
+  t.true(share(own, 't0', 1100, 'random') > 0)
+  const told = createTable(3)
+  told.notePeer({ service: 's', targetId: 't0', observation: 'dead', ageMs: 10 }, 1000)
+  t.is(share(told, 't0', 1010, 'random'), 0)
+  t.true(share(told, 't0', 4000, 'random') > 0)
+  const single = createTable(1)
+  single.notePeer({ service: 's', targetId: 't0', observation: 'dead', ageMs: 10 }, 1000)
+  t.is(share(single, 't0', 1010, 'random'), 1)
+})
