--- a/packages/daemon/src/adapters/backend-http.ts
+++ b/packages/daemon/src/adapters/backend-http.ts
@@ -76,12 +76,16 @@
     onFail(message)
   }
   const onError = (error: Error): void => fail(error.message)
-  socket.setTimeout(CONNECT_TIMEOUT_MS, () => fail(`no connection within ${CONNECT_TIMEOUT_MS} ms`))
+  // After a pause of this process the timer runs before the event of a connection that opened meanwhile.
+  socket.setTimeout(CONNECT_TIMEOUT_MS, () => setImmediate(() => {
+    if (socket.connecting) fail(`no connection within ${CONNECT_TIMEOUT_MS} ms`)
+  }))
   socket.once('error', onError)
   socket.once('connect', () => {
     socket.setTimeout(0)
     socket.removeAllListeners('timeout')
-    socket.off('error', onError)
+    // undici listens from the first request on; before it, an error would end the process.
+    socket.off('error', onError).on('error', () => undefined)
     onOpen({ client: createClient(target, socket), socket })
   })
 }
--- a/packages/fleet/src/configuration-state.ts
+++ b/packages/fleet/src/configuration-state.ts
@@ -166,7 +166,7 @@
     const waiting = pending.filter(({ awaited }) => awaited.delete(hash))
     let result: ConfigurationStep = { step: 'ignored', reason: 'same' }
     for (const head of waiting) {
-      const step: ConfigurationStep = head.awaited.size > 0 ? { step: 'fetch', hashes: [...head.awaited] } : advance(head)
+      const step: ConfigurationStep = head.awaited.size > 0 ? { step: 'fetch', hashes: [] } : advance(head)
       if (step.step === 'adopted') return step
       if (result.step !== 'rejected') result = step
     }
@@ -175,17 +175,20 @@
 
   const provideValue = (hash: string, bytes: Uint8Array): ConfigurationStep => {
     if (hashBytes(bytes) !== hash) return { step: 'rejected', fault: { code: 'value-hash-mismatch', message: `value ${hash} has other bytes` } }
-    if (!pending.some(({ awaited }) => awaited.has(hash))) return { step: 'ignored', reason: 'same' }
+    if (!isPending(hash)) return { step: 'ignored', reason: 'same' }
     values.set(hash, bytes)
     return advanceWith(hash)
   }
 
+  const isPending = (hash: string): boolean => pending.some(({ awaited }) => awaited.has(hash))
+
   const pendingHashes = (): string[] => [...new Set(pending.flatMap(({ awaited }) => [...awaited]))]
 
   return {
     offerHead,
     provideValue,
     pendingHashes,
+    isPending,
     pendingOrders: () => pending.map(({ order }) => order),
     adopted: () => inForce?.configuration,
     headBytes: () => inForce?.bytes,
