--- a/packages/testbench/src/scenario.ts
+++ b/packages/testbench/src/scenario.ts
@@ -4,6 +4,7 @@
  */
 import { createConfiguration, createFleetSettings, createKind, createService } from './configuration.js'
 import { startDeployment, type Deployment, type DeploymentOptions } from './deployment.js'
+import { WAIT_TIMEOUT_MS } from './daemon-process.js'
 import type { FleetNode } from './fleet-harness.js'
 import { createCaller } from './load/caller.js'
 import { startLoad, type LoadRun } from './load/generator.js'
@@ -11,6 +12,7 @@
 import type { CallOutcome, KindLoad, LoadOptions } from './load/types.js'
 import type { BackendOptions } from './backend/types.js'
 import type { ConfigurationEntry } from './platform/configuration-service.js'
+import { waitUntil } from './wait.js'
 
 export type ScenarioOptions = Pick<DeploymentOptions, 'asProcess' | 'behindProxy' | 'proxied' | 'nodeSettings' | 'policy'> & {
   seed: number
@@ -52,6 +54,17 @@
   createKind({ name: 'upload', methods: ['PUT'], path: '/shop/media/*', idempotent: false, boundedBy: 'progress', deadlineMs: 15_000, bodyBytesMax: 8 * 1024 * 1024, weight: 3 })
 ], { slotsPerTarget: slots, connectionsPerTarget })
 
+/** A node that has not met the others yet gives out entry answers with few addresses. */
+const waitFormed = async ({ fleet, close }: Deployment): Promise<void> => {
+  try {
+    await Promise.all(fleet.nodes.map(node => waitUntil(`${node.nodeId} knows all nodes`, WAIT_TIMEOUT_MS, async () =>
+      (await node.status()).members.filter(member => member.state === 'alive').length === fleet.nodes.length)))
+  } catch (error) {
+    await close()
+    throw error
+  }
+}
+
 export const startScenario = async (options: ScenarioOptions): Promise<Scenario> => {
   const slots = options.slots ?? 4
   const readDeadlineMs = options.readDeadlineMs ?? 2000
@@ -65,6 +78,7 @@
     services: [{ name: 'shop', targetCount: options.targetCount ?? 3, slots, backend: { serviceTimeMs: 5, ...options.backend } }],
     nodeCount: options.nodeCount ?? 1
   })
+  await waitFormed(deployment)
   const shop = createShop(slots, readDeadlineMs)
   const [read, order, upload] = shop.kinds.map(kind => toKindLoad(shop, kind)) as [KindLoad, KindLoad, KindLoad]
   const kinds = { read, order, upload }
--- a/packages/testbench/test/configuration.test.ts
+++ b/packages/testbench/test/configuration.test.ts
@@ -46,6 +46,8 @@
   const scenario = await startScenario({ seed: 53, nodeCount: 3 })
   t.teardown(scenario.close)
   const copy = scenario.configurationService.copy()
+  // The restored service gives its next head a revision below the one in force.
+  scenario.configurationService.publish(scenario.variant(1600))
   const inForce = scenario.variant(1500)
   scenario.configurationService.publish(inForce)
   await waitInForce(scenario.fleet.nodes, inForce)
--- a/packages/testbench/test/connection-failures.test.ts
+++ b/packages/testbench/test/connection-failures.test.ts
@@ -28,7 +28,8 @@
   await scenario.record.waitFor(event => event.type === 'started' && event.requestId.startsWith('r-2-30'))
   for (const backend of scenario.backends()) backend.proxy?.silence()
   const outcomes = await load.done
-  t.like(judgeRun(outcomes, scenario.record), { repeated: 0, wronglyNotRun: 0, foreign: 0, truncated: 0, lostIdempotent: 0 })
+  t.deepEqual(tallyFailures(outcomes.filter(outcome => outcome.idempotent)), {})
+  t.like(judgeRun(outcomes, scenario.record), { repeated: 0, wronglyNotRun: 0, foreign: 0, truncated: 0 })
 })
 
 test.serial('an answer that breaks off never ends as a whole one', async t => {
