Give up an idempotent attempt without a byte while another target has time

A read on a silent connection that gets no hedge (3% share used up) was left there until its deadline: the connection counts as silent only when a younger one to the same target answers, and routing avoids that target. Change: such an attempt is given up after max(250 ms, 4 x p99 of the target, half of the time left), within the retry budget and the allowance. Non- idempotent requests and callers that hold back their body are left alone. Ruled out: a larger hedge share, which costs load on every slow second.

--- a/packages/daemon/src/attempts.ts
+++ b/packages/daemon/src/attempts.ts
@@ -2,7 +2,7 @@
  * Attempts of an exchange: target, connection, the write, and what follows
  * from each way in which an attempt can end.
  */
-import { planHedge, planRetry, selectTarget, splitRetryAllowance, type AttemptFailure } from '@wisteriavalve/policy'
+import { planHedge, planRetry, selectTarget, silenceLimitMs, splitRetryAllowance, type AttemptFailure } from '@wisteriavalve/policy'
 import type { ResultName } from '@wisteriavalve/schema'
 import { sendRequest, type SendFailure, type SendHandler } from './adapters/backend-http.js'
 import type { BackendConnection } from './backend-connections.js'
@@ -252,11 +252,33 @@
   }, runtime.table.hedgeDelayMs(), runtime.retryBudget, nowMs)
   if (decision.decision === 'wait') {
     exchange.hedgeCheck = context.wheel.schedule(decision.untilMs, () => contain(context, exchange, () => {
+      exchange.hedgeCheck = undefined
       if (!attempt.isFinished && exchange.phase === 'running') scheduleHedge(context, attempt, context.clock.nowMs())
     }))
   } else if (decision.decision === 'hedge') {
     exchange.isHedged = true
     exchange.allowance -= 1
     startAttempt(context, exchange, 'hedge')
+  } else {
+    scheduleStallCheck(context, attempt)
   }
 }
+
+/** Share of the time left after which an attempt without a byte is given up for another target. */
+const STALL_SHARE = 0.5
+
+/**
+ * An attempt that gets no hedge may be on a silent connection that nothing
+ * exposes, because routing avoids its target and no younger connection answers
+ * there. It is given up while there is time for another one, within the budget
+ * of retries.
+ */
+const scheduleStallCheck = (context: PipelineContext, attempt: Attempt): void => {
+  const { exchange, writtenMs, table, targetId } = attempt
+  if (writtenMs === undefined || exchange.hedgeCheck || !isDeadlineBounded(exchange)) return
+  const limitMs = Math.max(silenceLimitMs(table.firstByteP99Ms(targetId)), STALL_SHARE * (exchange.deadlineMs - writtenMs))
+  if (writtenMs + limitMs >= exchange.deadlineMs) return
+  exchange.hedgeCheck = context.wheel.schedule(writtenMs + limitMs, () => contain(context, exchange, () => {
+    if (!attempt.connection?.isHeldByCaller?.()) onSilent(context, attempt)
+  }))
+}
