Keep retries apart from hedges, and let no error of a hedge end a request

An attempt that failed fast with status 500 while the other attempt was still running became the answer and cancelled the good one. Hedges also used up the budget of retries that a failing target needs until it is ejected (five failures and its tests on probation). Change: an error status is dropped while another attempt runs; retries and hedges have budgets of their own (10% with a floor of 10, and 5%). Ruled out: more retries for the whole request, since the good answer was there.

--- a/packages/daemon/src/response-relay.ts
+++ b/packages/daemon/src/response-relay.ts
@@ -58,6 +58,12 @@
     dropResponse(context, attempt, 'refused')
     return exchange.attempts.length > 0 ? { step: 'late' } : { step: 'refused' }
   }
+  // An error that comes before the answer of the other attempt must not end the request.
+  if (head.status >= 500 && exchange.attempts.length > 1) {
+    dropResponse(context, attempt, 'error-status')
+    exchange.unknownResult ??= 'answer-broken'
+    return { step: 'late' }
+  }
   if (head.status >= 500 && takesRetryAfterStatus()) {
     dropResponse(context, attempt, 'error-status')
     exchange.unknownResult ??= 'answer-broken'
--- a/packages/daemon/test/resilience.test.ts
+++ b/packages/daemon/test/resilience.test.ts
@@ -86,6 +86,27 @@
   t.is((await call(daemon.port, { headers: { 'x-retry-allowance': 'many' } })).headers['x-result-code'], 'WV-1013')
 })
 
+test('an error of a hedge does not take the place of the answer of the first attempt', async t => {
+  const hedged = deferred<void>()
+  let slow: ServerResponse | undefined
+  const ports = await Promise.all([1, 2].map(() => startBackend((req, res) => {
+    if (req.url !== '/shop/slow') res.end('ok')
+    else if (!slow) slow = res
+    else {
+      res.writeHead(500).end('failed fast')
+      hedged.resolve()
+    }
+  })))
+  const daemon = await startDaemon([service(ports)])
+  for (let count = 0; count < 120; count++) await call(daemon.port)
+  const answer = call(daemon.port, { path: '/shop/slow' })
+  await hedged.promise
+  // The error is on its way to the daemon; a further request shows that it was read before the answer ends.
+  await call(daemon.port)
+  slow?.end('ok')
+  t.like(await answer, { status: 200, body: 'ok' })
+})
+
 test('a hedge answers for a slow target, and the losing attempt is cancelled', async t => {
   let slow: { req: IncomingMessage } | undefined
   const ports = await Promise.all([1, 2].map(() => startBackend((req, res) => {
--- a/packages/policy/src/constants.ts
+++ b/packages/policy/src/constants.ts
@@ -40,7 +40,8 @@
 
 export const RETRY_WINDOW_MS = 10_000
 export const RETRY_SHARE = 0.1
-export const RETRY_FLOOR = 3
+/** Five failures eject a target, and its tests on probation can fail a few times more. */
+export const RETRY_FLOOR = 10
 /** At 3%, p99 with noisy neighbours was 0.60 of that of two random choices; at 5% it is 0.56 to 0.59. */
 export const HEDGE_SHARE = 0.05
 export const RETRY_ALLOWANCE_DEFAULT = 3
--- a/packages/policy/src/retry-budget.ts
+++ b/packages/policy/src/retry-budget.ts
@@ -1,8 +1,9 @@
 /**
- * Budget of extra attempts: a share of the requests of the last ten seconds,
- * with a floor that lets an idle node retry. Hedges have their own smaller
- * share and count against the whole budget too. Counts are kept in buckets, so
- * memory does not grow with the load.
+ * Budgets of extra attempts as shares of the requests of the last ten seconds.
+ * Retries have a floor, so that a node with few requests can retry until a
+ * failing target is ejected. Hedges have their own smaller share; when they
+ * counted against the retries too, they left too few for a target that fails
+ * fast. Counts are kept in buckets, so memory does not grow with the load.
  */
 import { HEDGE_SHARE, RETRY_FLOOR, RETRY_SHARE, RETRY_WINDOW_MS } from './constants.js'
 import type { RetryBudget } from './types.js'
@@ -43,9 +44,8 @@
 
   const tryTake = (purpose: 'retry' | 'hedge', nowMs: number): boolean => {
     current(nowMs)
-    const attemptsMax = Math.max(RETRY_FLOOR, RETRY_SHARE * total.requests)
-    if (total.retries + total.hedges + 1 > attemptsMax) return false
-    // Without a floor, since a hedge serves latency only and its share is a promise.
+    if (purpose === 'retry' && total.retries + 1 > Math.max(RETRY_FLOOR, RETRY_SHARE * total.requests)) return false
+    // Without a floor, since a hedge serves latency only.
     if (purpose === 'hedge' && total.hedges + 1 > HEDGE_SHARE * total.requests) return false
     add(nowMs, purpose === 'retry' ? 'retries' : 'hedges')
     return true
