Define the keys, hashes and shards of a configuration in one place

Cause: the shard of a service and the hash and key of a value were written four times (questionnaire, fleet, test bench, tests); if one of them changed alone, nodes would refuse every configuration.

--- a/packages/daemon/src/fleet/configuration-driver.ts
+++ b/packages/daemon/src/fleet/configuration-driver.ts
@@ -4,11 +4,11 @@
  * by gossip, and collects the values.
  */
 import {
-  compareOrder, createConfigurationState, isContradiction, planConfigurationReads, restoreCountOf, hashBytes,
+  compareOrder, createConfigurationState, isContradiction, planConfigurationReads, restoreCountOf,
   type AdoptedConfiguration, type ConfigurationStep, type HeadCandidate
 } from '@wisteriavalve/fleet'
 import type { ConfigurationOrder, MemberUpdate } from '@wisteriavalve/schema'
-import type { Result } from '@wisteriavalve/common'
+import { hashBytes, type Result } from '@wisteriavalve/common'
 import type { ConfigurationService, HeadRead } from '../adapters/configuration-service.js'
 import { describeError } from '../adapters/http-json.js'
 import type { PeerAddress, PeerClients } from '../adapters/peer-client.js'
--- a/packages/daemon/src/fleet/vm-list-driver.ts
+++ b/packages/daemon/src/fleet/vm-list-driver.ts
@@ -4,7 +4,7 @@
  * load depends on the zones and each node's load stays the same as the fleet
  * grows. Every copy carries the time since it was read.
  */
-import { hashBytes } from '@wisteriavalve/fleet'
+import { hashBytes } from '@wisteriavalve/common'
 import type { VmEntry } from '@wisteriavalve/schema'
 import type { PeerAddress, PeerClients } from '../adapters/peer-client.js'
 import type { PeerVmList } from '../adapters/peer-rpc.js'
--- a/packages/fleet/src/configuration-documents.ts
+++ b/packages/fleet/src/configuration-documents.ts
@@ -3,24 +3,17 @@
  * full. A document that fails any check keeps the whole configuration from
  * being adopted.
  */
-import { createHash } from 'node:crypto'
-import { hash32 } from '@wisteriavalve/common'
+import { shardOf } from '@wisteriavalve/common'
 import {
   explainErrors, isFleetSettings, isHead, isServiceConfiguration, isShard,
   type FleetSettings, type Head, type ServiceConfiguration, type Shard
 } from '@wisteriavalve/schema'
-import { SHARD_COUNT } from './constants.js'
 import type { ConfigurationFault, ParseResult } from './types.js'
 
 type Validator<T> = { (value: unknown): value is T, errors?: Parameters<typeof explainErrors>[0]['errors'] }
 
 const decoder = new TextDecoder('utf-8', { fatal: true })
 
-export const hashBytes = (bytes: Uint8Array): string => createHash('sha256').update(bytes).digest('hex')
-
-/** Shard of a service: two decimal digits. */
-export const shardOf = (service: string): string => String(hash32(service) % SHARD_COUNT).padStart(2, '0')
-
 const fault = (code: ConfigurationFault['code'], message: string): { ok: false, error: ConfigurationFault } =>
   ({ ok: false, error: { code, message } })
 
--- a/packages/fleet/src/configuration-state.ts
+++ b/packages/fleet/src/configuration-state.ts
@@ -6,10 +6,11 @@
  * completed blocks neither a newer nor an older one.
  */
 import { LRUCache } from 'lru-cache'
+import { hashBytes, shardOf } from '@wisteriavalve/common'
 import type { ConfigurationOrder, FleetSettings, Head, ServiceConfiguration, Shard } from '@wisteriavalve/schema'
 import { createAdoption, type Adoption } from './adoption-machine.js'
 import {
-  checkServices, hashBytes, parseFleetSettings, parseHead, parseService, parseShard, shardOf
+  checkServices, parseFleetSettings, parseHead, parseService, parseShard
 } from './configuration-documents.js'
 import { PENDING_HEADS_MAX, REJECTED_HEADS_MAX } from './constants.js'
 import { compareOrder } from './order.js'
--- a/packages/fleet/src/constants.ts
+++ b/packages/fleet/src/constants.ts
@@ -56,7 +56,6 @@
 /** Heads whose values are being collected at the same time; the oldest one gives way. */
 export const PENDING_HEADS_MAX = 4
 export const REJECTED_HEADS_MAX = 64
-export const SHARD_COUNT = 64
 export const WATCHERS_PER_ZONE = 2
 export const PULL_PEERS_MAX = 8
 
--- a/packages/fleet/test/configuration.test.ts
+++ b/packages/fleet/test/configuration.test.ts
@@ -6,9 +6,9 @@
  */
 import test from 'ava'
 import fc from 'fast-check'
-import { hash32 } from '@wisteriavalve/common'
+import { hash32, hashBytes, shardOf } from '@wisteriavalve/common'
 import {
-  compareOrder, createConfigurationState, hashBytes, planConfigurationReads, shardOf,
+  compareOrder, createConfigurationState, planConfigurationReads,
   type ConfigurationState, type ConfigurationStep, type HeadCandidate
 } from '../src/index.js'
 import { sampleConfiguration, type Sample, type SampleOptions } from './sample-configuration.js'
--- a/packages/fleet/test/sample-configuration.ts
+++ b/packages/fleet/test/sample-configuration.ts
@@ -1,6 +1,6 @@
 /** Builds the values of a configuration for tests. */
 import type { ServiceConfiguration } from '@wisteriavalve/schema'
-import { hashBytes, shardOf } from '../src/index.js'
+import { hashBytes, shardOf } from '@wisteriavalve/common'
 
 export type SampleOptions = {
   fleet?: string
--- a/packages/questionnaire/src/constants.ts
+++ b/packages/questionnaire/src/constants.ts
@@ -2,9 +2,6 @@
  * Limits and defaults of the questionnaire.
  */
 
-/** Shards of a configuration: at 2,200 services one shard lists about 35. */
-export const SHARD_COUNT = 64
-
 /** Largest value that the configuration service holds. */
 export const VALUE_BYTES_MAX = 1_000_000
 
--- a/packages/questionnaire/src/generate.ts
+++ b/packages/questionnaire/src/generate.ts
@@ -3,23 +3,11 @@
  * SHA-256 of their bytes, so a change of one service gives a new value for the
  * service, its shard and the head, and leaves all others as they are.
  */
-import { createHash } from 'node:crypto'
-import { hash32 } from '@wisteriavalve/common'
+import { hashBytes, headKey, shardOf, valueKey } from '@wisteriavalve/common'
 import type { Answers, Head, ServiceConfiguration, Shard } from '@wisteriavalve/schema'
-import { SHARD_COUNT } from './constants.js'
 import { resolveFleetSettings, resolveService, restoreCount } from './resolve.js'
 import type { ConfigurationValue } from './types.js'
 
-export const headKey = (fleet: string): string => `wisteriavalve/${fleet}/head`
-
-export const valueKey = (fleet: string, hash: string): string => `wisteriavalve/${fleet}/value/${hash}`
-
-export const hashBytes = (bytes: Buffer): string => createHash('sha256').update(bytes).digest('hex')
-
-/** Two decimal digits, 00 to 63. */
-export const shardId = (serviceName: string): string =>
-  String(hash32(serviceName) % SHARD_COUNT).padStart(2, '0')
-
 type HashedValue = ConfigurationValue & { hash: string }
 
 const encodeValue = (fleet: string, document: unknown): HashedValue => {
@@ -35,7 +23,7 @@
 const groupByShard = (services: readonly { name: string, hash: string }[]): Map<string, [string, string][]> => {
   const shards = new Map<string, [string, string][]>()
   for (const { name, hash } of services) {
-    const id = shardId(name)
+    const id = shardOf(name)
     shards.set(id, [...shards.get(id) ?? [], [name, hash]])
   }
   return shards
--- a/packages/questionnaire/test/generate.test.ts
+++ b/packages/questionnaire/test/generate.test.ts
@@ -7,7 +7,8 @@
 import test from 'ava'
 import { parse } from 'yaml'
 import { isAnswers, isFleetSettings, isHead, isServiceConfiguration, isShard, type Answers, type Head } from '@wisteriavalve/schema'
-import { generateConfiguration, hashBytes, headKey, shardId, valueKey, VALUE_BYTES_WARNING } from '../src/index.js'
+import { hashBytes, headKey, shardOf, valueKey } from '@wisteriavalve/common'
+import { generateConfiguration, VALUE_BYTES_WARNING } from '../src/index.js'
 
 const readExample = (name: string): Answers => {
   const answers: unknown = parse(readFileSync(fileURLToPath(new URL(`../../../../examples/${name}.yaml`, import.meta.url)), 'utf8'))
@@ -46,7 +47,7 @@
       if (!isShard(shard)) return t.fail(`shard ${id}`)
       referred++
       for (const [service, serviceHash] of Object.entries(shard.services)) {
-        t.is(shardId(service), id)
+        t.is(shardOf(service), id)
         t.true(isServiceConfiguration(read(serviceHash)))
         referred++
       }
--- a/packages/testbench/src/configuration.ts
+++ b/packages/testbench/src/configuration.ts
@@ -3,12 +3,10 @@
  * so that a test can state exactly what it needs. The demo uses the
  * command-line tool instead.
  */
-import { createHash } from 'node:crypto'
-import { hash32 } from '@wisteriavalve/common'
+import { hashBytes, headKey, shardOf, valueKey } from '@wisteriavalve/common'
 import { isFleetSettings, isServiceConfiguration, type FleetSettings, type Kind, type ServiceConfiguration } from '@wisteriavalve/schema'
 import type { ConfigurationEntry } from './platform/configuration-service.js'
 
-const SHARD_COUNT = 64
 const OBJECTIVE = { inTimePercent: 99.9, windowDays: 28 }
 
 export const createFleetSettings = (fleet: string, zones: FleetSettings['zones'], changes: Partial<FleetSettings> = {}): FleetSettings => ({
@@ -55,7 +53,7 @@
 
 const toValue = (document: unknown): Value => {
   const bytes = Buffer.from(JSON.stringify(document))
-  return { bytes, hash: createHash('sha256').update(bytes).digest('hex') }
+  return { bytes, hash: hashBytes(bytes) }
 }
 
 /** Entries to publish: all values, then the head. */
@@ -65,7 +63,7 @@
   for (const service of services) {
     const value = toValue(service)
     values.push(value)
-    const shard = String(hash32(service.name) % SHARD_COUNT).padStart(2, '0')
+    const shard = shardOf(service.name)
     shards.set(shard, { ...shards.get(shard), [service.name]: value.hash })
   }
   const shardHashes: Record<string, string> = {}
@@ -76,10 +74,9 @@
   }
   const settingsValue = toValue(settings)
   const head = { format: 1, fleet: settings.fleet, restoreCount, settingsHash: settingsValue.hash, shards: shardHashes }
-  const prefix = `wisteriavalve/${settings.fleet}`
   return [
-    ...[settingsValue, ...values].map(({ hash, bytes }) => ({ key: `${prefix}/value/${hash}`, bytes })),
-    { key: `${prefix}/head`, bytes: toValue(head).bytes }
+    ...[settingsValue, ...values].map(({ hash, bytes }) => ({ key: valueKey(settings.fleet, hash), bytes })),
+    { key: headKey(settings.fleet), bytes: toValue(head).bytes }
   ]
 }
 
