Answer with the VM list's entry VMs while a node has met no other

Cause: a node that had just started and met no other node gave entry answers with only its own address; if it died then, its callers had no address for one lifetime (seen in integration tests). Change: such a node adds the live entry VMs of the VM list. Measured: fleet and daemon runtime tests pass. Ruled out: delaying the ready state, which would keep a lone node from serving.

--- a/packages/daemon/src/fleet/fleet-runtime.ts
+++ b/packages/daemon/src/fleet/fleet-runtime.ts
@@ -3,7 +3,7 @@
  * platform: wires membership, configuration, VM list, probes and the calls
  * between nodes to each other and to the rest of the daemon.
  */
-import { answerEntry, createTargetUnion, type AdoptedConfiguration } from '@wisteriavalve/fleet'
+import { answerEntry, createTargetUnion, entryCandidates, type AdoptedConfiguration } from '@wisteriavalve/fleet'
 import type { ProbeResult } from '@wisteriavalve/policy'
 import type { EntryAnswer, MemberState, MemberUpdate, TargetNote, VmEntry } from '@wisteriavalve/schema'
 import { shuffle } from '@wisteriavalve/common'
@@ -164,7 +164,7 @@
   }
 
   const entryAnswer = (zone?: string): EntryAnswer =>
-    answerEntry({ members: members(), settings: configuration.adopted()?.settings ?? ENTRY_DEFAULTS }, { zone }, random)
+    answerEntry({ members: entryCandidates(members(), vmList.vms()), settings: configuration.adopted()?.settings ?? ENTRY_DEFAULTS }, { zone }, random)
 
   const ownSource = (): PeerSource => {
     if (!peerSource) throw new Error('the fleet runtime was not started')
--- a/packages/fleet/src/entry-answer.ts
+++ b/packages/fleet/src/entry-answer.ts
@@ -5,7 +5,7 @@
  * that keeps its answer survives the loss of a zone.
  */
 import type { Random } from '@wisteriavalve/common'
-import type { EntryAnswer, MemberUpdate } from '@wisteriavalve/schema'
+import type { EntryAnswer, MemberUpdate, VmEntry } from '@wisteriavalve/schema'
 import { OVERLOAD_PERCENT } from './constants.js'
 import type { AnswerEntry } from './types.js'
 
@@ -51,6 +51,19 @@
   return fresh.length > 0 ? fresh : left
 }
 
+/**
+ * Members for an answer. A node that has met no other node yet adds the entry
+ * VMs of the VM list; with itself as the only address, its callers would have
+ * nowhere to go for a lifetime if it died.
+ */
+export const entryCandidates = (members: readonly MemberUpdate[], vms: readonly VmEntry[]): MemberUpdate[] => {
+  const known = new Set(members.map(({ nodeId }) => nodeId))
+  if (known.size > 1) return [...members]
+  const listed = vms.filter(({ role, state, vmId }) => role === 'entry' && state === 'live' && !known.has(vmId))
+  return [...members, ...listed.map(({ vmId, zone, host, port, gossipPort = port, peerPort = port }): MemberUpdate =>
+    ({ nodeId: vmId, incarnation: 0, state: 'alive', zone, host, callerPort: port, gossipPort, peerPort }))]
+}
+
 export const answerEntry: AnswerEntry = ({ members, settings }, { zone }, random): EntryAnswer => {
   const left = usableMembers(members)
   const count = Math.min(settings.entryAddressCount, left.length)
--- a/packages/fleet/test/entry-and-probes.test.ts
+++ b/packages/fleet/test/entry-and-probes.test.ts
@@ -7,7 +7,7 @@
 import fc from 'fast-check'
 import { createRandom } from '@wisteriavalve/common'
 import type { MemberUpdate, VmEntry } from '@wisteriavalve/schema'
-import { answerEntry, createProbePlanner, createReplayGuard, createTargetUnion } from '../src/index.js'
+import { answerEntry, createProbePlanner, entryCandidates, createReplayGuard, createTargetUnion } from '../src/index.js'
 import { sampleService } from './sample-configuration.js'
 
 const ZONES = ['lagos-a', 'lagos-b', 'ibadan-c']
@@ -20,6 +20,14 @@
 const fleet = (count: number, change: (index: number) => Partial<MemberUpdate> = () => ({})): MemberUpdate[] =>
   Array.from({ length: count }, (_, index) => member(index, change(index)))
 
+test('a node that has met no other node answers with the entry VMs of the VM list too', t => {
+  const vm = (vmId: string, change: Partial<VmEntry> = {}): VmEntry =>
+    ({ vmId, role: 'entry', zone: 'lagos-b', host: `10.0.1.${vmId.length}`, port: 8080, state: 'live', ...change })
+  const vms = [vm('entry-0'), vm('entry-10'), vm('entry-left', { state: 'leaving' }), vm('stock-1', { role: 'backend' })]
+  t.deepEqual(entryCandidates(fleet(1), vms).map(({ nodeId }) => nodeId), ['entry-0', 'entry-10'])
+  t.deepEqual(entryCandidates(fleet(2), vms).map(({ nodeId }) => nodeId), ['entry-0', 'entry-1'])
+})
+
 test('the first two addresses are in the caller’s zone and the others in other zones', t => {
   const random = createRandom(1)
   for (let run = 0; run < 200; run++) {
