Use the field's terms for penalties, slow start and bursts of probes

Cause: phantom, warmth, hearsay and volley are not terms of the field and need explaining. Change: penaltyInFlight, slowStartShare and plain test titles; no behaviour.

--- a/packages/fleet/test/entry-and-probes.test.ts
+++ b/packages/fleet/test/entry-and-probes.test.ts
@@ -122,7 +122,7 @@
   t.true(firstProbeMs(60_000, true) >= withoutMs)
 })
 
-test('a target that answers any node is not probed, and its end of traffic causes no volley', t => {
+test('a target that answers any node is not probed, and its end of traffic causes no burst of probes', t => {
   const random = createRandom(9)
   const planners = Array.from({ length: 20 }, () => createProbePlanner({ probesPerTargetPerS: 2, entryVmCountMax: 24, random }))
   const probesIn = (fromMs: number, toMs: number, lastAnswerMs: (nowMs: number) => number): number[] => {
--- a/packages/policy/src/load-estimate.ts
+++ b/packages/policy/src/load-estimate.ts
@@ -5,7 +5,7 @@
  */
 import { REPORT_HALF_LIFE_MAX_MS, REPORT_HALF_LIFE_SHARE, UNKNOWN_LOAD_FACTOR } from './constants.js'
 import { halfLifeWeight } from './half-life.js'
-import { phantomAt } from './target-state.js'
+import { penaltyAt } from './target-state.js'
 import type { LoadReport, RoutingState, TargetState } from './types.js'
 
 /** A target cannot claim more than this many times its configured slots. */
@@ -45,4 +45,4 @@
 /** Requests that a further one would meet at the target, as far as this node can tell. */
 export const expectedLoad = (state: TargetState, routing: RoutingState, usualMs: number, nowMs: number): number =>
   state.inFlight + othersLoad(state, routing, usualMs, nowMs) + overdueLoad(state, usualMs, nowMs) +
-  phantomAt(state, routing.slowLatencyMs, nowMs)
+  penaltyAt(state, routing.slowLatencyMs, nowMs)
--- a/packages/policy/src/policies/prequal.ts
+++ b/packages/policy/src/policies/prequal.ts
@@ -7,7 +7,7 @@
  * pool of targets per request takes the place of the probe pool, so that nodes
  * with the same knowledge do not all choose the same target.
  */
-import { phantomAt } from '../target-state.js'
+import { penaltyAt } from '../target-state.js'
 import type { Policy, PolicyContext, TargetState } from '../types.js'
 
 /** Published quantile of requests in flight above which a target is hot. */
@@ -15,7 +15,7 @@
 const POOL_SIZE = 5
 
 const inFlightOf = (state: TargetState, { routing, nowMs }: PolicyContext): number =>
-  state.inFlight + state.othersInFlight + phantomAt(state, routing.slowLatencyMs, nowMs)
+  state.inFlight + state.othersInFlight + penaltyAt(state, routing.slowLatencyMs, nowMs)
 
 const drawPool = (eligible: readonly TargetState[], { random }: PolicyContext): TargetState[] =>
   eligible.length <= POOL_SIZE
--- a/packages/policy/src/select-target.ts
+++ b/packages/policy/src/select-target.ts
@@ -6,7 +6,7 @@
 import type { Random } from '@wisteriavalve/common'
 import { effectiveLimit } from './concurrency-limit.js'
 import { policies } from './policies/index.js'
-import { warmth } from './target-state.js'
+import { slowStartShare } from './target-state.js'
 import type { PolicyName, RoutingState, Selection, SelectionRequest, TargetState, TargetTable } from './types.js'
 
 /** Fills routing.scratch with the targets below their limit; returns how many targets were not excluded. */
@@ -20,7 +20,7 @@
     usable++
     if (state.inFlight >= effectiveLimit(state) || nowMs < state.avoidUntilMs) continue
     if (state.health === 'probation' && request.idempotent === false && !routing.failOpen) continue
-    if (routing.hasCold && state.health === 'cold' && random.next() >= warmth(state, nowMs)) continue
+    if (routing.hasCold && state.health === 'cold' && random.next() >= slowStartShare(state, nowMs)) continue
     scratch.push(state)
   }
   return usable
--- a/packages/policy/src/table-core.ts
+++ b/packages/policy/src/table-core.ts
@@ -57,7 +57,7 @@
   if (state.health !== 'probation' && state.health !== 'cold') return
   // What was seen before does not describe the target any more.
   clearOutcomes(state)
-  state.phantomInFlight = 0
+  state.penaltyInFlight = 0
   state.latencyMs = 0
   state.latencyUpdatedMs = -Infinity
 }
--- a/packages/policy/src/target-notes.ts
+++ b/packages/policy/src/target-notes.ts
@@ -8,7 +8,7 @@
 import { takeReport } from './load-estimate.js'
 import type { TableCore } from './table-core.js'
 import { takeDraining } from './target-outcomes.js'
-import { addPhantom } from './target-state.js'
+import { addPenalty } from './target-state.js'
 import type { TargetState } from './types.js'
 
 /** Least time between two notes on the load of a target. */
@@ -22,7 +22,7 @@
   const observedMs = nowMs - note.ageMs
   if (note.observation === 'draining' && !isOutdated(state, observedMs)) takeDraining(core, state, 'peer', observedMs, nowMs)
   if (note.observation === 'dead' && (state.lastAnswerMs ?? -Infinity) < observedMs) {
-    addPhantom(state, state.slots, core.routing.slowLatencyMs, nowMs)
+    addPenalty(state, state.slots, core.routing.slowLatencyMs, nowMs)
     state.avoidUntilMs = Math.max(state.avoidUntilMs, nowMs + AVOID_MAX_MS)
   }
   if (note.inFlight !== undefined) {
--- a/packages/policy/src/target-outcomes.ts
+++ b/packages/policy/src/target-outcomes.ts
@@ -6,7 +6,7 @@
 import { takeReport } from './load-estimate.js'
 import { judgeOutcomes, sendHealth, type TableCore } from './table-core.js'
 import { confirmDropped } from './target-list.js'
-import { addLatency, addOutcome, addPhantom } from './target-state.js'
+import { addLatency, addOutcome, addPenalty } from './target-state.js'
 import type { AttemptFailure, AttemptOutcome, DrainSource, ProbeResult, TargetState } from './types.js'
 
 const SLOW_QUANTILE = 0.99
@@ -56,7 +56,7 @@
   }
   // A fast failure is scored as a slow answer, so that the target does not look idle.
   addLatency(state, slowMs, nowMs)
-  addPhantom(state, 1, slowMs, nowMs)
+  addPenalty(state, 1, slowMs, nowMs)
   if (!isTargetFailure(core, failure, durationMs)) return
   addOutcome(state, true)
   const before = state.health
--- a/packages/policy/src/target-state.ts
+++ b/packages/policy/src/target-state.ts
@@ -28,8 +28,8 @@
     reportMs: -Infinity,
     latencyMs: 0,
     latencyUpdatedMs: -Infinity,
-    phantomInFlight: 0,
-    phantomMs: health.nowMs,
+    penaltyInFlight: 0,
+    penaltyMs: health.nowMs,
     lifecycle,
     dropped: false,
     reportsLoad: false,
@@ -77,12 +77,12 @@
 }
 
 /** @param slowMs time that a failed request counts as still running */
-export const phantomAt = (state: TargetState, slowMs: number, nowMs: number): number =>
-  state.phantomInFlight === 0 ? 0 : state.phantomInFlight * halfLifeWeight(nowMs - state.phantomMs, slowMs)
+export const penaltyAt = (state: TargetState, slowMs: number, nowMs: number): number =>
+  state.penaltyInFlight === 0 ? 0 : state.penaltyInFlight * halfLifeWeight(nowMs - state.penaltyMs, slowMs)
 
-export const addPhantom = (state: TargetState, count: number, slowMs: number, nowMs: number): void => {
-  state.phantomInFlight = phantomAt(state, slowMs, nowMs) + count
-  state.phantomMs = nowMs
+export const addPenalty = (state: TargetState, count: number, slowMs: number, nowMs: number): void => {
+  state.penaltyInFlight = penaltyAt(state, slowMs, nowMs) + count
+  state.penaltyMs = nowMs
 }
 
 export const addOutcome = (state: TargetState, failed: boolean): void => {
@@ -108,7 +108,7 @@
 }
 
 /** Share of its normal requests that a target gets, below 1 while it is cold. */
-export const warmth = (state: TargetState, nowMs: number): number =>
+export const slowStartShare = (state: TargetState, nowMs: number): number =>
   state.health === 'cold'
     ? Math.min(1, Math.max(SLOW_START_SHARE_MIN, (nowMs - state.coldSinceMs) / SLOW_START_MS))
     : 1
--- a/packages/policy/src/target-table.ts
+++ b/packages/policy/src/target-table.ts
@@ -7,7 +7,7 @@
 import { takeTargets } from './target-list.js'
 import { collectNotes, takePeerNote } from './target-notes.js'
 import { takeDraining, takeFirstByte, takeOutcome, takeProbe } from './target-outcomes.js'
-import { addStart, removeStart, warmth } from './target-state.js'
+import { addStart, removeStart, slowStartShare } from './target-state.js'
 import type { TargetState, TargetTable, TargetTableOptions } from './types.js'
 import type { TargetStatus } from '@wisteriavalve/schema'
 
@@ -44,7 +44,7 @@
   for (const state of core.states.values()) {
     state.reportMs = -Infinity
     state.latencyUpdatedMs = -Infinity
-    state.phantomInFlight = 0
+    state.penaltyInFlight = 0
   }
   core.stale = true
 }
@@ -61,7 +61,7 @@
 
   const capacity = (nowMs: number): number => {
     let sum = 0
-    for (const state of currentRouting(core, nowMs).candidates) sum += effectiveLimit(state) * warmth(state, nowMs)
+    for (const state of currentRouting(core, nowMs).candidates) sum += effectiveLimit(state) * slowStartShare(state, nowMs)
     return Math.ceil(Math.min(sum, core.serviceLimit.current()))
   }
 
--- a/packages/policy/src/types.ts
+++ b/packages/policy/src/types.ts
@@ -105,8 +105,8 @@
   latencyMs: number
   latencyUpdatedMs: number
   /** Failed requests that count as still running, so that a fast failure does not look like idleness. */
-  phantomInFlight: number
-  phantomMs: number
+  penaltyInFlight: number
+  penaltyMs: number
 
   lifecycle: HealthSnapshot
   /** Not in the newest list of targets any more. */
--- a/packages/policy/test/target-health.test.ts
+++ b/packages/policy/test/target-health.test.ts
@@ -175,7 +175,7 @@
   t.is(health(table, 't0', 100), 'ready')
 })
 
-test('peers learn of each draining target once, and not from hearsay', t => {
+test('peers learn of each draining target once, and only from the node that saw it', t => {
   const table = createTable(3)
   table.noteDraining('t0', 'response', 10)
   table.noteDraining('t1', 'peer', 10)
