--- a/packages/fleet/test/entry-and-probes.test.ts
+++ b/packages/fleet/test/entry-and-probes.test.ts
@@ -7,7 +7,7 @@
 import fc from 'fast-check'
 import { createRandom } from '@wisteriavalve/common'
 import type { MemberUpdate, VmEntry } from '@wisteriavalve/schema'
-import { answerEntry, createProbePlanner, createReplayGuard, createTargetUnion } from '../src/index.js'
+import { answerEntry, createProbePlanner, entryCandidates, createReplayGuard, createTargetUnion } from '../src/index.js'
 import { sampleService } from './sample-configuration.js'
 
 const ZONES = ['lagos-a', 'lagos-b', 'ibadan-c']
@@ -20,6 +20,14 @@
 const fleet = (count: number, change: (index: number) => Partial<MemberUpdate> = () => ({})): MemberUpdate[] =>
   Array.from({ length: count }, (_, index) => member(index, change(index)))
 
+test('a node that has met no other node answers with the entry VMs of the VM list too', t => {
+  const vm = (vmId: string, change: Partial<VmEntry> = {}): VmEntry =>
+    ({ vmId, role: 'entry', zone: 'lagos-b', host: `10.0.1.${vmId.length}`, port: 8080, state: 'live', ...change })
+  const vms = [vm('entry-0'), vm('entry-10'), vm('entry-left', { state: 'leaving' }), vm('stock-1', { role: 'backend' })]
+  t.deepEqual(entryCandidates(fleet(1), vms).map(({ nodeId }) => nodeId), ['entry-0', 'entry-10'])
+  t.deepEqual(entryCandidates(fleet(2), vms).map(({ nodeId }) => nodeId), ['entry-0', 'entry-1'])
+})
+
 test('the first two addresses are in the caller’s zone and the others in other zones', t => {
   const random = createRandom(1)
   for (let run = 0; run < 200; run++) {
@@ -114,7 +122,7 @@
   t.true(firstProbeMs(60_000, true) >= withoutMs)
 })
 
-test('a target that answers any node is not probed, and its end of traffic causes no volley', t => {
+test('a target that answers any node is not probed, and its end of traffic causes no burst of probes', t => {
   const random = createRandom(9)
   const planners = Array.from({ length: 20 }, () => createProbePlanner({ probesPerTargetPerS: 2, entryVmCountMax: 24, random }))
   const probesIn = (fromMs: number, toMs: number, lastAnswerMs: (nowMs: number) => number): number[] => {
