Ask targets for their load right before each use

Change: planPlacement asks targets one after the other until one has a free slot and works at its usual speed, waits a little when none does, and keeps large bodies in their zone; load probes use the connection of the request.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -35,7 +35,7 @@
 }))
 
 export default [
-  ...neostandard({ ts: true, ignores: ['**/dist/**', '**/src/generated/**'] }),
+  ...neostandard({ ts: true, ignores: ['**/dist/**', 'target/**', '**/src/generated/**'] }),
   ...importRules,
   {
     files: ['**/*.ts'],
--- a/packages/daemon/src/attempts.ts
+++ b/packages/daemon/src/attempts.ts
@@ -3,11 +3,12 @@
  * from each way in which an attempt can end.
  */
 import { planHedge, planRetry, selectTarget, silenceLimitMs, splitRetryAllowance, type AttemptFailure } from '@wisteriavalve/policy'
-import type { ResultName } from '@wisteriavalve/schema'
+import type { ResultName, Target } from '@wisteriavalve/schema'
 import { sendRequest, type SendFailure, type SendHandler } from './adapters/backend-http.js'
 import type { BackendConnection } from './backend-connections.js'
 import { abandonAttempt, isWritten, type Attempt, type Exchange } from './exchange.js'
 import type { AttemptPurpose, PipelineContext } from './pipeline-context.js'
+import { place, type PlacementOutcome } from './placing.js'
 import { dropData, endResponse, onResponseHead, relayData } from './response-relay.js'
 import { contain, failExchange, onDeadline } from './settlement.js'
 
@@ -31,20 +32,42 @@
 }
 
 export const startAttempt = (context: PipelineContext, exchange: Exchange, purpose: AttemptPurpose, lastResult?: ResultName): void => {
+  if (context.asksBeforeUse) place(context, exchange, purpose, outcome => onPlaced(context, exchange, purpose, lastResult, outcome))
+  else startSelected(context, exchange, purpose, lastResult)
+}
+
+const onPlaced = (
+  context: PipelineContext, exchange: Exchange, purpose: AttemptPurpose, lastResult: ResultName | undefined, outcome: PlacementOutcome
+): void => {
+  const target = outcome.step === 'send' ? exchange.runtime.table.target(outcome.targetId) : undefined
+  if (outcome.step === 'send' && target) attemptAt(context, exchange, purpose, target, outcome.reason)
+  else if (purpose === 'hedge') exchange.isHedged = true
+  else if (outcome.step === 'refuse') failExchange(context, exchange, exchange.unknownResult ?? lastResult ?? 'deadline-unreachable', { retryAfterMs: outcome.retryAfterMs })
+  else failExchange(context, exchange, exchange.unknownResult ?? lastResult ?? 'no-target')
+}
+
+const startSelected = (context: PipelineContext, exchange: Exchange, purpose: AttemptPurpose, lastResult?: ResultName): void => {
   const { runtime, kind, tried } = exchange
   const nowMs = context.clock.nowMs()
   const selection = selectTarget(context.policy, runtime.table, { zone: context.zone, exclude: tried, idempotent: kind.idempotent }, nowMs, context.random)
   const target = selection.ok ? runtime.table.target(selection.targetId) : undefined
-  if (!selection.ok || !target) {
-    if (purpose === 'hedge') return
-    if (!selection.ok && selection.error === 'all-busy') block(context, exchange, purpose, lastResult)
-    else failExchange(context, exchange, exchange.unknownResult ?? lastResult ?? 'no-target')
+  if (selection.ok && target) {
+    attemptAt(context, exchange, purpose, target, selection.reason)
     return
   }
+  if (purpose === 'hedge') return
+  if (!selection.ok && selection.error === 'all-busy') block(context, exchange, purpose, lastResult)
+  else failExchange(context, exchange, exchange.unknownResult ?? lastResult ?? 'no-target')
+}
+
+const attemptAt = (context: PipelineContext, exchange: Exchange, purpose: AttemptPurpose, target: Target, reason: string): void => {
+  const { runtime, tried } = exchange
+  const nowMs = context.clock.nowMs()
   const attempt: Attempt = {
     exchange,
     targetId: target.id,
-    reason: selection.reason,
+    reason,
+    slowdown: runtime.table.slowdown(target.id),
     table: runtime.table,
     pool: context.runtimes.connectionsTo(runtime, target),
     epoch: context.pause.epoch(nowMs),
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -3,7 +3,7 @@
  * nodes, the admin address and the life of the process.
  */
 import { createRandom } from '@wisteriavalve/common'
-import { createCallerLimits, type CallerLimitsOptions, type PolicyName } from '@wisteriavalve/policy'
+import { createCallerLimits, createWorkTimes, type CallerLimitsOptions, type PolicyName } from '@wisteriavalve/policy'
 import type { NodeReport, NodeStatus } from '@wisteriavalve/schema'
 import { createCallerServer } from './adapters/caller-http.js'
 import type { ExplainQuery } from './admin-api.js'
@@ -49,10 +49,12 @@
   wire?: Wire
   /** Bodies up to this size are collected before they are sent. */
   collectBytesMax?: number
+  /** Asks targets for their load before each use. */
+  asksBeforeUse?: boolean
 }
 
 export const createDaemon = (
-  { settings, clock, random, log, events }: DaemonContext, fleet: FleetRuntime, { callerLimits = CALLER_LIMITS, wire = PRODUCT_WIRE, collectBytesMax = REPLAY_BYTES_MAX }: DaemonOptions = {}
+  { settings, clock, random, log, events }: DaemonContext, fleet: FleetRuntime, { callerLimits = CALLER_LIMITS, wire = PRODUCT_WIRE, collectBytesMax = REPLAY_BYTES_MAX, asksBeforeUse = false }: DaemonOptions = {}
 ): Daemon => {
   const startedMs = clock.nowMs()
   const startedWallMs = Date.now()
@@ -106,6 +108,8 @@
     wire,
     headers: createHeaderRules(wire),
     collectBytesMax,
+    asksBeforeUse,
+    workTimes: createWorkTimes(),
     wheel: createDeadlineWheel(clock, WHEEL_TICK_MS),
     pause,
     runtimes,
--- a/packages/daemon/src/exchange.ts
+++ b/packages/daemon/src/exchange.ts
@@ -48,6 +48,7 @@
   expiry?: WheelEntry
   progressCheck?: WheelEntry
   hedgeCheck?: WheelEntry
+  placementCheck?: WheelEntry
   retryBlocked?: () => void
 }
 
@@ -55,6 +56,8 @@
   exchange: Exchange
   targetId: string
   reason: string
+  /** How many times the usual time work took on the target when it was chosen. */
+  slowdown: number
   table: TargetTable
   pool: TargetConnections
   /** Pause epoch in which the target was selected. */
--- /dev/null
+++ b/packages/daemon/src/load-probes.ts
@@ -0,0 +1,91 @@
+/**
+ * Asks a target for its load, on the connection that a request would use next,
+ * so that an answer also proves the connection. A target that does not answer
+ * soon is not worth waiting for.
+ */
+import { sendRequest, type Sending } from './adapters/backend-http.js'
+import type { BackendConnection, ConnectionWaiter, TargetConnections } from './backend-connections.js'
+import { rawHeader } from './headers.js'
+import type { PipelineContext } from './pipeline-context.js'
+import type { ServiceRuntime } from './service-runtimes.js'
+
+/** Answers take some ms; one that takes longer comes too late to choose by. */
+const PROBE_TIMEOUT_MS = 30
+const BODY_BYTES_MAX = 16_384
+
+/** Calls done once, when the target answered, failed or took too long. */
+export const probeLoad = (context: PipelineContext, runtime: ServiceRuntime, targetId: string, done: () => void): void => {
+  const target = runtime.table.target(targetId)
+  if (!target) {
+    done()
+    return
+  }
+  const pool: TargetConnections = context.runtimes.connectionsTo(runtime, target)
+  let connection: BackendConnection | undefined
+  let sending: Sending | undefined
+  let isOver = false
+
+  const finish = (): void => {
+    if (isOver) return
+    isOver = true
+    context.wheel.cancel(timer)
+    done()
+  }
+
+  const fail = (): void => {
+    if (isOver) return
+    if (connection) pool.discard(connection)
+    runtime.table.noteUnwell(targetId, context.clock.nowMs())
+    finish()
+  }
+
+  const onHead = (status: number, headers: string[]): void => {
+    const nowMs = context.clock.nowMs()
+    const report = context.wire.parseLoadReport(rawHeader(headers, context.wire.loadReportHeader))
+    const answeredBy = context.wire.answeredByHeader === undefined ? undefined : rawHeader(headers, context.wire.answeredByHeader)
+    if (answeredBy !== undefined && answeredBy !== targetId) runtime.table.noteDraining(targetId, 'other-server', nowMs)
+    else if (rawHeader(headers, context.wire.requestIdHeader.toLowerCase()) !== undefined) fail()
+    else if (report && status < 300) runtime.table.noteReport(targetId, report, nowMs)
+    else runtime.table.noteUnwell(targetId, nowMs)
+  }
+
+  const send = (opened: BackendConnection): void => {
+    connection = opened
+    let receivedBytes = 0
+    sending = sendRequest(opened, { method: 'GET', path: runtime.configuration.healthPath, headers: [], body: null }, {
+      mayWrite: () => !isOver,
+      onWritten: () => { opened.sentMs = context.clock.nowMs() },
+      onBodyProgress: () => undefined,
+      onHead,
+      onData: chunk => {
+        receivedBytes += chunk.length
+        return receivedBytes <= BODY_BYTES_MAX
+      },
+      onEnd: () => {
+        connection = undefined
+        pool.release(opened)
+        // The connection is free for the request only after the release has taken effect.
+        queueMicrotask(finish)
+      },
+      onFailure: fail
+    })
+  }
+
+  const waiter: ConnectionWaiter = {
+    idempotent: true,
+    use: opened => {
+      if (isOver) pool.release(opened)
+      else send(opened)
+    },
+    fail
+  }
+
+  const timer = context.wheel.schedule(context.clock.nowMs() + PROBE_TIMEOUT_MS, () => {
+    if (isOver) return
+    pool.cancel(waiter)
+    sending?.abort()
+    fail()
+  })
+  context.recorder.probed()
+  pool.acquire(waiter)
+}
--- a/packages/daemon/src/metrics.ts
+++ b/packages/daemon/src/metrics.ts
@@ -25,7 +25,7 @@
   text: () => Promise<string>
 }
 
-export type CounterName = 'retries' | 'hedges' | 'refused' | 'pauses' | 'retired_connections'
+export type CounterName = 'retries' | 'hedges' | 'refused' | 'pauses' | 'retired_connections' | 'load_probes'
 
 export type Gauges = () => Record<string, number>
 
@@ -102,7 +102,7 @@
 /** @param gauges further values of the node, read when metrics are asked for */
 export const createMetrics = (clock: Clock, gauges: Gauges): Metrics => {
   const results = new Map<string, KindCounts>()
-  const counts: Record<CounterName, number> = { retries: 0, hedges: 0, refused: 0, pauses: 0, retired_connections: 0 }
+  const counts: Record<CounterName, number> = { retries: 0, hedges: 0, refused: 0, pauses: 0, retired_connections: 0, load_probes: 0 }
   const answers = createDurations(clock)
   const dispatches = createDurations(clock)
   const registry = new Registry()
--- a/packages/daemon/src/pipeline-context.ts
+++ b/packages/daemon/src/pipeline-context.ts
@@ -2,7 +2,7 @@
  * What the steps of the request path share.
  */
 import type { Clock, Random } from '@wisteriavalve/common'
-import type { PolicyName } from '@wisteriavalve/policy'
+import type { PolicyName, WorkTimes } from '@wisteriavalve/policy'
 import type { Call } from './adapters/caller-http.js'
 import type { ResultName } from '@wisteriavalve/schema'
 import type { DeadlineWheel } from './deadline-wheel.js'
@@ -21,6 +21,8 @@
   refused: (call: Call, result: ResultName, detail: string | undefined) => void
   /** Bytes of a caller that are not a request. */
   unreadable: (result: ResultName, address: string, reason: string) => void
+  /** A target is asked for its load. */
+  probed: () => void
   /** An error in this program. */
   fault: (error: unknown, requestId: string | undefined) => void
 }
@@ -33,6 +35,9 @@
   zone: string
   policy: PolicyName
   wire: Wire
+  /** Whether targets are asked for their load before each use. */
+  asksBeforeUse: boolean
+  workTimes: WorkTimes
   headers: HeaderRules
   /** Bodies up to this size are collected before they are sent, and kept for another attempt. */
   collectBytesMax: number
--- /dev/null
+++ b/packages/daemon/src/placing.ts
@@ -0,0 +1,65 @@
+/**
+ * Carries out the steps by which a request is placed: asks targets for their
+ * load, waits, and hands the chosen target to the attempt.
+ */
+import { planPlacement, type Placement, type PlacementRequest } from '@wisteriavalve/policy'
+import type { Exchange } from './exchange.js'
+import { probeLoad } from './load-probes.js'
+import type { AttemptPurpose, PipelineContext } from './pipeline-context.js'
+import { contain } from './settlement.js'
+
+export type PlacementOutcome = Exclude<Placement, { step: 'probe' | 'wait' }>
+
+/** A hedge that waits would come too late, and a refusal of a repeat would hide what the first attempt met. */
+const requestOf = (context: PipelineContext, exchange: Exchange, purpose: AttemptPurpose, probed: ReadonlySet<string>): PlacementRequest => {
+  const { kind, tried, arrivedMs, deadlineMs } = exchange
+  const objectiveMs = kind.objectiveMs ?? kind.deadlineMs
+  return {
+    zone: context.zone,
+    exclude: tried,
+    idempotent: kind.idempotent,
+    bodyBytes: exchange.body.sizeBytes(),
+    workMs: context.workTimes.usualMs(kind.name, objectiveMs),
+    objectiveAtMs: arrivedMs + objectiveMs,
+    deadlineMs,
+    probed,
+    mayWait: purpose !== 'hedge',
+    mayRefuse: purpose === 'first'
+  }
+}
+
+/** @param onPlaced called once, unless the request ends before */
+export const place = (context: PipelineContext, exchange: Exchange, purpose: AttemptPurpose, onPlaced: (outcome: PlacementOutcome) => void): void => {
+  const { runtime } = exchange
+  const probed = new Set<string>()
+  let pendingCount = 0
+
+  const isRunning = (): boolean => exchange.phase === 'running'
+
+  const resume = (): void => contain(context, exchange, () => { if (isRunning()) step() })
+
+  const probe = (targetIds: readonly string[]): void => {
+    for (const targetId of targetIds) {
+      probed.add(targetId)
+      pendingCount++
+      probeLoad(context, runtime, targetId, () => {
+        pendingCount--
+        if (pendingCount === 0) resume()
+      })
+    }
+  }
+
+  const step = (): void => {
+    const nowMs = context.clock.nowMs()
+    const placement = planPlacement(runtime.table.routing(nowMs), requestOf(context, exchange, purpose, probed), nowMs, context.random)
+    if (placement.step === 'probe') probe(placement.targetIds)
+    else if (placement.step === 'wait') {
+      exchange.placementCheck = context.wheel.schedule(placement.untilMs, () => {
+        probed.clear()
+        resume()
+      })
+    } else onPlaced(placement)
+  }
+
+  step()
+}
--- a/packages/daemon/src/request-body.ts
+++ b/packages/daemon/src/request-body.ts
@@ -14,6 +14,8 @@
   open: () => Buffer | Readable | null
   canOpen: () => boolean
   isComplete: () => boolean
+  /** Size as far as it is known: announced, or received so far. */
+  sizeBytes: () => number
   /** True while the attempt has taken all bytes that the caller sent. */
   isWaitingForCaller: () => boolean
   /** Stops reading; called when the request is settled. */
@@ -36,6 +38,7 @@
   open: () => null,
   canOpen: () => true,
   isComplete: () => true,
+  sizeBytes: () => 0,
   isWaitingForCaller: () => false,
   close: () => undefined
 }
@@ -115,6 +118,7 @@
     open: () => whole ?? openStream(),
     canOpen: () => whole !== undefined || stream === undefined,
     isComplete: () => isEnded,
+    sizeBytes: () => Math.max(receivedBytes, Number(req.headers['content-length'] ?? 0)),
     isWaitingForCaller: () => !isEnded && (isCollecting || (stream !== undefined && stream.readableLength === 0)),
     close: () => {
       req.off('data', onData).off('end', onEnd)
--- a/packages/daemon/src/request-pipeline.ts
+++ b/packages/daemon/src/request-pipeline.ts
@@ -73,6 +73,7 @@
     expiry: undefined,
     progressCheck: undefined,
     hedgeCheck: undefined,
+    placementCheck: undefined,
     retryBlocked: undefined
   }
   return exchange
--- a/packages/daemon/src/request-recorder.ts
+++ b/packages/daemon/src/request-recorder.ts
@@ -126,5 +126,7 @@
   const fault = (error: unknown, requestId: string | undefined): void =>
     log('request_fault', { request_id: requestId ?? '', message: error instanceof Error ? error.stack ?? error.message : String(error) })
 
-  return { routed, answered, failed, refused, unreadable, fault }
+  const probed = (): void => metrics.add('load_probes')
+
+  return { routed, answered, failed, refused, unreadable, probed, fault }
 }
--- a/packages/daemon/src/response-relay.ts
+++ b/packages/daemon/src/response-relay.ts
@@ -25,8 +25,9 @@
 export type ResponseHead = { status: number, headers: string[], statusText: string, atMs: number }
 
 /** Takes note of what the backend server says about itself; returns whether it refused the request. */
-const noteSigns = ({ wire }: PipelineContext, attempt: Attempt, { status, headers, atMs: nowMs }: ResponseHead): boolean => {
-  const { table, targetId, writtenMs } = attempt
+const noteSigns = (context: PipelineContext, attempt: Attempt, { status, headers, atMs: nowMs }: ResponseHead): boolean => {
+  const { exchange, table, targetId, writtenMs } = attempt
+  const { wire } = context
   const header = (name: string): string | undefined => rawHeader(headers, name)
   // Whoever answers at the address now, the target that was meant is gone.
   if (wire.isWrongTarget(status)) {
@@ -34,6 +35,7 @@
     return true
   }
   const isRefused = wire.isNotRun(status, header)
+  if (!isRefused) context.workTimes.note(exchange.kind.name, nowMs - (writtenMs ?? nowMs), attempt.slowdown)
   if (!isRefused) table.noteFirstByte(targetId, nowMs - (writtenMs ?? nowMs), nowMs)
   const report = wire.parseLoadReport(header(wire.loadReportHeader))
   if (report) table.noteReport(targetId, report, nowMs)
--- a/packages/daemon/src/settlement.ts
+++ b/packages/daemon/src/settlement.ts
@@ -17,10 +17,11 @@
   outcome?: AttemptOutcome
 }
 
-const cancelTimers = ({ wheel }: PipelineContext, { expiry, progressCheck, hedgeCheck }: Exchange): void => {
+const cancelTimers = ({ wheel }: PipelineContext, { expiry, progressCheck, hedgeCheck, placementCheck }: Exchange): void => {
   if (expiry) wheel.cancel(expiry)
   if (progressCheck) wheel.cancel(progressCheck)
   if (hedgeCheck) wheel.cancel(hedgeCheck)
+  if (placementCheck) wheel.cancel(placementCheck)
 }
 
 /** Takes the exchange out of all queues and takes back its attempts; returns whether it held a place in admission. */
--- a/packages/daemon/src/wire.ts
+++ b/packages/daemon/src/wire.ts
@@ -16,6 +16,8 @@
   /** Header that names the target a request is meant for; any other target refuses it. */
   targetIdHeader?: string
   loadReportHeader: string
+  /** Header with which a target gives its id to a probe. */
+  answeredByHeader?: string
   /** Header with which a target says that it is leaving. */
   drainingHeader?: string
   /** Further headers of backend servers that are not passed on to callers. */
--- a/packages/policy/src/load-estimate.ts
+++ b/packages/policy/src/load-estimate.ts
@@ -20,6 +20,7 @@
   state: TargetState, report: LoadReport, routing: RoutingState, slotsPerTarget: number, observedMs: number
 ): void => {
   if (report.slots !== undefined) state.slots = Math.min(report.slots, slotsPerTarget * SLOTS_CLAIM_FACTOR)
+  if (report.slowdown !== undefined && observedMs >= state.reportMs) state.slowdown = report.slowdown
   const reported = report.inFlight ?? (report.utilization === undefined ? undefined : report.utilization * state.slots)
   if (reported === undefined || observedMs < state.reportMs) return
   state.reportedInFlight = Math.min(reported, IN_FLIGHT_CLAIM_FACTOR * state.slots)
--- a/packages/policy/src/target-table.ts
+++ b/packages/policy/src/target-table.ts
@@ -1,7 +1,7 @@
 /**
  * State of all targets of one service as one node sees them.
  */
-import { effectiveLimit, isCongested } from './concurrency-limit.js'
+import { avoidTarget, effectiveLimit, isCongested } from './concurrency-limit.js'
 import { takeReport } from './load-estimate.js'
 import { createTableCore, currentRouting, type TableCore } from './table-core.js'
 import { takeTargets } from './target-list.js'
@@ -85,6 +85,7 @@
       core.serviceLimit.note(isCongested(state.reportedInFlight ?? 0, state.slots), core.inFlight, nowMs)
     }),
     noteProbe: (targetId, result, nowMs) => withState(targetId, state => takeProbe(core, state, result, nowMs)),
+    noteUnwell: (targetId, nowMs) => withState(targetId, state => avoidTarget(state, nowMs)),
     notePeer: (note, nowMs) => withState(note.targetId, state => takePeerNote(core, state, note, nowMs)),
     wake: () => wakeTargets(core),
     takeNotes: nowMs => collectNotes(core, nowMs),
@@ -93,6 +94,7 @@
     hedgeDelayMs: () => firstBytes.quantile(HEDGE_QUANTILE),
     firstByteP99Ms: targetId => states.get(targetId)?.firstBytes.quantile(0.99),
     target: targetId => states.get(targetId)?.target,
+    slowdown: targetId => states.get(targetId)?.slowdown ?? 1,
     snapshot: (nowMs, connections) => {
       currentRouting(core, nowMs)
       return [...states.values()].map(state => toStatus(core, state, connections?.get(state.target.id) ?? 0, nowMs))
--- a/packages/policy/src/types.ts
+++ b/packages/policy/src/types.ts
@@ -77,6 +77,8 @@
   noteFinished: (targetId: string, outcome: AttemptOutcome, durationMs: number, nowMs: number) => void
   noteReport: (targetId: string, report: LoadReport, nowMs: number) => void
   noteProbe: (targetId: string, result: ProbeResult, nowMs: number) => void
+  /** A target did not answer when it was asked for its load, or said that it is not well. */
+  noteUnwell: (targetId: string, nowMs: number) => void
   /** Takes over what a peer observed. */
   notePeer: (note: TargetNote, nowMs: number) => void
   /** Ages all estimates after a pause of the process. */
@@ -92,6 +94,8 @@
   /** 99th percentile of the time to first byte of one target; undefined with too few samples. */
   firstByteP99Ms: (targetId: string) => number | undefined
   target: (targetId: string) => Target | undefined
+  /** How many times the usual time work takes on a target, by its last report. */
+  slowdown: (targetId: string) => number
   /** @param connections open connections by target id, for the status */
   snapshot: (nowMs: number, connections?: ReadonlyMap<string, number>) => TargetStatus[]
   /** State that the policies read; not to be changed from outside. */
@@ -114,6 +118,8 @@
   /** Load from other nodes at the time of the last report. */
   othersInFlight: number
   reportMs: number
+  /** How many times the usual time work took at the time of the last report. */
+  slowdown: number
   /** Moving average of the time to first byte, failures counted as slow answers. */
   latencyMs: number
   latencyUpdatedMs: number
@@ -188,6 +194,30 @@
   idempotent?: boolean
 }
 
+/** A request that is placed with reports asked for on its behalf. */
+export type PlacementRequest = SelectionRequest & {
+  bodyBytes: number
+  /** Usual time of such a request on an idle target. */
+  workMs: number
+  /** Until then an answer has its full value. */
+  objectiveAtMs: number
+  deadlineMs: number
+  /** Targets that were asked since the last wait, whether they answered or not. */
+  probed: ReadonlySet<string>
+  mayWait: boolean
+  mayRefuse: boolean
+}
+
+export type Placement =
+  | { step: 'send', targetId: string, reason: string }
+  /** Ask these targets for their load, and plan again after each answer. */
+  | { step: 'probe', targetIds: string[] }
+  | { step: 'wait', untilMs: number }
+  /** The request cannot be served in time. */
+  | { step: 'refuse', retryAfterMs: number }
+  /** No target can be used. */
+  | { step: 'none' }
+
 export type Selection =
   | { ok: true, targetId: string, reason: string }
   /** no-target: none can be used; all-busy: each usable one is at its limit. */
