Send a hedge early enough to meet the objective, within a fleet-wide budget

Change: the hedge delay leaves time for the usual work; a hedge is sent only to a target that is good now; each node's part of the budget follows from the fleet's limit and the most nodes ever seen.

--- a/packages/daemon/src/attempts.ts
+++ b/packages/daemon/src/attempts.ts
@@ -2,7 +2,7 @@
  * Attempts of an exchange: target, connection, the write, and what follows
  * from each way in which an attempt can end.
  */
-import { planHedge, planRetry, selectTarget, silenceLimitMs, splitRetryAllowance, type AttemptFailure } from '@wisteriavalve/policy'
+import { objectiveHedgeDelayMs, planHedge, planRetry, selectTarget, silenceLimitMs, splitRetryAllowance, type AttemptFailure } from '@wisteriavalve/policy'
 import type { ResultName, Target } from '@wisteriavalve/schema'
 import { sendRequest, type SendFailure, type SendHandler } from './adapters/backend-http.js'
 import type { BackendConnection } from './backend-connections.js'
@@ -40,7 +40,7 @@
   context: PipelineContext, exchange: Exchange, purpose: AttemptPurpose, lastResult: ResultName | undefined, outcome: PlacementOutcome
 ): void => {
   const target = outcome.step === 'send' ? exchange.runtime.table.target(outcome.targetId) : undefined
-  if (outcome.step === 'send' && target) attemptAt(context, exchange, purpose, target, outcome.reason)
+  if (outcome.step === 'send' && target) attemptAt(context, exchange, purpose, target, outcome.reason, lastResult)
   else if (purpose === 'hedge') exchange.isHedged = true
   else if (outcome.step === 'refuse') failExchange(context, exchange, exchange.unknownResult ?? lastResult ?? 'deadline-unreachable', { retryAfterMs: outcome.retryAfterMs })
   else failExchange(context, exchange, exchange.unknownResult ?? lastResult ?? 'no-target')
@@ -52,7 +52,7 @@
   const selection = selectTarget(context.policy, runtime.table, { zone: context.zone, exclude: tried, idempotent: kind.idempotent }, nowMs, context.random)
   const target = selection.ok ? runtime.table.target(selection.targetId) : undefined
   if (selection.ok && target) {
-    attemptAt(context, exchange, purpose, target, selection.reason)
+    attemptAt(context, exchange, purpose, target, selection.reason, lastResult)
     return
   }
   if (purpose === 'hedge') return
@@ -60,7 +60,9 @@
   else failExchange(context, exchange, exchange.unknownResult ?? lastResult ?? 'no-target')
 }
 
-const attemptAt = (context: PipelineContext, exchange: Exchange, purpose: AttemptPurpose, target: Target, reason: string): void => {
+const attemptAt = (
+  context: PipelineContext, exchange: Exchange, purpose: AttemptPurpose, target: Target, reason: string, lastResult: ResultName | undefined
+): void => {
   const { runtime, tried } = exchange
   const nowMs = context.clock.nowMs()
   const attempt: Attempt = {
@@ -88,7 +90,7 @@
   exchange.attempts.push(attempt)
   exchange.attemptCount++
   attempt.table.noteStarted(target.id, nowMs)
-  context.recorder.routed(attempt, purpose)
+  context.recorder.routed(attempt, purpose, lastResult)
   acquire(context, attempt)
 }
 
@@ -267,6 +269,15 @@
   startAttempt(context, exchange, 'retry', 'no-progress')
 }
 
+/** By the objective where the usual work is known, otherwise by the slowest answers of the service. */
+const hedgeDelayMs = (context: PipelineContext, { exchange, writtenMs }: Attempt): number | undefined => {
+  const { kind, runtime, arrivedMs } = exchange
+  const usualMs = runtime.table.hedgeDelayMs()
+  if (!context.asksBeforeUse || kind.objectiveMs === undefined || writtenMs === undefined) return usualMs
+  const workMs = context.workTimes.usualMs(kind.name, kind.objectiveMs)
+  return objectiveHedgeDelayMs(arrivedMs + kind.objectiveMs - writtenMs, workMs) ?? usualMs
+}
+
 const scheduleHedge = (context: PipelineContext, attempt: Attempt, nowMs: number): void => {
   const { exchange } = attempt
   const { kind, runtime, responder } = exchange
@@ -280,7 +291,7 @@
     startedMs: attempt.writtenMs ?? nowMs,
     deadlineMs: exchange.deadlineMs,
     allowance: exchange.allowance
-  }, runtime.table.hedgeDelayMs(), runtime.retryBudget, nowMs)
+  }, hedgeDelayMs(context, attempt), runtime.retryBudget, nowMs)
   if (decision.decision === 'wait') {
     exchange.hedgeCheck = context.wheel.schedule(decision.untilMs, () => contain(context, exchange, () => {
       exchange.hedgeCheck = undefined
--- a/packages/daemon/src/constants.ts
+++ b/packages/daemon/src/constants.ts
@@ -43,8 +43,10 @@
 export const EVENT_RECORD_CAPACITY = 10_000
 /** Routed requests that are recorded for explain, per second. */
 export const ROUTE_EVENTS_PER_S = 20
-/** Lines of failed requests, per second; the rest are counted. */
+/** Lines on requests that failed, were late or were repeated, per second; the rest are counted. */
 export const FAILURE_LINES_PER_S = 50
+/** Lines on requests that were answered in time, per second. */
+export const SAMPLE_LINES_PER_S = 1
 /** The short window of a burn rate is 5 minutes and the long one an hour. */
 export const BURN_MINUTES = 60
 export const BURN_BUCKETS_MAX = 20_000
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -3,7 +3,7 @@
  * nodes, the admin address and the life of the process.
  */
 import { createRandom } from '@wisteriavalve/common'
-import { createCallerLimits, createWorkTimes, type CallerLimitsOptions, type PolicyName } from '@wisteriavalve/policy'
+import { createCallerLimits, createWorkTimes, shareRetryLimits, type CallerLimitsOptions, type PolicyName } from '@wisteriavalve/policy'
 import type { NodeReport, NodeStatus } from '@wisteriavalve/schema'
 import { createCallerServer } from './adapters/caller-http.js'
 import type { ExplainQuery } from './admin-api.js'
@@ -51,10 +51,12 @@
   collectBytesMax?: number
   /** Asks targets for their load before each use. */
   asksBeforeUse?: boolean
+  /** Repeats that the whole fleet may make of a service: a share of its requests, and some on top. */
+  fleetRetries?: { share: number, extra: number }
 }
 
 export const createDaemon = (
-  { settings, clock, random, log, events }: DaemonContext, fleet: FleetRuntime, { callerLimits = CALLER_LIMITS, wire = PRODUCT_WIRE, collectBytesMax = REPLAY_BYTES_MAX, asksBeforeUse = false }: DaemonOptions = {}
+  { settings, clock, random, log, events }: DaemonContext, fleet: FleetRuntime, { callerLimits = CALLER_LIMITS, wire = PRODUCT_WIRE, collectBytesMax = REPLAY_BYTES_MAX, asksBeforeUse = false, fleetRetries }: DaemonOptions = {}
 ): Daemon => {
   const startedMs = clock.nowMs()
   const startedWallMs = Date.now()
@@ -71,6 +73,7 @@
   const runtimes = createServiceRuntimes({
     clock,
     random: createRandom(random.int(0x7fffffff)),
+    ...(fleetRetries && { retryLimits: shareRetryLimits(fleetRetries.share, fleetRetries.extra, () => fleet.members().length) }),
     onHealth: nodeEvents.targetHealth,
     onSilent: (service, targetId, retired) => {
       for (let count = 0; count < retired.length; count++) metrics.add('retired_connections')
@@ -98,7 +101,9 @@
   }
 
   const pause = createPauseDetector({ clock, beatMs: BEAT_MS, gapMs: PAUSE_GAP_MS, onPause, onBeat })
-  const recorder = createRequestRecorder({ clock, events, log, metrics, burn })
+  const recorder = createRequestRecorder({
+    clock, events, log, metrics, burn, configurationRevision: () => fleet.configuration()?.order.revision ?? 0
+  })
   const isLeaving = (): boolean => lifecycle.phase() === 'leaving'
   const context: PipelineContext = {
     clock,
--- a/packages/daemon/src/pipeline-context.ts
+++ b/packages/daemon/src/pipeline-context.ts
@@ -14,9 +14,10 @@
 
 /** Takes note of what happened to requests, for logs, metrics, explain and the report. */
 export type RequestRecorder = {
-  routed: (attempt: Attempt, purpose: AttemptPurpose) => void
+  /** @param lastResult what the attempt before met, for a repeat */
+  routed: (attempt: Attempt, purpose: AttemptPurpose, lastResult: ResultName | undefined) => void
   answered: (exchange: Exchange, attempt: Attempt, nowMs: number) => void
-  failed: (exchange: Exchange, result: ResultName, targetId: string | undefined, detail: string | undefined) => void
+  failed: (exchange: Exchange, result: ResultName, targetId: string | undefined, fields: { detail?: string, retryAfterMs?: number }) => void
   /** A request that did not become an exchange. */
   refused: (call: Call, result: ResultName, detail: string | undefined) => void
   /** Bytes of a caller that are not a request. */
--- a/packages/daemon/src/placing.ts
+++ b/packages/daemon/src/placing.ts
@@ -24,7 +24,8 @@
     deadlineMs,
     probed,
     mayWait: purpose !== 'hedge',
-    mayRefuse: purpose === 'first'
+    mayRefuse: purpose === 'first',
+    onlyGood: purpose === 'hedge'
   }
 }
 
--- a/packages/daemon/src/request-recorder.ts
+++ b/packages/daemon/src/request-recorder.ts
@@ -4,16 +4,16 @@
  * are all recorded, and the number of log lines is bounded.
  */
 import type { Clock, EventRecord } from '@wisteriavalve/common'
-import { resultCode, type EventEntry, type ResultName } from '@wisteriavalve/schema'
+import { resultCode, type EventEntry, type LogEventName, type ResultName } from '@wisteriavalve/schema'
 import type { Call } from './adapters/caller-http.js'
 import type { BurnBuckets } from './burn-buckets.js'
-import { FAILURE_LINES_PER_S, ROUTE_EVENTS_PER_S } from './constants.js'
+import { FAILURE_LINES_PER_S, ROUTE_EVENTS_PER_S, SAMPLE_LINES_PER_S } from './constants.js'
 import type { Attempt, Exchange } from './exchange.js'
 import type { Metrics } from './metrics.js'
 import type { AttemptPurpose, RequestRecorder } from './pipeline-context.js'
 import type { Log } from './types.js'
 
-export type RequestRecorderOptions = { clock: Clock, events: EventRecord, log: Log, metrics: Metrics, burn: BurnBuckets }
+export type RequestRecorderOptions = { clock: Clock, events: EventRecord, log: Log, metrics: Metrics, burn: BurnBuckets, configurationRevision: () => number }
 
 type PerSecond = { take: (nowMs: number) => boolean, takeSkipped: () => number }
 
@@ -52,23 +52,28 @@
   return `${requestOf(exchange)} ${outcome}${attempts}: ${message}${detail === undefined ? '' : ` (${detail})`}.`
 }
 
-export const createRequestRecorder = ({ clock, events, log, metrics, burn }: RequestRecorderOptions): RequestRecorder => {
+export const createRequestRecorder = ({ clock, events, log, metrics, burn, configurationRevision }: RequestRecorderOptions): RequestRecorder => {
   const routes = createPerSecond(ROUTE_EVENTS_PER_S)
   const lines = createPerSecond(FAILURE_LINES_PER_S)
+  const samples = createPerSecond(SAMPLE_LINES_PER_S)
 
   const add = (nowMs: number, entry: Omit<EventEntry, 'atMs' | 'wallMs'>): void =>
     events.add({ atMs: Math.round(nowMs), wallMs: Date.now(), ...entry })
 
-  const writeLine = (nowMs: number, fields: Record<string, string | number>): void => {
+  const writeLine = (nowMs: number, event: LogEventName, fields: Record<string, string | number | boolean>): void => {
     if (!lines.take(nowMs)) return
-    const skipped = lines.takeSkipped()
-    log('request_failed', skipped > 0 ? { ...fields, skipped_lines: skipped } : fields)
+    const count = lines.takeSkipped()
+    if (count > 0) log('lines_left_out', { count })
+    log(event, fields)
   }
 
-  const routed = (attempt: Attempt, purpose: AttemptPurpose): void => {
+  const routed = (attempt: Attempt, purpose: AttemptPurpose, lastResult: ResultName | undefined): void => {
     const { exchange, targetId, reason, startedMs: nowMs } = attempt
     if (purpose === 'retry') metrics.add('retries')
     if (purpose === 'hedge') metrics.add('hedges')
+    if (purpose !== 'first') {
+      writeLine(nowMs, 'request_repeated', { request_id: exchange.id, service: exchange.runtime.configuration.name, kind: exchange.kind.name, purpose, target: targetId, reason, result: lastResult ?? '', attempts: exchange.attemptCount, elapsed_ms: Math.round(nowMs - exchange.arrivedMs) })
+    }
     if (purpose === 'first' && !routes.take(nowMs)) return
     add(nowMs, {
       event: 'request_routed',
@@ -89,9 +94,31 @@
     metrics.recordAnswer(nowMs - exchange.arrivedMs)
     metrics.recordDispatch((attempt.writtenMs ?? nowMs) - exchange.arrivedMs)
     burn.count(configuration.name, exchange.kind, causeOf(exchange, attempt.status, nowMs), attempt.targetId, Date.now())
+    tellAnswer(exchange, attempt, nowMs)
+  }
+
+  const tellAnswer = (exchange: Exchange, attempt: Attempt, nowMs: number): void => {
+    const durationMs = nowMs - exchange.arrivedMs
+    const objectiveMs = exchange.kind.objectiveMs ?? exchange.kind.deadlineMs
+    const isNotable = durationMs > objectiveMs || exchange.attemptCount > 1 || attempt.status >= 400
+    const fields = {
+      request_id: exchange.id,
+      service: exchange.runtime.configuration.name,
+      kind: exchange.kind.name,
+      target: attempt.targetId,
+      status: attempt.status,
+      attempts: exchange.attemptCount,
+      duration_ms: Math.round(durationMs),
+      objective_ms: objectiveMs,
+      sent_after_ms: Math.round((attempt.writtenMs ?? nowMs) - exchange.arrivedMs),
+      reason: attempt.reason,
+      configuration: configurationRevision()
+    }
+    if (isNotable) writeLine(nowMs, 'request_answered', fields)
+    else if (samples.take(nowMs)) log('request_answered', fields)
   }
 
-  const failed = (exchange: Exchange, result: ResultName, targetId: string | undefined, detail: string | undefined): void => {
+  const failed = (exchange: Exchange, result: ResultName, targetId: string | undefined, { detail, retryAfterMs }: { detail?: string, retryAfterMs?: number }): void => {
     const nowMs = clock.nowMs()
     const { code, class: resultClass } = resultCode(result)
     const service = exchange.runtime.configuration.name
@@ -99,7 +126,7 @@
     burn.count(service, exchange.kind, code, targetId, Date.now())
     const text = failureText(exchange, result, targetId, detail)
     add(nowMs, { event: 'request_failed', requestId: exchange.id, service, kind: exchange.kind.name, targetId, resultCode: code, text })
-    writeLine(nowMs, {
+    writeLine(nowMs, 'request_failed', {
       request_id: exchange.id,
       service,
       kind: exchange.kind.name,
@@ -108,19 +135,22 @@
       result_class: resultClass,
       attempts: exchange.attemptCount,
       duration_ms: Math.round(nowMs - exchange.arrivedMs),
+      ...(retryAfterMs !== undefined && { retry_after_ms: Math.round(retryAfterMs) }),
+      configuration: configurationRevision(),
       message: text
     })
   }
 
-  const refused = (call: Call, result: ResultName, detail: string | undefined): void => unreadable(result, call.address, detail)
+  const refused = (call: Call, result: ResultName, detail: string | undefined): void =>
+    unreadable(result, call.address, detail, String(call.req.headers[call.wire.requestIdHeader.toLowerCase()] ?? ''))
 
-  const unreadable = (result: ResultName, address: string, detail: string | undefined): void => {
+  const unreadable = (result: ResultName, address: string, detail: string | undefined, requestId = ''): void => {
     const nowMs = clock.nowMs()
     const { code, message } = resultCode(result)
     metrics.add('refused')
     const text = `A request from ${address} was not run: ${message}${detail === undefined ? '' : ` (${detail})`}.`
     add(nowMs, { event: 'request_failed', resultCode: code, text })
-    writeLine(nowMs, { caller: address, result_code: code, result_class: 'not-run', message: text })
+    writeLine(nowMs, 'request_failed', { request_id: requestId, caller: address, result_code: code, result_class: 'not-run', message: text })
   }
 
   const fault = (error: unknown, requestId: string | undefined): void =>
--- a/packages/daemon/src/service-runtimes.ts
+++ b/packages/daemon/src/service-runtimes.ts
@@ -6,7 +6,7 @@
 import type { Clock, Random } from '@wisteriavalve/common'
 import {
   connectionShare, createAdmission, createRetryBudget, createRouteIndex, createServiceIndex, createTargetTable,
-  type Admission, type ProbeResult, type RetryBudget, type ServiceIndex, type TargetHealth, type TargetTable
+  type Admission, type ProbeResult, type RetryBudget, type RetryLimits, type ServiceIndex, type TargetHealth, type TargetTable
 } from '@wisteriavalve/policy'
 import type { ServiceConfiguration, Target, TargetNote, TargetStatus } from '@wisteriavalve/schema'
 import { createTargetConnections, type BackendConnection, type TargetConnections } from './backend-connections.js'
@@ -29,6 +29,7 @@
 export type ServiceRuntimesOptions = {
   clock: Clock
   random: Random
+  retryLimits?: RetryLimits
   onHealth: (service: string, targetId: string, health: TargetHealth, reason: string) => void
   onSilent: (service: string, targetId: string, retired: BackendConnection[]) => void
 }
@@ -85,7 +86,7 @@
   }
 }
 
-export const createServiceRuntimes = ({ clock, random, onHealth, onSilent }: ServiceRuntimesOptions): ServiceRuntimes => {
+export const createServiceRuntimes = ({ clock, random, retryLimits, onHealth, onSilent }: ServiceRuntimesOptions): ServiceRuntimes => {
   const runtimes = new Map<string, ServiceRuntime>()
   const knownTargets = new Map<string, ServiceTargets>()
   let index: ServiceIndex | undefined
@@ -120,7 +121,7 @@
       configuration,
       table: createTable(configuration, share, draining),
       admission: createAdmission({ queueLengthMax: QUEUE_LENGTH_MAX, capacity: nowMs => runtime.table.capacity(nowMs) }),
-      retryBudget: createRetryBudget(),
+      retryBudget: createRetryBudget(retryLimits),
       connections: new Map(),
       blocked: new Set(),
       share,
--- a/packages/daemon/src/settlement.ts
+++ b/packages/daemon/src/settlement.ts
@@ -52,7 +52,7 @@
   try {
     if (context.isLeaving() && exchange.call.isLatest()) exchange.call.closeAfter()
     answerFailure(exchange.call, result, { requestId: exchange.id, retryAfterMs })
-    context.recorder.failed(exchange, result, targetId, detail)
+    context.recorder.failed(exchange, result, targetId, { detail, retryAfterMs })
   } finally {
     if (hasPlace) releasePlace(context, exchange)
   }
--- a/packages/policy/src/placement.ts
+++ b/packages/policy/src/placement.ts
@@ -137,6 +137,7 @@
   const isLocal = near.length > 0 && request.bodyBytes > LOCAL_BODY_BYTES
   const step = tryGroup(near, routing, request, nowMs, random) ?? (isLocal ? undefined : tryGroup(far, routing, request, nowMs, random))
   if (step) return step
+  if (request.onlyGood) return { step: 'none' }
   if (request.mayWait && nowMs + WAIT_MS + WORK_RESERVE * request.workMs <= request.objectiveAtMs) return { step: 'wait', untilMs: nowMs + WAIT_MS }
   return settle(isLocal ? near : usable, request, nowMs, random)
 }
--- a/packages/policy/src/retry-budget.ts
+++ b/packages/policy/src/retry-budget.ts
@@ -1,16 +1,44 @@
 /**
  * Budgets of extra attempts as shares of the requests of the last ten seconds.
  * Retries have a floor, so that a node with few requests can retry until a
- * failing target is ejected. Hedges have their own smaller share; when they
- * counted against the retries too, they left too few for a target that fails
- * fast. Counts are kept in buckets, so memory does not grow with the load.
+ * failing target is ejected. Hedges have their own share; when they counted
+ * against the retries too, they left too few for a target that fails fast.
+ * Counts are kept in buckets, so memory does not grow with the load.
  */
 import { HEDGE_SHARE, RETRY_FLOOR, RETRY_SHARE, RETRY_WINDOW_MS } from './constants.js'
-import type { RetryBudget } from './types.js'
+import type { RetryBudget, RetryLimits } from './types.js'
 
 const BUCKETS = 20
 const BUCKET_MS = RETRY_WINDOW_MS / BUCKETS
 
+const DEFAULT_LIMITS: RetryLimits = { retryShare: RETRY_SHARE, hedgeShare: HEDGE_SHARE, retryFloor: () => RETRY_FLOOR }
+
+/** Parts of a limit for a whole fleet that go to retries, to hedges, and to all nodes' floors. */
+const FLEET_RETRY_PART = 0.35
+const FLEET_HEDGE_PART = 0.5
+const FLEET_FLOOR_PART = 0.8
+/** A node that just started does not know the size of its fleet yet. */
+const NODES_MIN = 12
+
+/**
+ * This node's part of a limit for the whole fleet: `share` of the requests of
+ * a service, and `extra` on top for all nodes together. Shares need no
+ * agreement, since each node takes them of its own requests. The extra part is
+ * divided by the most nodes ever seen, so that the sides of a partition
+ * together do not exceed it.
+ */
+export const shareRetryLimits = (share: number, extra: number, nodeCount: () => number): RetryLimits => {
+  let nodesMax = NODES_MIN
+  return {
+    retryShare: FLEET_RETRY_PART * share,
+    hedgeShare: FLEET_HEDGE_PART * share,
+    retryFloor: () => {
+      nodesMax = Math.max(nodesMax, nodeCount())
+      return FLEET_FLOOR_PART * extra / nodesMax
+    }
+  }
+}
+
 type Counts = { requests: number, retries: number, hedges: number }
 
 const addCounts = (total: Counts, bucket: Counts, sign: 1 | -1): void => {
@@ -19,7 +47,7 @@
   total.hedges += sign * bucket.hedges
 }
 
-export const createRetryBudget = (): RetryBudget => {
+export const createRetryBudget = ({ retryShare, hedgeShare, retryFloor }: RetryLimits = DEFAULT_LIMITS): RetryBudget => {
   const buckets = Array.from({ length: BUCKETS }, (): Counts => ({ requests: 0, retries: 0, hedges: 0 }))
   const total: Counts = { requests: 0, retries: 0, hedges: 0 }
   let newest = -Infinity
@@ -44,9 +72,9 @@
 
   const tryTake = (purpose: 'retry' | 'hedge', nowMs: number): boolean => {
     current(nowMs)
-    if (purpose === 'retry' && total.retries + 1 > Math.max(RETRY_FLOOR, RETRY_SHARE * total.requests)) return false
+    if (purpose === 'retry' && total.retries + 1 > Math.max(retryFloor(), retryShare * total.requests)) return false
     // Without a floor, since a hedge serves latency only.
-    if (purpose === 'hedge' && total.hedges + 1 > HEDGE_SHARE * total.requests) return false
+    if (purpose === 'hedge' && total.hedges + 1 > hedgeShare * total.requests) return false
     add(nowMs, purpose === 'retry' ? 'retries' : 'hedges')
     return true
   }
--- a/packages/policy/src/types.ts
+++ b/packages/policy/src/types.ts
@@ -206,6 +206,8 @@
   probed: ReadonlySet<string>
   mayWait: boolean
   mayRefuse: boolean
+  /** Whether a target that is busy or slow is no use, as for a hedge. */
+  onlyGood: boolean
 }
 
 export type Placement =
@@ -260,6 +262,15 @@
   loadPercent: (nowMs: number) => number
 }
 
+/** Extra attempts that a node may make of one service. */
+export type RetryLimits = {
+  /** Retries as a share of the requests of the window. */
+  retryShare: number
+  hedgeShare: number
+  /** Retries that are allowed in a window however few requests there are. */
+  retryFloor: () => number
+}
+
 export type RetryBudget = {
   noteRequest: (nowMs: number) => void
   /** Takes one extra attempt from the budget; false when it is used up. */
