--- a/packages/daemon/src/adapters/http-json.ts
+++ b/packages/daemon/src/adapters/http-json.ts
@@ -1,7 +1,7 @@
 /**
  * GET of small documents from the platform by undici, bounded in time and size.
  */
-import { Agent, request } from 'undici'
+import { Agent } from 'undici'
 import type { Result } from '@wisteriavalve/common'
 import { withDeadline } from './deadline.js'
 
@@ -35,7 +35,8 @@
   const get: HttpReader['get'] = async (url, { timeoutMs, signal }) => {
     try {
       return await withDeadline(timeoutMs, signal, async deadline => {
-        const response = await request(url, { dispatcher, signal: deadline })
+        const { origin, pathname, search } = new URL(url)
+        const response = await dispatcher.request({ origin, path: pathname + search, method: 'GET', signal: deadline })
         const body = await readBody(response.body, bytesMax)
         return { ok: true, value: { status: response.statusCode, headers: response.headers, body } }
       })
--- a/packages/daemon/src/adapters/peer-client.ts
+++ b/packages/daemon/src/adapters/peer-client.ts
@@ -4,7 +4,7 @@
  */
 import { createTRPCClient, httpLink, type TRPCClient } from '@trpc/client'
 import { LRUCache } from 'lru-cache'
-import { Agent, request } from 'undici'
+import { Agent } from 'undici'
 import type { MemberUpdate } from '@wisteriavalve/schema'
 import { withDeadline } from './deadline.js'
 import { AUTHENTICATION_HEADER, isSameMac, REQUEST_NONCE_HEADER, type PeerAuth } from './peer-auth.js'
@@ -32,14 +32,15 @@
   let bytesReceived = 0
 
   const signedFetch = async (url: string | URL, options: { method?: string, body?: unknown, signal?: AbortSignal | null } = {}) => {
-    const { pathname, search } = new URL(url)
+    const { origin, pathname, search } = new URL(url)
     const method = options.method ?? 'GET'
     const body = typeof options.body === 'string' ? options.body : ''
     const nonce = auth.newNonce()
     callCount++
     const { status, mac, bytes } = await withDeadline(CALL_TIMEOUT_MS, options.signal, async signal => {
-      const response = await request(url, {
-        dispatcher,
+      const response = await dispatcher.request({
+        origin,
+        path: pathname + search,
         signal,
         method: method as 'GET' | 'POST',
         body: method === 'POST' ? body : undefined,
--- a/packages/daemon/src/listening.ts
+++ b/packages/daemon/src/listening.ts
@@ -2,7 +2,7 @@
  * Binding of listening addresses.
  */
 import type { Server } from 'node:net'
-import { startFault, type StartFault } from './settings.js'
+import { startFault, type StartFault } from './start-fault.js'
 import type { ListenAddress } from './types.js'
 
 export const isStartFault = (error: unknown): error is StartFault =>
--- a/packages/daemon/src/metrics.ts
+++ b/packages/daemon/src/metrics.ts
@@ -1,13 +1,10 @@
 /**
- * Counts and histograms of the request path, and their text in the Prometheus
- * format. Counting is a plain addition; prom-client only renders.
+ * Counts and histograms of the request path. Counting is a plain addition.
  */
 import { build, type Histogram } from 'hdr-histogram-js'
-import { Counter, Gauge, Registry } from 'prom-client'
 import type { Clock } from '@wisteriavalve/common'
 import type { Kind } from '@wisteriavalve/schema'
 
-const QUANTILES = [50, 90, 99, 99.9]
 const US_PER_MS = 1_000
 const HALF_WINDOW_MS = 1_800_000
 
@@ -33,7 +30,7 @@
   bitBucketSize: 32, autoResize: true, lowestDiscernibleValue: 1, highestTrackableValue: 3_600_000 * US_PER_MS, numberOfSignificantValueDigits: 2, useWebAssembly: false
 })
 
-type Durations = { record: (durationMs: number) => void, rotate: (nowMs: number) => void, quantileMs: (percentile: number) => number }
+export type Durations = { record: (durationMs: number) => void, rotate: (nowMs: number) => void, quantileMs: (percentile: number) => number }
 
 /** Durations of the last half to whole hour: the older half is dropped when the newer one is full. */
 const createDurations = (clock: Clock): Durations => {
@@ -60,52 +57,13 @@
   }
 }
 
-const addSummary = (registry: Registry, name: string, help: string, durations: Durations): void => {
-  const gauge = new Gauge({
-    name,
-    help,
-    labelNames: ['quantile'],
-    registers: [registry],
-    collect: () => {
-      for (const quantile of QUANTILES) gauge.set({ quantile: String(quantile / 100) }, durations.quantileMs(quantile))
-    }
-  })
-}
-
-const addResults = (registry: Registry, results: ReadonlyMap<string, KindCounts>): void => {
-  const counter = new Counter({
-    name: 'wisteriavalve_requests_total',
-    help: 'Requests by service, kind and result; answered, or a result code.',
-    labelNames: ['service', 'kind', 'result'],
-    registers: [registry],
-    collect: () => {
-      counter.reset()
-      for (const { service, kind, byResult } of results.values()) {
-        for (const [result, count] of byResult) counter.inc({ service, kind, result }, count)
-      }
-    }
-  })
-}
-
-const addGauges = (registry: Registry, gauges: Gauges): void => {
-  const gauge = new Gauge({
-    name: 'wisteriavalve_node',
-    help: 'State and counts of this node, by name.',
-    labelNames: ['name'],
-    registers: [registry],
-    collect: () => {
-      for (const [name, value] of Object.entries(gauges())) gauge.set({ name }, value)
-    }
-  })
-}
-
 /** @param gauges further values of the node, read when metrics are asked for */
 export const createMetrics = (clock: Clock, gauges: Gauges): Metrics => {
   const results = new Map<string, KindCounts>()
   const counts: Record<CounterName, number> = { retries: 0, hedges: 0, refused: 0, pauses: 0, retired_connections: 0, load_probes: 0 }
   const answers = createDurations(clock)
   const dispatches = createDurations(clock)
-  const registry = new Registry()
+  let renderer: (() => Promise<string>) | undefined
 
   const countResult = (service: string, kind: Kind, result: string): void => {
     const key = `${service} ${kind.name}`
@@ -122,10 +80,6 @@
     return totals
   }
 
-  addResults(registry, results)
-  addSummary(registry, 'wisteriavalve_request_duration_ms', 'Time from arrival of a request to the end of its answer.', answers)
-  addSummary(registry, 'wisteriavalve_dispatch_delay_ms', 'Time from arrival of a request to its first byte towards a backend server.', dispatches)
-  addGauges(registry, () => ({ ...counts, ...gauges() }))
   return {
     countResult,
     recordAnswer: answers.record,
@@ -136,6 +90,10 @@
       dispatches.rotate(nowMs)
     },
     counters: () => ({ ...resultTotals(), ...counts, ...gauges() }),
-    text: () => registry.metrics()
+    text: async () => {
+      // Loaded when metrics are asked for, which keeps the start short.
+      renderer ??= (await import('./metrics-text.js')).createMetricsText({ results, answers, dispatches, gauges: () => ({ ...counts, ...gauges() }) })
+      return renderer()
+    }
   }
 }
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -6,15 +6,10 @@
 import { isIP } from 'node:net'
 import { Command, CommanderError, Option } from 'commander'
 import type { Result } from '@wisteriavalve/common'
-import { SETTINGS, resultCode, type SettingName } from '@wisteriavalve/schema'
+import { SETTINGS, type SettingName } from '@wisteriavalve/schema'
+import { startFault, type StartFault } from './start-fault.js'
 import type { DaemonSettings, ListenAddress } from './types.js'
 
-/** Why the daemon does not start. */
-export type StartFault = { name: 'setting-invalid' | 'setting-missing' | 'address-in-use', code: string, message: string }
-
-export const startFault = (name: StartFault['name'], message: string): StartFault =>
-  ({ name, code: resultCode(name).code, message })
-
 type Read = (text: string) => { ok: true, value: unknown } | { ok: false, expected: string }
 
 const POLICIES = ['round-robin', 'random', 'least-in-flight', 'two-choices', 'prequal', 'adaptive']
--- a/packages/schema/src/validators.ts
+++ b/packages/schema/src/validators.ts
@@ -1,6 +1,5 @@
 /**
- * Validators of the documents, compiled from the generated schemas when this
- * module is loaded. A validator narrows an unknown value to its type;
+ * Validators of the documents, compiled from the generated schemas. A validator narrows an unknown value to its type;
  * `explainErrors` tells what is wrong with a value that was refused.
  */
 import { Ajv, type ErrorObject, type ValidateFunction } from 'ajv'
@@ -10,10 +9,31 @@
   Head, MemberUpdate, NodeReport, NodeStatus, ServiceConfiguration, Shard, VmEntry, VmList
 } from './generated/types.js'
 
-const ajv = new Ajv({ allErrors: true, strict: false })
-ajv.addSchema([configurationSchema, messagesSchema, adminSchema, answersSchema])
+let ajv: Ajv | undefined
 
-const compileDefinition = <T>(reference: string): ValidateFunction<T> => ajv.compile<T>({ $ref: reference })
+const createAjv = (): Ajv => {
+  const created = new Ajv({ allErrors: true, strict: false })
+  created.addSchema([configurationSchema, messagesSchema, adminSchema, answersSchema])
+  return created
+}
+
+/** Narrows a value to its type; the faults of the last call that returned false are kept. */
+export type Validator<T> = {
+  (value: unknown): value is T
+  errors?: ErrorObject[] | null
+}
+
+/** Compiled on first use, since a daemon needs few of the validators and its start should be short. */
+const compileDefinition = <T>(reference: string): Validator<T> => {
+  let compiled: ValidateFunction<T> | undefined
+  const validate: Validator<T> = (value): value is T => {
+    if (!compiled) compiled = (ajv ??= createAjv()).compile<T>({ $ref: reference })
+    const isValid = compiled(value)
+    validate.errors = compiled.errors
+    return isValid
+  }
+  return validate
+}
 
 export const isAnswers = compileDefinition<Answers>('answers')
 export const isHead = compileDefinition<Head>('configuration#/definitions/Head')
