Let requests wait for the first configuration, and never wait for a reader of the log

Cause: a node that has just started refused requests for the 100 ms until it had a configuration; log lines were written synchronously, so a reader that stops would have stopped the process. Change: a start gate of 300 ms at most; a line writer with a bounded buffer that drops and counts.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -143,6 +143,7 @@
     if (adopted.callerBounds) callers.setBounds(adopted.callerBounds)
     runtimes.applyConfiguration(adopted)
     lifecycle.send('configured')
+    pipeline.onConfigured()
   }
 
   const status = (): NodeStatus => {
--- a/packages/daemon/src/request-pipeline.ts
+++ b/packages/daemon/src/request-pipeline.ts
@@ -12,12 +12,18 @@
 import type { PipelineContext } from './pipeline-context.js'
 import { createRequestBody } from './request-body.js'
 import type { ServiceRuntime } from './service-runtimes.js'
+import { createStartGate } from './start-gate.js'
 import { contain, failExchange, onBodyTooLarge, onCallerGone, onDeadline, onNoProgress } from './settlement.js'
 
+/** A node without a configuration expects to have one after this time. */
+const NOT_READY_RETRY_AFTER_MS = 250
+
 export type RequestPipeline = {
   handle: (call: Call) => void
   callerLimits: CallerLimits
   inFlightCount: () => number
+  /** To be called when the first configuration is in force. */
+  onConfigured: () => void
 }
 
 type Accepted = Extract<Examined, { ok: true }>
@@ -34,7 +40,7 @@
 const deadlineOf = ({ kind, control: { timeoutMs = Infinity } }: Accepted, nowMs: number): number =>
   nowMs + (kind.boundedBy === 'progress' ? timeoutMs : Math.min(timeoutMs, kind.deadlineMs))
 
-const createExchange = (context: PipelineContext, call: Call, accepted: Accepted, runtime: ServiceRuntime): Exchange => {
+const createExchange = (context: PipelineContext, call: Call, accepted: Accepted, runtime: ServiceRuntime, arrivedMs: number): Exchange => {
   const { kind, control, path } = accepted
   const nowMs = context.clock.nowMs()
   const givenId = call.req.headers[context.wire.requestIdHeader.toLowerCase()]
@@ -57,9 +63,9 @@
     headers: forwardedHeaders(context, call, id),
     depth: control.depth,
     allowance: control.allowance,
-    arrivedMs: nowMs,
+    arrivedMs,
     admittedMs: nowMs,
-    deadlineMs: deadlineOf(accepted, nowMs),
+    deadlineMs: deadlineOf(accepted, arrivedMs),
     queueId: '',
     phase: 'collecting',
     tried: new Set(),
@@ -125,6 +131,7 @@
 }
 
 export const createRequestPipeline = (context: PipelineContext, callerLimits: CallerLimits): RequestPipeline => {
+  const gate = createStartGate(context.clock)
   let inFlightCount = 0
 
   const refuse = (call: Call, result: ResultName, detail?: string, retryAfterMs?: number): void => {
@@ -132,8 +139,8 @@
     context.recorder.refused(call, result, detail)
   }
 
-  const begin = (call: Call, accepted: Accepted, runtime: ServiceRuntime): void => {
-    const exchange = createExchange(context, call, accepted, runtime)
+  const begin = (call: Call, accepted: Accepted, runtime: ServiceRuntime, arrivedMs: number): void => {
+    const exchange = createExchange(context, call, accepted, runtime, arrivedMs)
     inFlightCount++
     call.onClosed = () => {
       inFlightCount--
@@ -146,21 +153,36 @@
     })
   }
 
-  const handle = (call: Call): void => {
-    const limit = callerLimits.tryRequest(call.address, context.clock.nowMs())
-    if (!limit.ok) {
-      refuse(call, 'caller-limit', undefined, limit.retryAfterMs)
-      return
-    }
+  const examine = (call: Call, arrivedMs: number): void => {
     const examined = examineCall(call, context.runtimes.index(), context.wire)
     if (!examined.ok) {
-      refuse(call, examined.result, examined.detail)
+      refuse(call, examined.result, examined.detail, examined.result === 'node-not-ready' ? NOT_READY_RETRY_AFTER_MS : undefined)
       return
     }
     const runtime = context.runtimes.get(examined.service.name)
-    if (runtime) begin(call, examined, runtime)
+    if (runtime) begin(call, examined, runtime, arrivedMs)
     else refuse(call, 'service-unknown')
   }
 
-  return { handle, callerLimits, inFlightCount: () => inFlightCount }
+  const waitForConfiguration = (call: Call, arrivedMs: number): void => {
+    let isGone = false
+    call.onClosed = () => { isGone = true }
+    const resume = (): void => {
+      call.onClosed = undefined
+      if (!isGone) examine(call, arrivedMs)
+    }
+    if (!gate.tryWait(resume, resume)) resume()
+  }
+
+  const handle = (call: Call): void => {
+    const limit = callerLimits.tryRequest(call.address, context.clock.nowMs())
+    if (!limit.ok) {
+      refuse(call, 'caller-limit', undefined, limit.retryAfterMs)
+      return
+    }
+    if (context.runtimes.index()) examine(call, context.clock.nowMs())
+    else waitForConfiguration(call, context.clock.nowMs())
+  }
+
+  return { handle, callerLimits, inFlightCount: () => inFlightCount, onConfigured: gate.open }
 }
--- a/packages/daemon/src/run-daemon.ts
+++ b/packages/daemon/src/run-daemon.ts
@@ -6,13 +6,15 @@
 import { createEventRecord, createRandom, createSystemClock } from '@wisteriavalve/common'
 import { EVENT_RECORD_CAPACITY, EXIT_ADDRESS, EXIT_FAULT, EXIT_SETTINGS } from './constants.js'
 import { createDaemon, type Daemon, type DaemonOptions } from './daemon.js'
+import { createLineWriter } from './line-writer.js'
 import { isStartFault } from './listening.js'
 import { createLog } from './logs.js'
 import type { StartFault } from './start-fault.js'
 import type { DaemonContext, DaemonSettings, FleetRuntime, Log } from './types.js'
 
-/** Log lines are written synchronously, so the last ones are not lost when the process exits. */
-export const writeLine = (line: string): void => { process.stdout.write(`${line}\n`) }
+const STDOUT = 1
+/** Lines that were dropped are told this often. */
+const DROPPED_CHECK_MS = 5_000
 
 export const failStart = (log: Log, { code, name, message }: StartFault): void => {
   log('start_failed', { result_code: code, message })
@@ -49,6 +51,15 @@
   process.on('SIGINT', onSignal)
 }
 
+const tellDropped = ({ clock, log }: DaemonContext, takeDropped: () => number): void => {
+  const check = (): void => {
+    const count = takeDropped()
+    if (count > 0) log('lines_left_out', { count, reason: 'nobody reads the log' })
+    clock.after(DROPPED_CHECK_MS, check)
+  }
+  clock.after(DROPPED_CHECK_MS, check)
+}
+
 /** What makes the daemon of one installation out of its parts. */
 export type DaemonProgram = {
   createFleet: (context: DaemonContext) => FleetRuntime
@@ -59,9 +70,12 @@
 
 /** Runs a daemon until it is told to stop. */
 export const runDaemon = async (settings: DaemonSettings, { createFleet, options, onStarted }: DaemonProgram): Promise<void> => {
-  const log = createLog(settings.logLevel, writeLine)
+  const writer = createLineWriter(STDOUT)
+  const log = createLog(settings.logLevel, writer.write)
+  process.once('exit', writer.flush)
   exitOnFault(log)
   const context = createContext(settings, log)
+  tellDropped(context, writer.takeDropped)
   const fleet = createFleet(context)
   const daemon = createDaemon(context, fleet, options)
   leaveOnSignals(daemon.leave)
--- a/packages/daemon/src/run.ts
+++ b/packages/daemon/src/run.ts
@@ -3,7 +3,7 @@
  */
 import { CommanderError } from 'commander'
 import { createLog } from './logs.js'
-import { failStart, runDaemon, writeLine } from './run-daemon.js'
+import { failStart, runDaemon } from './run-daemon.js'
 import { parseSettings } from './settings.js'
 import type { DaemonContext, FleetRuntime } from './types.js'
 
@@ -12,7 +12,7 @@
   try {
     const settings = parseSettings(args, env)
     if (settings.ok) await runDaemon(settings.value, { createFleet })
-    else failStart(createLog('error', writeLine), settings.error)
+    else failStart(createLog('error', line => { process.stdout.write(`${line}\n`) }), settings.error)
   } catch (error) {
     if (!(error instanceof CommanderError)) throw error
   }
