Bound how often targets are asked for their load, over all nodes

Cause: nothing kept the probes of a placement within the agreed limit of probes for each target and second. Change: each node takes an equal part of the limit, with a burst of 5 s; a target that may not be asked is placed by its last report.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -3,7 +3,7 @@
  * nodes, the admin address and the life of the process.
  */
 import { createRandom } from '@wisteriavalve/common'
-import { createCallerLimits, createWorkTimes, shareRetryLimits, type CallerLimitsOptions, type PolicyName } from '@wisteriavalve/policy'
+import { createCallerLimits, createFleetSize, createProbeAllowance, createWorkTimes, shareRetryLimits, type CallerLimitsOptions, type PolicyName } from '@wisteriavalve/policy'
 import type { NodeReport, NodeStatus } from '@wisteriavalve/schema'
 import { createCallerServer } from './adapters/caller-http.js'
 import type { ExplainQuery } from './admin-api.js'
@@ -51,15 +51,18 @@
   collectBytesMax?: number
   /** Asks targets for their load before each use. */
   asksBeforeUse?: boolean
+  /** Probes of one target that all nodes together may send. */
+  probesPerTargetPerS?: number
   /** Repeats that the whole fleet may make of a service: a share of its requests, and some on top. */
   fleetRetries?: { share: number, extra: number }
 }
 
 export const createDaemon = (
-  { settings, clock, random, log, events }: DaemonContext, fleet: FleetRuntime, { callerLimits = CALLER_LIMITS, wire = PRODUCT_WIRE, collectBytesMax = REPLAY_BYTES_MAX, asksBeforeUse = false, fleetRetries }: DaemonOptions = {}
+  { settings, clock, random, log, events }: DaemonContext, fleet: FleetRuntime, { callerLimits = CALLER_LIMITS, wire = PRODUCT_WIRE, collectBytesMax = REPLAY_BYTES_MAX, asksBeforeUse = false, probesPerTargetPerS = 0, fleetRetries }: DaemonOptions = {}
 ): Daemon => {
   const startedMs = clock.nowMs()
   const startedWallMs = Date.now()
+  const fleetSize = createFleetSize(() => fleet.members().length)
   const lifecycle = createLifecycle(() => undefined)
   const burn = createBurnBuckets()
   const nodeEvents = createNodeEvents({ clock, events, log })
@@ -74,7 +77,7 @@
     clock,
     random: createRandom(random.int(0x7fffffff)),
     asksBeforeUse,
-    ...(fleetRetries && { retryLimits: shareRetryLimits(fleetRetries.share, fleetRetries.extra, () => fleet.members().length) }),
+    ...(fleetRetries && { retryLimits: shareRetryLimits(fleetRetries.share, fleetRetries.extra, fleetSize) }),
     onHealth: nodeEvents.targetHealth,
     onSilent: (service, targetId, retired) => {
       for (let count = 0; count < retired.length; count++) metrics.add('retired_connections')
@@ -116,6 +119,7 @@
     collectBytesMax,
     asksBeforeUse,
     workTimes: createWorkTimes(),
+    probeAllowance: createProbeAllowance(probesPerTargetPerS, fleetSize),
     wheel: createDeadlineWheel(clock, WHEEL_TICK_MS),
     pause,
     runtimes,
--- a/packages/daemon/src/pipeline-context.ts
+++ b/packages/daemon/src/pipeline-context.ts
@@ -2,7 +2,7 @@
  * What the steps of the request path share.
  */
 import type { Clock, Random } from '@wisteriavalve/common'
-import type { PolicyName, WorkTimes } from '@wisteriavalve/policy'
+import type { PolicyName, ProbeAllowance, WorkTimes } from '@wisteriavalve/policy'
 import type { Call } from './adapters/caller-http.js'
 import type { ResultName } from '@wisteriavalve/schema'
 import type { DeadlineWheel } from './deadline-wheel.js'
@@ -39,6 +39,7 @@
   /** Whether targets are asked for their load before each use. */
   asksBeforeUse: boolean
   workTimes: WorkTimes
+  probeAllowance: ProbeAllowance
   headers: HeaderRules
   /** Bodies up to this size are collected before they are sent, and kept for another attempt. */
   collectBytesMax: number
--- a/packages/daemon/src/placing.ts
+++ b/packages/daemon/src/placing.ts
@@ -23,6 +23,7 @@
     objectiveAtMs: arrivedMs + objectiveMs,
     deadlineMs,
     probed,
+    mayProbe: targetId => context.probeAllowance.has(targetId, context.clock.nowMs()),
     mayWait: purpose !== 'hedge',
     mayRefuse: purpose === 'first',
     onlyGood: purpose === 'hedge'
@@ -42,6 +43,7 @@
   const probe = (targetIds: readonly string[]): void => {
     for (const targetId of targetIds) {
       probed.add(targetId)
+      context.probeAllowance.take(targetId, context.clock.nowMs())
       pendingCount++
       probeLoad(context, runtime, targetId, () => {
         pendingCount--
--- a/packages/policy/src/placement.ts
+++ b/packages/policy/src/placement.ts
@@ -102,7 +102,7 @@
   const fresh = group.filter(state => isFresh(state, nowMs) && isGood(state))
   const good = lowest(fresh.filter(({ health }) => health !== 'cold'), state => finishOf(state, loadOf(state), request.zone, nowMs), random)
   if (good) return { step: 'send', targetId: good.target.id, reason: describe(good, nowMs) }
-  const unasked = group.filter(state => !request.probed.has(state.target.id) && !isFresh(state, nowMs))
+  const unasked = group.filter(state => !request.probed.has(state.target.id) && !isFresh(state, nowMs) && request.mayProbe(state.target.id))
   const targetIds: string[] = []
   for (let count = 0; count < PROBES_AT_A_TIME; count++) {
     const next = lowest(unasked.filter(({ target }) => !targetIds.includes(target.id)), state => guessOf(state, routing, request, nowMs), random)
--- a/packages/policy/src/retry-budget.ts
+++ b/packages/policy/src/retry-budget.ts
@@ -21,26 +21,16 @@
 const FLEET_RETRY_PART = 0.35
 const FLEET_HEDGE_PART = 0.5
 const FLEET_FLOOR_PART = 0.8
-/** A node that just started does not know the size of its fleet yet. */
-const NODES_MIN = 12
 
 /**
  * This node's part of a limit for the whole fleet: `share` of the requests of
  * a service, and `extra` on top for all nodes together. Shares need no
- * agreement, since each node takes them of its own requests. The extra part is
- * divided by the most nodes ever seen, so that the sides of a partition
- * together do not exceed it.
+ * agreement, since each node takes them of its own requests.
  */
-export const shareRetryLimits = (share: number, extra: number, nodeCount: () => number): RetryLimits => {
-  let nodesMax = NODES_MIN
-  return {
-    retriesMax: requestCount => {
-      nodesMax = Math.max(nodesMax, nodeCount())
-      return FLEET_FLOOR_PART * extra / nodesMax + FLEET_RETRY_PART * share * requestCount
-    },
-    hedgesMax: requestCount => FLEET_HEDGE_PART * share * requestCount
-  }
-}
+export const shareRetryLimits = (share: number, extra: number, fleetSize: () => number): RetryLimits => ({
+  retriesMax: requestCount => FLEET_FLOOR_PART * extra / fleetSize() + FLEET_RETRY_PART * share * requestCount,
+  hedgesMax: requestCount => FLEET_HEDGE_PART * share * requestCount
+})
 
 type Counts = { requests: number, retries: number, hedges: number }
 
--- a/packages/policy/src/types.ts
+++ b/packages/policy/src/types.ts
@@ -204,6 +204,8 @@
   deadlineMs: number
   /** Targets that were asked since the last wait, whether they answered or not. */
   probed: ReadonlySet<string>
+  /** Whether the limit on probes allows to ask a target now. */
+  mayProbe: (targetId: string) => boolean
   mayWait: boolean
   mayRefuse: boolean
   /** Whether a target that is busy or slow is no use, as for a hedge. */
--- a/packages/policy/test/placement.test.ts
+++ b/packages/policy/test/placement.test.ts
@@ -26,6 +26,7 @@
   objectiveAtMs: NOW_MS + 400,
   deadlineMs: NOW_MS + 1000,
   probed: new Set(),
+  mayProbe: () => true,
   mayWait: true,
   mayRefuse: true,
   onlyGood: false,
@@ -56,6 +57,13 @@
   t.deepEqual(plan(created), { step: 'probe', targetIds: ['t0'] })
 })
 
+test('a target that was asked as often as its limit allows is not asked again', t => {
+  const created = table(['a', 'a'])
+  reportAll(created, [QUIET, QUIET], NOW_MS - 100)
+  t.deepEqual(plan(created, { mayProbe: targetId => targetId === 't1' }), { step: 'probe', targetIds: ['t1'] })
+  t.is(plan(created, { mayProbe: () => false, mayWait: false }).step, 'send')
+})
+
 test('when the zone has only noisy or full targets, small requests ask other zones and large ones wait', t => {
   const created = table(['a', 'a', 'b'])
   reportAll(created, [NOISY, FULL])
--- a/packages/policy/test/retry-limits.test.ts
+++ b/packages/policy/test/retry-limits.test.ts
@@ -1,9 +1,10 @@
 /**
  * Guards against a fleet whose nodes together repeat more than its limit, also
- * when a partition hides them from each other.
+ * when a partition hides them from each other, and against nodes that together
+ * ask a target more often than its limit.
  */
 import test from 'ava'
-import { createRetryBudget, shareRetryLimits } from '../src/index.js'
+import { createFleetSize, createProbeAllowance, createRetryBudget, shareRetryLimits } from '../src/index.js'
 
 const SHARE = 0.2
 const EXTRA = 75
@@ -12,7 +13,7 @@
   let repeats = 0
   for (let node = 0; node < nodeCount; node++) {
     let seen = nodeCount
-    const budget = createRetryBudget(shareRetryLimits(SHARE, EXTRA, () => seen))
+    const budget = createRetryBudget(shareRetryLimits(SHARE, EXTRA, createFleetSize(() => seen)))
     if (budget.tryTake('retry', 0)) repeats++
     seen = seenCount
     for (let count = 0; count < requestsPerNode; count++) budget.noteRequest(count)
@@ -32,3 +33,19 @@
     })
   }
 }
+
+test('20 nodes that ask as often as they may stay within the limit of a target, but for one burst', t => {
+  const ratePerS = 60
+  const nodes = Array.from({ length: 20 }, () => createProbeAllowance(ratePerS, createFleetSize(() => 20)))
+  const durationS = 60
+  let asked = 0
+  for (let nowMs = 0; nowMs < durationS * 1000; nowMs += 10) {
+    for (const node of nodes) {
+      if (!node.has('t', nowMs)) continue
+      node.take('t', nowMs)
+      asked++
+    }
+  }
+  t.true(asked <= ratePerS * (durationS + 5))
+  t.true(asked >= 0.9 * ratePerS * durationS)
+})
