Follow a request through the logs with wisteriavalve trace

Cause: when a user complains, the on-call engineers have only logs and metrics, and nothing led from a request's id to the cause. Change: each line names its node; the tool reads logs of several nodes, prints the request's lines with what its node knew, and says the cause in a sentence.

--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -8,6 +8,7 @@
 import { initCommand } from './commands/init.js'
 import { reportCommand } from './commands/report.js'
 import { statusCommand } from './commands/status.js'
+import { traceCommand } from './commands/trace.js'
 import type { CommandModule } from './types.js'
 
-export const COMMANDS: readonly CommandModule[] = [initCommand, checkCommand, generateCommand, diffCommand, statusCommand, explainCommand, reportCommand]
+export const COMMANDS: readonly CommandModule[] = [initCommand, checkCommand, generateCommand, diffCommand, statusCommand, explainCommand, traceCommand, reportCommand]
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -196,7 +196,6 @@
     await listen(admin, settings.adminListen, '--admin-listen')
     await fleet.start(peerSource).catch((error: unknown) => { throw bindFault(error) })
     log('daemon_started', {
-      node: settings.nodeId,
       zone: settings.zone,
       caller_address: `${settings.callerListen.host}:${boundPort(callers.server)}`,
       admin_address: `${settings.adminListen.host}:${boundPort(admin)}`
--- a/packages/daemon/src/fleet/fleet-runtime.ts
+++ b/packages/daemon/src/fleet/fleet-runtime.ts
@@ -57,7 +57,7 @@
   }
 
   const onMember = (member: MemberUpdate, previous: MemberState | undefined): void => {
-    context.log('member_state', { node: member.nodeId, state: member.state, previous: previous ?? 'unknown', incarnation: member.incarnation })
+    context.log('member_state', { member: member.nodeId, state: member.state, previous: previous ?? 'unknown', incarnation: member.incarnation })
     context.events.add({
       atMs: clock.nowMs(),
       wallMs: Date.now(),
--- a/packages/daemon/src/fleet/store-fleet.ts
+++ b/packages/daemon/src/fleet/store-fleet.ts
@@ -95,7 +95,7 @@
       watch: createPeerStore(clients, peer),
       noteFailed: message => {
         distrustedUntilMs.set(peer.nodeId, clock.nowMs() + DISTRUST_MS)
-        log('peer_unreachable', { node: peer.nodeId, message })
+        log('peer_unreachable', { member: peer.nodeId, message })
       }
     }
   }
@@ -129,7 +129,7 @@
   })
 
   const onMember = (member: MemberUpdate, previous: MemberState | undefined): void => {
-    log('member_state', { node: member.nodeId, state: member.state, previous: previous ?? 'unknown', incarnation: member.incarnation })
+    log('member_state', { member: member.nodeId, state: member.state, previous: previous ?? 'unknown', incarnation: member.incarnation })
     events.add({
       atMs: clock.nowMs(),
       wallMs: Date.now(),
@@ -152,7 +152,7 @@
       const view = await clients.to(peer).published.query({ revision: state.revision() })
       if (view && !isStopped) applyAll(view, peer.nodeId)
     } catch (error) {
-      log('peer_unreachable', { node: peer.nodeId, message: describeError(error) })
+      log('peer_unreachable', { member: peer.nodeId, message: describeError(error) })
     }
   }
 
--- a/packages/daemon/src/logs.ts
+++ b/packages/daemon/src/logs.ts
@@ -14,10 +14,11 @@
   write: json => writeLine(logfmt.stringify(JSON.parse(json) as object))
 })
 
-export const createLog = (level: string, writeLine: (line: string) => void): Log => {
+/** @param node id of this node, told in each line */
+export const createLog = (level: string, writeLine: (line: string) => void, node?: string): Log => {
   const logger = pino({
     level,
-    base: null,
+    base: node === undefined ? null : { node },
     timestamp: () => `,"time":"${new Date().toISOString()}"`,
     formatters: { level: label => ({ level: label }) }
   }, createLogfmtDestination(writeLine))
--- a/packages/daemon/src/run-daemon.ts
+++ b/packages/daemon/src/run-daemon.ts
@@ -71,7 +71,7 @@
 /** Runs a daemon until it is told to stop. */
 export const runDaemon = async (settings: DaemonSettings, { createFleet, options, onStarted }: DaemonProgram): Promise<void> => {
   const writer = createLineWriter(STDOUT)
-  const log = createLog(settings.logLevel, writer.write)
+  const log = createLog(settings.logLevel, writer.write, settings.nodeId)
   process.once('exit', writer.flush)
   exitOnFault(log)
   const context = createContext(settings, log)
