--- a/packages/cli/src/trace/path.ts
+++ b/packages/cli/src/trace/path.ts
@@ -43,15 +43,20 @@
   lines.reduce((newest, { event, wallMs, fields }) =>
     event === 'configuration_adopted' && wallMs <= untilMs ? Math.max(newest, Number(fields.revision)) : newest, 0)
 
-const describeRefusal = ({ fields }: LogLine): string => {
+/** Messages are sentences; inside another one they end without a full stop. */
+const messageOf = ({ fields }: LogLine): string => (fields.message ?? '').replace(/\.$/, '')
+
+const describeRefusal = (line: LogLine): string => {
+  const { fields } = line
   const back = fields.retry_after_ms === undefined ? '' : `; it was told to come back after ${fields.retry_after_ms} ms`
-  return `It was refused after ${fields.duration_ms ?? 0} ms and did not run (${fields.result_code}): ${fields.message ?? ''}${back}`
+  return `It was refused after ${fields.duration_ms ?? 0} ms and did not run (${fields.result_code}): ${messageOf(line)}${back}.`
 }
 
-const describeBreak = ({ fields }: LogLine, context: readonly LogLine[]): string => {
+const describeBreak = (line: LogLine, context: readonly LogLine[]): string => {
+  const { fields } = line
   const state = context.findLast(({ event, fields: each }) => event === 'target_state' && each.target === fields.target)
   const known = state ? `; the node last saw the target as ${state.fields.state} (${state.fields.reason})` : ''
-  return `It may have run on ${fields.target || 'a target'} and ended after ${fields.duration_ms} ms without its answer (${fields.result_code}): ${fields.message ?? ''}${known}`
+  return `It may have run on ${fields.target || 'a target'} and ended after ${fields.duration_ms} ms without its answer (${fields.result_code}): ${messageOf(line)}${known}.`
 }
 
 const describeAnswer = ({ fields, wallMs }: LogLine, lines: readonly LogLine[]): string => {
--- a/packages/policy/src/placement.ts
+++ b/packages/policy/src/placement.ts
@@ -114,6 +114,16 @@
   return cold && { step: 'send', targetId: cold.target.id, reason: `no warm target is better: ${describe(cold, nowMs)}` }
 }
 
+/** Time until a slot of the target is free; none when it is only slow, since neighbours come and go. */
+const queueMs = (state: TargetState, workMs: number): number =>
+  Math.max(0, loadOf(state) + 1 - state.slots) / state.slots * workMs
+
+/** Whether some target can be good early enough for the objective and the deadline. */
+const isWorthWaiting = (usable: readonly TargetState[], { objectiveAtMs, deadlineMs, workMs }: PlacementRequest, nowMs: number): boolean => {
+  const spareMs = Math.min(objectiveAtMs, deadlineMs) - nowMs - WORK_RESERVE * workMs
+  return spareMs >= WAIT_MS && usable.some(state => queueMs(state, workMs) <= spareMs)
+}
+
 /** Nothing is good now, and waiting does not help any more: the least bad target, or a refusal. */
 const settle = (group: readonly TargetState[], request: PlacementRequest, nowMs: number, random: Random): Placement => {
   const finish = (state: TargetState): number => finishOf(state, loadOf(state), request.zone, nowMs)
@@ -142,6 +152,6 @@
   const step = tryGroup(near, routing, request, nowMs, random) ?? (isLocal ? undefined : tryGroup(far, routing, request, nowMs, random))
   if (step) return step
   if (request.onlyGood) return { step: 'none' }
-  if (request.mayWait && nowMs + WAIT_MS + WORK_RESERVE * request.workMs <= request.objectiveAtMs) return { step: 'wait', untilMs: nowMs + WAIT_MS }
+  if (request.mayWait && isWorthWaiting(usable, request, nowMs)) return { step: 'wait', untilMs: nowMs + WAIT_MS }
   return settle(isLocal ? near : usable, request, nowMs, random)
 }
--- a/packages/policy/test/placement.test.ts
+++ b/packages/policy/test/placement.test.ts
@@ -85,6 +85,15 @@
   t.is(plan(created, { objectiveAtMs: NOW_MS + 120 }).step, 'send')
 })
 
+test('a request does not wait for a queue that is longer than its objective or its deadline allows', t => {
+  const created = table(['a'])
+  reportAll(created, [BACKLOGGED])
+  t.is(plan(created, { objectiveAtMs: NOW_MS + 300, deadlineMs: NOW_MS + 310 }).step, 'refuse')
+  reportAll(created, [{ inFlight: 5, slots: 4, slowdown: 1 }], NOW_MS)
+  t.is(plan(created).step, 'wait')
+  t.is(plan(created, { deadlineMs: NOW_MS + 120 }).step, 'refuse')
+})
+
 test('what cannot be answered before its deadline is refused at once, with a time to come back', t => {
   const created = table(['a'])
   reportAll(created, [BACKLOGGED])
