Refuse what would only queue at targets, and serve services that do not tell their load

A service whose targets tell no load was refused after three probes, found by a test. Change: when every slot is taken and the objective is out of reach, a request is refused; large bodies leave their zone when that has no slot early enough; targets that answer without a load report are used by the product's own policy.

--- a/packages/daemon/src/attempts.ts
+++ b/packages/daemon/src/attempts.ts
@@ -38,7 +38,7 @@
 }
 
 export const startAttempt = (context: PipelineContext, exchange: Exchange, purpose: AttemptPurpose, lastResult?: ResultName): void => {
-  if (context.asksBeforeUse) place(context, exchange, purpose, outcome => onPlaced(context, exchange, purpose, lastResult, outcome))
+  if (context.asksBeforeUse && exchange.runtime.table.tellsLoad()) place(context, exchange, purpose, outcome => onPlaced(context, exchange, purpose, lastResult, outcome))
   else startSelected(context, exchange, purpose, lastResult)
 }
 
--- a/packages/daemon/src/load-probes.ts
+++ b/packages/daemon/src/load-probes.ts
@@ -46,6 +46,7 @@
     if (answeredBy !== undefined && answeredBy !== targetId) runtime.table.noteDraining(targetId, 'other-server', nowMs)
     else if (rawHeader(headers, context.wire.requestIdHeader.toLowerCase()) !== undefined) fail()
     else if (report && status < 300) runtime.table.noteReport(targetId, report, nowMs)
+    else if (status < 300) runtime.table.noteUntold(targetId, nowMs)
     else runtime.table.noteUnwell(targetId, nowMs)
   }
 
--- a/packages/daemon/test/dialect.test.ts
+++ b/packages/daemon/test/dialect.test.ts
@@ -84,6 +84,17 @@
   t.is(runs, 3)
 })
 
+test('targets that do not tell their load are used without asking them each time', async t => {
+  let asked = 0
+  const port = await startRawBackend((socket, received) => {
+    if (received.slice(received.lastIndexOf('\r\n\r\n', received.length - 5)).includes('GET /health')) asked++
+    socket.write(answerTo(idOf(received), 'ok'))
+  })
+  const daemon = await startDaemon([service([port])], { wire: WIRE, asksBeforeUse: true, probesPerTargetPerS: 1000 })
+  for (let count = 0; count < 12; count++) t.is((await call(daemon.port)).body, 'ok')
+  t.true(asked <= 3, `asked ${asked} times`)
+})
+
 test('a leaving node ends a connection only after the last request that it read on it', async t => {
   const port = await startRawBackend((socket, received) => {
     setTimeout(() => socket.write(answerTo(idOf(received), 'ok')), 50)
--- a/packages/policy/src/placement.ts
+++ b/packages/policy/src/placement.ts
@@ -41,8 +41,8 @@
 const LOCAL_BODY_BYTES = 8_192
 /** Preference for the own zone among targets that are equally good, in units of the usual work. */
 const OTHER_ZONE_COST = 0.15
-/** Requests that a target may have waiting, for each slot, before a further one is refused. */
-const BACKLOG_PER_SLOT = 1
+/** Part of the expected time that must be left; neighbours often become quiet before it is over. */
+const EXPECTED_SHARE = 0.8
 /** A refused caller that comes back sooner would meet the same queue. */
 const RETRY_AFTER_MIN_MS = 100
 
@@ -130,15 +130,21 @@
   return spareMs >= waitMs(workMs) && usable.some(state => queueMs(state, workMs) <= spareMs)
 }
 
-/** Nothing is good now, and waiting does not help any more: the least bad target, or a refusal. */
+/**
+ * Nothing is good now, and waiting does not help any more. A free slot on a slow
+ * target is better than none. When every slot is taken, a further request would
+ * only wait in a target's queue, be late itself and make those behind it late,
+ * so it is refused.
+ */
 const settle = (group: readonly TargetState[], request: PlacementRequest, nowMs: number, random: Random): Placement => {
   const finish = (state: TargetState): number => finishOf(state, loadOf(state), request.zone, nowMs)
-  const best = lowest(group, finish, random)
+  const free = lowest(group.filter(state => loadOf(state) < state.slots), finish, random)
+  const best = free ?? lowest(group, finish, random)
   if (!best) return { step: 'none' }
   const expectedMs = finish(best) * request.workMs
-  const isBacklogged = loadOf(best) >= best.slots * (1 + BACKLOG_PER_SLOT)
-  if (request.mayRefuse && (isBacklogged || nowMs + expectedMs * 0.8 > request.deadlineMs)) {
-    return { step: 'refuse', retryAfterMs: Math.max(RETRY_AFTER_MIN_MS, expectedMs - request.workMs) }
+  if (request.mayRefuse && (!free || nowMs + EXPECTED_SHARE * expectedMs > request.deadlineMs)) {
+    const backlogMs = Math.min(...group.map(state => queueMs(state, request.workMs)))
+    return { step: 'refuse', retryAfterMs: Math.max(RETRY_AFTER_MIN_MS, backlogMs) }
   }
   return { step: 'send', targetId: best.target.id, reason: `none is better: ${describe(best, nowMs)}` }
 }
@@ -155,9 +161,11 @@
   const near = usable.filter(({ target }) => target.zone === request.zone)
   const far = usable.filter(({ target }) => target.zone !== request.zone)
   const isLocal = near.length > 0 && request.bodyBytes > LOCAL_BODY_BYTES
-  const step = tryGroup(near, routing, request, nowMs, random) ?? (isLocal ? undefined : tryGroup(far, routing, request, nowMs, random))
+  const mayWait = request.mayWait && isWorthWaiting(isLocal ? near : usable, request, nowMs)
+  const step = tryGroup(near, routing, request, nowMs, random) ??
+    (isLocal && mayWait ? undefined : tryGroup(far, routing, request, nowMs, random))
   if (step) return step
   if (request.onlyGood) return { step: 'none' }
-  if (request.mayWait && isWorthWaiting(usable, request, nowMs)) return { step: 'wait', untilMs: nowMs + waitMs(request.workMs) }
-  return settle(isLocal ? near : usable, request, nowMs, random)
+  if (mayWait) return { step: 'wait', untilMs: nowMs + waitMs(request.workMs) }
+  return settle(usable, request, nowMs, random)
 }
--- a/packages/policy/src/target-table.ts
+++ b/packages/policy/src/target-table.ts
@@ -14,6 +14,9 @@
 /** At 95% the hedge share was used up before the slowest requests; the smaller share of idempotent requests leaves room below it. */
 const HEDGE_QUANTILE = 0.945
 
+/** Answers in a row without a report after which a service is taken not to tell its load. */
+const UNTOLD_MAX = 3
+
 const toStatus = (core: TableCore, state: TargetState, connections: number, nowMs: number): TargetStatus => {
   const { target, lifecycle, firstBytes } = state
   const status: TargetStatus = {
@@ -52,6 +55,7 @@
 export const createTargetTable = (options: TargetTableOptions): TargetTable => {
   const core = createTableCore(options)
   const { states, firstBytes } = core
+  let untoldCount = 0
 
   /** Calls for targets that are not known any more have no effect. */
   const withState = (targetId: string, act: (state: TargetState) => void): void => {
@@ -81,10 +85,17 @@
     noteReport: (targetId, report, nowMs) => withState(targetId, state => {
       takeReport(state, report, core.routing, options.slotsPerTarget, nowMs)
       if (state.reportMs !== nowMs) return
+      untoldCount = 0
       state.reportsLoad = true
       core.serviceLimit.note(isCongested(state.reportedInFlight ?? 0, state.slots), core.inFlight, nowMs)
     }),
     noteProbe: (targetId, result, nowMs) => withState(targetId, state => takeProbe(core, state, result, nowMs)),
+    noteUntold: (targetId, nowMs) => withState(targetId, state => {
+      untoldCount++
+      // It answered, so with what this node has sent to it, it is as good as known.
+      takeReport(state, { inFlight: state.inFlight, slowdown: 1 }, core.routing, options.slotsPerTarget, nowMs)
+    }),
+    tellsLoad: () => untoldCount < UNTOLD_MAX,
     noteUnwell: (targetId, nowMs) => withState(targetId, state => avoidTarget(state, nowMs)),
     notePeer: (note, nowMs) => withState(note.targetId, state => takePeerNote(core, state, note, nowMs)),
     wake: () => wakeTargets(core),
--- a/packages/policy/src/types.ts
+++ b/packages/policy/src/types.ts
@@ -79,6 +79,10 @@
   noteProbe: (targetId: string, result: ProbeResult, nowMs: number) => void
   /** A target did not answer when it was asked for its load, or said that it is not well. */
   noteUnwell: (targetId: string, nowMs: number) => void
+  /** A target answered when it was asked for its load, without telling it. */
+  noteUntold: (targetId: string, nowMs: number) => void
+  /** Whether asking targets for their load is of use; some services never tell it. */
+  tellsLoad: () => boolean
   /** Takes over what a peer observed. */
   notePeer: (note: TargetNote, nowMs: number) => void
   /** Ages all estimates after a pause of the process. */
--- a/packages/policy/test/placement.test.ts
+++ b/packages/policy/test/placement.test.ts
@@ -71,6 +71,22 @@
   t.is(plan(created, { bodyBytes: 60_000 }).step, 'wait')
 })
 
+test('a large body leaves its zone when that has no slot early enough', t => {
+  const created = table(['a', 'b'])
+  reportAll(created, [BACKLOGGED, QUIET])
+  const placement = plan(created, { bodyBytes: 60_000, objectiveAtMs: NOW_MS + 300 })
+  t.is(placement.step === 'send' && placement.targetId, 't1')
+})
+
+test('when every slot is taken and the objective is out of reach, a request is refused; a slow free slot is better', t => {
+  const created = table(['a', 'b'])
+  reportAll(created, [FULL, FULL])
+  t.is(plan(created, { objectiveAtMs: NOW_MS + 50 }).step, 'refuse')
+  reportAll(created, [FULL, { inFlight: 2, slots: 4, slowdown: 5 }])
+  const placement = plan(created, { objectiveAtMs: NOW_MS + 50 })
+  t.is(placement.step === 'send' && placement.targetId, 't1')
+})
+
 test('a large body goes to another zone when its own has no target', t => {
   const created = table(['b', 'b'])
   reportAll(created, [QUIET, NOISY])
