--- a/packages/policy/src/placement.ts
+++ b/packages/policy/src/placement.ts
@@ -37,6 +37,10 @@
 const WAIT_MAX_MS = 40
 /** Share of the usual work that is kept as a reserve when a request waits. */
 const WORK_RESERVE = 1.15
+/** A target whose last request failed within this time is a second choice. */
+const FAILURE_MEMORY_MS = 2_000
+/** Cost of such a target among those that are not first choices, in units of the usual work. */
+const FAILURE_COST = 1
 /** Bodies above this size stay in the availability zone as long as it has a target. */
 const LOCAL_BODY_BYTES = 8_192
 /** Preference for the own zone among targets that are equally good, in units of the usual work. */
@@ -60,8 +64,17 @@
 /** A target with a free slot that works at about its usual speed. */
 const isGood = (state: TargetState): boolean => loadOf(state) < state.slots && state.slowdown <= QUIET_SLOWDOWN
 
-/** Servers slow down when their last slot is taken, so such a target and a cold one are second choices. */
-const isFirstChoice = (state: TargetState): boolean => state.health !== 'cold' && loadOf(state) + 1 < state.slots
+/**
+ * Some targets fail a part of their requests while they look well. A node sends
+ * too little to one target to eject it soon, and a non-idempotent request that
+ * fails is lost.
+ */
+const hasJustFailed = (state: TargetState, nowMs: number): boolean =>
+  state.failuresInRow > 0 && nowMs - state.lastFailureMs < FAILURE_MEMORY_MS
+
+/** Servers slow down when their last slot is taken, so such a target is a second choice, as is a cold one. */
+const isFirstChoice = (state: TargetState, nowMs: number): boolean =>
+  state.health !== 'cold' && loadOf(state) + 1 < state.slots && !hasJustFailed(state, nowMs)
 
 /** Expected time until the answer, in units of the usual work, of a target whose load is known. */
 const finishOf = (state: TargetState, load: number, zone: string, nowMs: number): number => {
@@ -69,7 +82,8 @@
   const wait = Math.max(0, load + 1 - state.slots) / state.slots
   // Of targets with free slots, the one with more of them is less likely to be full on arrival.
   const crowding = Math.min(1, load / state.slots) * 0.2
-  return slowdown * (1 + wait) + crowding + (state.target.zone === zone ? 0 : OTHER_ZONE_COST)
+  const failure = hasJustFailed(state, nowMs) ? FAILURE_COST : 0
+  return slowdown * (1 + wait) + crowding + failure + (state.target.zone === zone ? 0 : OTHER_ZONE_COST)
 }
 
 /** Guess at a target that was not asked just now. */
@@ -105,7 +119,7 @@
   group: readonly TargetState[], routing: RoutingState, request: PlacementRequest, nowMs: number, random: Random
 ): Placement | undefined => {
   const fresh = group.filter(state => isFresh(state, nowMs) && isGood(state))
-  const good = lowest(fresh.filter(isFirstChoice), state => finishOf(state, loadOf(state), request.zone, nowMs), random)
+  const good = lowest(fresh.filter(state => isFirstChoice(state, nowMs)), state => finishOf(state, loadOf(state), request.zone, nowMs), random)
   if (good) return { step: 'send', targetId: good.target.id, reason: describe(good, nowMs) }
   const unasked = group.filter(state => !request.probed.has(state.target.id) && !isFresh(state, nowMs) && request.mayProbe(state.target.id))
   const targetIds: string[] = []
--- a/packages/policy/src/target-outcomes.ts
+++ b/packages/policy/src/target-outcomes.ts
@@ -59,6 +59,7 @@
   addPenalty(state, 1, slowMs, nowMs)
   if (!isTargetFailure(core, failure, durationMs)) return
   addOutcome(state, true)
+  state.lastFailureMs = nowMs
   const before = state.health
   judgeOutcomes(core, state, nowMs)
   const isUnreachable = failure === 'connect-failed' || failure === 'reset'
--- a/packages/policy/src/target-state.ts
+++ b/packages/policy/src/target-state.ts
@@ -35,6 +35,7 @@
     dropped: false,
     reportsLoad: false,
     failuresInRow: 0,
+    lastFailureMs: -Infinity,
     answersInRow: 0,
     outcomes: [],
     outcomePosition: 0,
--- a/packages/policy/src/types.ts
+++ b/packages/policy/src/types.ts
@@ -135,6 +135,7 @@
   /** Not in the newest list of targets any more. */
   dropped: boolean
   failuresInRow: number
+  lastFailureMs: number
   answersInRow: number
   /** Last outcomes, 1 for a failure; a ring. */
   outcomes: number[]
--- a/packages/policy/test/placement.test.ts
+++ b/packages/policy/test/placement.test.ts
@@ -131,6 +131,19 @@
   t.is(warm.step === 'send' && warm.targetId, 't0')
 })
 
+test('a target whose last request failed is asked and used after the others, until it is forgiven', t => {
+  const created = table(['a', 'a'])
+  created.noteStarted('t0', NOW_MS - 600)
+  created.noteFinished('t0', 'reset', 5, NOW_MS - 500)
+  t.deepEqual(plan(created), { step: 'probe', targetIds: ['t1'] })
+  reportAll(created, [QUIET, QUIET])
+  const placement = plan(created)
+  t.is(placement.step === 'send' && placement.targetId, 't1')
+  created.noteReport('t1', NOISY, NOW_MS)
+  const second = plan(created)
+  t.is(second.step === 'send' && second.targetId, 't0')
+})
+
 test('a hedge goes to a good target or nowhere, and non-idempotent requests avoid targets on probation', t => {
   const created = table(['a'])
   reportAll(created, [NOISY])
