--- a/packages/daemon/src/departure.ts
+++ b/packages/daemon/src/departure.ts
@@ -10,6 +10,8 @@
 const CHECK_MS = 50
 /** Lifetimes of entry answers vary by a fifth. */
 const LIFETIME_FACTOR = 1.2
+/** Part of a bounded departure in which callers are still served; the rest is left for requests in flight. */
+const ACCEPT_SHARE = 0.6
 
 export type DepartureOptions = {
   clock: Clock
@@ -37,7 +39,8 @@
 export const depart = async ({ clock, server, connectionCount, inFlightCount, entryLifetimeMs, stopTimeoutMs }: DepartureOptions): Promise<void> => {
   const startMs = clock.nowMs()
   const endMs = stopTimeoutMs === 0 ? Infinity : startMs + stopTimeoutMs
-  const acceptUntilMs = Math.min(endMs, startMs + entryLifetimeMs * LIFETIME_FACTOR)
+  const acceptMs = stopTimeoutMs === 0 ? Infinity : ACCEPT_SHARE * stopTimeoutMs
+  const acceptUntilMs = startMs + Math.min(acceptMs, entryLifetimeMs * LIFETIME_FACTOR)
   await waitUntil(clock, () => connectionCount() === 0, LEAVE_QUIET_MS, acceptUntilMs)
   server.close()
   server.closeIdleConnections()
--- a/packages/daemon/src/fleet/published-configuration.ts
+++ b/packages/daemon/src/fleet/published-configuration.ts
@@ -23,10 +23,12 @@
 /** Addresses in one entry answer. */
 const ENTRY_ADDRESSES = 64
 /**
- * Callers keep an answer for this long, some for three times as long. A node
- * that stops serves for longer than that, so that all of them have moved on.
+ * Callers keep an answer for this long, some for three times as long. Asking
+ * again costs a caller two round trips before its next request, which counts
+ * for callers that are far away; a caller whose node is gone takes the next
+ * address of its answer.
  */
-const ENTRY_LIFETIME_MS = 1_500
+const ENTRY_LIFETIME_MS = 4_500
 
 const toService = ({ name, healthPath, connectionsPerTarget }: PublishedService): ServiceConfiguration => ({
   format: 1,
