Do not refuse because of targets that could not be asked

A node that is too busy to get its probes back in 30 ms would have refused what idle targets could serve. Change: only what is known of a target is a reason to wait or to refuse; an empty id is none.

--- a/packages/common/src/types.ts
+++ b/packages/common/src/types.ts
@@ -1,7 +1,7 @@
 /**
  * Types shared by all layers above the schema.
  */
-import type { Target } from '@wisteriavalve/schema'
+import type { Kind, Target } from '@wisteriavalve/schema'
 
 /** Cancels a scheduled call; does nothing once the call was made. */
 export type Cancel = () => void
@@ -34,3 +34,13 @@
   /** The target started a short time ago and is still slow. */
   isNew?: boolean
 }
+
+/** Requests of one host and path prefix; they go to one service, or are divided among several. */
+export type Route = {
+  name: string
+  host: string
+  /** Begins and ends with a slash. */
+  pathPrefix: string
+  kind: Kind
+  destinations: ReadonlyArray<{ service: string, weight: number }>
+}
--- a/packages/daemon/src/fleet/fleet-runtime.ts
+++ b/packages/daemon/src/fleet/fleet-runtime.ts
@@ -14,7 +14,7 @@
 import { createVmListReader } from '../adapters/vm-list.js'
 import type { ConfigurationInForce, DaemonContext, FleetRuntime, PeerSource, ServiceTargets } from '../types.js'
 import { createConfigurationDriver } from './configuration-driver.js'
-import { gather } from './gather.js'
+import { createGatherers, createMemberReporter } from './fleet-reports.js'
 import { createGossipDriver } from './gossip-driver.js'
 import { createListeners } from './listeners.js'
 import { createProbeDriver } from './probe-driver.js'
@@ -56,15 +56,10 @@
     publishTargets()
   }
 
+  const tellMember = createMemberReporter(context)
+
   const onMember = (member: MemberUpdate, previous: MemberState | undefined): void => {
-    context.log('member_state', { member: member.nodeId, state: member.state, previous: previous ?? 'unknown', incarnation: member.incarnation })
-    context.events.add({
-      atMs: clock.nowMs(),
-      wallMs: Date.now(),
-      event: 'member_state',
-      automatic: true,
-      text: `Node ${member.nodeId} is ${member.state}, before: ${previous ?? 'unknown'}.`
-    })
+    tellMember(member, previous)
     configuration.noteMembers()
   }
 
@@ -159,11 +154,6 @@
   const entryAnswer = (zone?: string): EntryAnswer =>
     answerEntry({ members: entryCandidates(members(), vmList.vms()), settings: configuration.adopted()?.settings ?? ENTRY_DEFAULTS }, { zone }, random)
 
-  const ownSource = (): PeerSource => {
-    if (!peerSource) throw new Error('the fleet runtime was not started')
-    return peerSource
-  }
-
   const counters = (): Record<string, number> => ({
     ...gossip.counters(),
     ...probes.counters(),
@@ -194,11 +184,7 @@
     members,
     configuration: configuration.adopted,
     configurationStatus: configuration.report,
-    gatherStatus: () => gather(ownSource().status(), peers(), peer => clients.to(peer).status.query()),
-    gatherExplain: query => gather(
-      { nodeId: settings.nodeId, events: ownSource().explain(query) }, peers(),
-      async peer => ({ nodeId: peer.nodeId, events: await clients.to(peer).explain.query(query) })),
-    gatherReport: () => gather(ownSource().report(), peers(), peer => clients.to(peer).report.query()),
+    ...createGatherers({ nodeId: settings.nodeId, source: () => peerSource, peers, clients }),
     leave: gossip.leave,
     wake: gapMs => {
       gossip.wake(gapMs)
--- a/packages/daemon/src/fleet/store-fleet.ts
+++ b/packages/daemon/src/fleet/store-fleet.ts
@@ -7,13 +7,13 @@
  */
 import { answerNearEntry, createChangeLog, createPublishedState, watcherIds, type PublishedStateView } from '@wisteriavalve/fleet'
 import type { ProbeResult } from '@wisteriavalve/policy'
-import type { EntryAnswer, MemberState, MemberUpdate, TargetNote, VmEntry } from '@wisteriavalve/schema'
+import type { EntryAnswer, MemberUpdate, TargetNote, VmEntry } from '@wisteriavalve/schema'
 import { createPeerAuth } from '../adapters/peer-auth.js'
 import { createPeerClients } from '../adapters/peer-client.js'
 import { openPeerServer, type PeerServer } from '../adapters/peer-rpc.js'
 import { describeError } from '../adapters/http-json.js'
 import type { ConfigurationInForce, DaemonContext, FleetRuntime, PeerSource, ServiceTargets } from '../types.js'
-import { gather } from './gather.js'
+import { createGatherers, createMemberReporter } from './fleet-reports.js'
 import { createGossipDriver } from './gossip-driver.js'
 import { createListeners } from './listeners.js'
 import { toConfigurationInForce } from './published-configuration.js'
@@ -39,7 +39,7 @@
 const DISTRUST_MS = 3_000
 
 export const createStoreFleet = (context: DaemonContext, { store, seeds }: StoreFleetOptions): FleetRuntime => {
-  const { clock, random, settings, log, events } = context
+  const { clock, random, settings, log } = context
   const auth = createPeerAuth(settings.fleet, settings.fleetKey)
   const clients = createPeerClients(auth)
   const state = createPublishedState()
@@ -128,19 +128,8 @@
     onReturned: () => state.noteReturned(clock.nowMs())
   })
 
-  const onMember = (member: MemberUpdate, previous: MemberState | undefined): void => {
-    log('member_state', { member: member.nodeId, state: member.state, previous: previous ?? 'unknown', incarnation: member.incarnation })
-    events.add({
-      atMs: clock.nowMs(),
-      wallMs: Date.now(),
-      event: 'member_state',
-      automatic: true,
-      text: `Node ${member.nodeId} is ${member.state}, before: ${previous ?? 'unknown'}.`
-    })
-  }
-
   const gossip = createGossipDriver(context, {
-    onMember,
+    onMember: createMemberReporter(context),
     onNotes: notes => onNotes.call(notes),
     onConfigurationSeen: (_from, order) => {
       if (order.revision > (state.configuration()?.version ?? -1) && follower.isAway()) pull()
@@ -173,11 +162,6 @@
     cancelUpkeep = clock.after(UPKEEP_MS, upkeep)
   }
 
-  const ownSource = (): PeerSource => {
-    if (!peerSource) throw new Error('the fleet runtime was not started')
-    return peerSource
-  }
-
   const start = async (source: PeerSource): Promise<void> => {
     peerSource = source
     peerServer = await openPeerServer(settings.peerListen, auth, {
@@ -220,11 +204,7 @@
       ...(inForce && { order: inForce.order }),
       state: !inForce ? 'none' : follower.isAway() ? 'service-unreachable' : 'current'
     }),
-    gatherStatus: () => gather(ownSource().status(), peers(), peer => clients.to(peer).status.query()),
-    gatherExplain: query => gather(
-      { nodeId: settings.nodeId, events: ownSource().explain(query) }, peers(),
-      async peer => ({ nodeId: peer.nodeId, events: await clients.to(peer).explain.query(query) })),
-    gatherReport: () => gather(ownSource().report(), peers(), peer => clients.to(peer).report.query()),
+    ...createGatherers({ nodeId: settings.nodeId, source: () => peerSource, peers, clients }),
     leave: gossip.leave,
     wake: gossip.wake,
     counters: () => ({
--- a/packages/daemon/src/load-probes.ts
+++ b/packages/daemon/src/load-probes.ts
@@ -44,7 +44,8 @@
     const report = context.wire.parseLoadReport(rawHeader(headers, context.wire.loadReportHeader))
     const answeredBy = context.wire.answeredByHeader === undefined ? undefined : rawHeader(headers, context.wire.answeredByHeader)
     if (answeredBy !== undefined && answeredBy !== targetId) runtime.table.noteDraining(targetId, 'other-server', nowMs)
-    else if (rawHeader(headers, context.wire.requestIdHeader.toLowerCase()) !== undefined) fail()
+    // A probe has no id, so an answer with one belongs to a request from before.
+    else if ((rawHeader(headers, context.wire.requestIdHeader.toLowerCase()) ?? '') !== '') fail()
     else if (report && status < 300) runtime.table.noteReport(targetId, report, nowMs)
     else if (status < 300) runtime.table.noteUntold(targetId, nowMs)
     else runtime.table.noteUnwell(targetId, nowMs)
--- a/packages/daemon/src/types.ts
+++ b/packages/daemon/src/types.ts
@@ -1,9 +1,9 @@
 /**
  * Types between the parts of the daemon.
  */
-import type { Clock, EventRecord, Random } from '@wisteriavalve/common'
+import type { Clock, EventRecord, Random, Route } from '@wisteriavalve/common'
 import type { AdoptedConfiguration, CallerBounds } from '@wisteriavalve/fleet'
-import type { ProbeResult, Route } from '@wisteriavalve/policy'
+import type { ProbeResult } from '@wisteriavalve/policy'
 import type {
   ConfigurationOrder, EntryAnswer, EventEntry, LogEventName, MemberUpdate, NodeReport, NodeStatus, Target, TargetNote
 } from '@wisteriavalve/schema'
--- a/packages/fleet/src/types.ts
+++ b/packages/fleet/src/types.ts
@@ -3,9 +3,9 @@
  */
 import type {
   ConfigurationOrder, EntryAnswer, FleetSettings, GossipMessage, Head, MemberState, MemberUpdate,
-  Kind, ServiceConfiguration, TargetNote, VmEntry
+  ServiceConfiguration, TargetNote, VmEntry
 } from '@wisteriavalve/schema'
-import type { ListedTarget, Random, Result } from '@wisteriavalve/common'
+import type { ListedTarget, Random, Result, Route } from '@wisteriavalve/common'
 import type { TargetSet } from './target-union.js'
 
 export type GossipAddress = { host: string, gossipPort: number }
@@ -142,21 +142,12 @@
 /** Bounds on what a caller may send. */
 export type CallerBounds = { headerBytesMax: number, bodyBytesMax: number, headerTimeoutMs: number, idleTimeoutMs: number }
 
-/** Requests of one host and path prefix. */
-export type PublishedRoute = {
-  name: string
-  host: string
-  pathPrefix: string
-  kind: Kind
-  destinations: ReadonlyArray<{ service: string, weight: number }>
-}
-
 export type PublishedService = { name: string, healthPath: string, connectionsPerTarget: number }
 
 /** Configuration that a platform publishes as one document; a higher version replaces a lower one. */
 export type PublishedConfiguration = {
   version: number
-  routes: readonly PublishedRoute[]
+  routes: readonly Route[]
   services: readonly PublishedService[]
   callerBounds: CallerBounds
 }
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -3,6 +3,7 @@
  * target health, connection choice, caller limits. Nothing here performs I/O.
  */
 export * from './types.js'
+export * from './placement-types.js'
 export { classifyRequest, createServiceIndex } from './classification.js'
 export { createRouteIndex } from './routes.js'
 export { parseLoadReport } from './load-report.js'
--- a/packages/policy/src/placement.ts
+++ b/packages/policy/src/placement.ts
@@ -17,7 +17,8 @@
 import { effectiveLimit } from './concurrency-limit.js'
 import { halfLifeWeight } from './half-life.js'
 import { expectedLoad } from './load-estimate.js'
-import type { Placement, PlacementRequest, RoutingState, TargetState } from './types.js'
+import type { Placement, PlacementRequest } from './placement-types.js'
+import type { RoutingState, TargetState } from './types.js'
 
 /** A report of this age or less describes the target now. */
 const FRESH_MS = 20
@@ -50,6 +51,11 @@
 /** A refused caller that comes back sooner would meet the same queue. */
 const RETRY_AFTER_MIN_MS = 100
 
+/** A report up to this age is reason enough to wait for a target or to refuse because of it. */
+const KNOWN_MS = 250
+
+const isKnown = (state: TargetState, nowMs: number): boolean => nowMs - state.reportMs <= KNOWN_MS
+
 const isFresh = (state: TargetState, nowMs: number): boolean => nowMs - state.reportMs <= FRESH_MS
 
 const loadOf = (state: TargetState): number => state.inFlight + state.othersInFlight
@@ -141,22 +147,24 @@
 /** Whether some target can be good early enough for the objective and the deadline. */
 const isWorthWaiting = (usable: readonly TargetState[], { objectiveAtMs, deadlineMs, workMs }: PlacementRequest, nowMs: number): boolean => {
   const spareMs = Math.min(objectiveAtMs, deadlineMs) - nowMs - WORK_RESERVE * workMs
-  return spareMs >= waitMs(workMs) && usable.some(state => queueMs(state, workMs) <= spareMs)
+  return spareMs >= waitMs(workMs) && usable.some(state => isKnown(state, nowMs) && queueMs(state, workMs) <= spareMs)
 }
 
 /**
  * Nothing is good now, and waiting does not help any more. A free slot on a slow
  * target is better than none. When every slot is taken, a further request would
  * only wait in a target's queue, be late itself and make those behind it late,
- * so it is refused.
+ * so it is refused. Targets of which nothing is known, because a probe failed or
+ * this node is too busy itself, are no reason to refuse.
  */
 const settle = (group: readonly TargetState[], request: PlacementRequest, nowMs: number, random: Random): Placement => {
   const finish = (state: TargetState): number => finishOf(state, loadOf(state), request.zone, nowMs)
-  const free = lowest(group.filter(state => loadOf(state) < state.slots), finish, random)
+  const free = lowest(group.filter(state => loadOf(state) < state.slots || !isKnown(state, nowMs)), finish, random)
   const best = free ?? lowest(group, finish, random)
   if (!best) return { step: 'none' }
   const expectedMs = finish(best) * request.workMs
-  if (request.mayRefuse && (!free || nowMs + EXPECTED_SHARE * expectedMs > request.deadlineMs)) {
+  const isTooLate = isKnown(best, nowMs) && nowMs + EXPECTED_SHARE * expectedMs > request.deadlineMs
+  if (request.mayRefuse && (!free || isTooLate)) {
     const backlogMs = Math.min(...group.map(state => queueMs(state, request.workMs)))
     return { step: 'refuse', retryAfterMs: Math.max(RETRY_AFTER_MIN_MS, backlogMs) }
   }
--- a/packages/policy/src/routes.ts
+++ b/packages/policy/src/routes.ts
@@ -2,10 +2,10 @@
  * Finds the route of a request by host and longest path prefix, and divides
  * the requests of a route among its services by weight.
  */
-import type { Random } from '@wisteriavalve/common'
+import type { Random, Route } from '@wisteriavalve/common'
 import type { ServiceConfiguration } from '@wisteriavalve/schema'
 import { hostOf, pathOf } from './classification.js'
-import type { Classified, Route, ServiceIndex } from './types.js'
+import type { Classified, ServiceIndex } from './types.js'
 
 type Divider = { next: () => string | undefined }
 
--- a/packages/policy/src/types.ts
+++ b/packages/policy/src/types.ts
@@ -26,16 +26,6 @@
 
 export type RequestHead = { method: string, path: string, host?: string }
 
-/** Requests of one host and path prefix; they go to one service, or are divided among several. */
-export type Route = {
-  name: string
-  host: string
-  /** Begins and ends with a slash. */
-  pathPrefix: string
-  kind: Kind
-  destinations: ReadonlyArray<{ service: string, weight: number }>
-}
-
 /** Services of a configuration, indexed for the request path. */
 export type ServiceIndex = { classify: (head: RequestHead) => Classified }
 
@@ -199,34 +189,6 @@
   idempotent?: boolean
 }
 
-/** A request that is placed with reports asked for on its behalf. */
-export type PlacementRequest = SelectionRequest & {
-  bodyBytes: number
-  /** Usual time of such a request on an idle target. */
-  workMs: number
-  /** Until then an answer has its full value. */
-  objectiveAtMs: number
-  deadlineMs: number
-  /** Targets that were asked since the last wait, whether they answered or not. */
-  probed: ReadonlySet<string>
-  /** Whether the limit on probes allows to ask a target now. */
-  mayProbe: (targetId: string) => boolean
-  mayWait: boolean
-  mayRefuse: boolean
-  /** Whether a target that is busy or slow is no use, as for a hedge. */
-  onlyGood: boolean
-}
-
-export type Placement =
-  | { step: 'send', targetId: string, reason: string }
-  /** Ask these targets for their load, and plan again after each answer. */
-  | { step: 'probe', targetIds: string[] }
-  | { step: 'wait', untilMs: number }
-  /** The request cannot be served in time. */
-  | { step: 'refuse', retryAfterMs: number }
-  /** No target can be used. */
-  | { step: 'none' }
-
 export type Selection =
   | { ok: true, targetId: string, reason: string }
   /** no-target: none can be used; all-busy: each usable one is at its limit. */
--- a/packages/policy/test/placement.test.ts
+++ b/packages/policy/test/placement.test.ts
@@ -144,6 +144,15 @@
   t.is(second.step === 'send' && second.targetId, 't0')
 })
 
+test('targets that could not be asked are used by guess, and neither waited for nor a reason to refuse', t => {
+  const created = table(['a', 'b'])
+  const probed = new Set(['t0', 't1'])
+  t.is(plan(created, { probed }).step, 'send')
+  t.is(plan(created, { probed, objectiveAtMs: NOW_MS, deadlineMs: NOW_MS + 50 }).step, 'send')
+  reportAll(created, [BACKLOGGED, BACKLOGGED], NOW_MS - 1000)
+  t.is(plan(created, { probed, objectiveAtMs: NOW_MS, deadlineMs: NOW_MS + 50 }).step, 'send')
+})
+
 test('a hedge goes to a good target or nowhere, and non-idempotent requests avoid targets on probation', t => {
   const created = table(['a'])
   reportAll(created, [NOISY])
--- a/packages/policy/test/routes.test.ts
+++ b/packages/policy/test/routes.test.ts
@@ -4,9 +4,9 @@
  * against a path that is matched together with its query.
  */
 import test from 'ava'
-import { createRandom } from '@wisteriavalve/common'
+import { createRandom, type Route } from '@wisteriavalve/common'
 import type { Kind, ServiceConfiguration } from '@wisteriavalve/schema'
-import { createRouteIndex, type Route } from '../src/index.js'
+import { createRouteIndex } from '../src/index.js'
 
 const OBJECTIVE = { inTimePercent: 99, windowDays: 28 }
 const kind = (name: string): Kind => ({
