Tell in the log which node a change was read from

Cause: a change that came from a followed node was logged with the store as its source. Change: the source goes with the change; no decision uses it.

--- a/packages/daemon/src/fleet/store-fleet.ts
+++ b/packages/daemon/src/fleet/store-fleet.ts
@@ -113,15 +113,15 @@
     context,
     store,
     peer: followedPeer,
-    onAll: view => applyAll(view, 'store'),
-    onChanges: ({ revision, changes }) => {
+    onAll: applyAll,
+    onChanges: ({ revision, changes }, source) => {
       for (const change of changes) {
-        if (change.type === 'target') log('target_listed', { service: change.target.service, target: change.target.id, state: change.target.state, store_revision: revision })
-        else if (change.type === 'target-removed') log('target_unlisted', { target: change.targetId, store_revision: revision })
+        if (change.type === 'target') log('target_listed', { service: change.target.service, target: change.target.id, state: change.target.state, store_revision: revision, source })
+        else if (change.type === 'target-removed') log('target_unlisted', { target: change.targetId, store_revision: revision, source })
       }
       state.applyChanges(revision, changes, clock.nowMs())
       changeLog.add(revision, changes)
-      publish('store')
+      publish(source)
       waiters.notify()
     },
     onAway: state.noteAway,
--- a/packages/daemon/src/fleet/store-follower.ts
+++ b/packages/daemon/src/fleet/store-follower.ts
@@ -42,8 +42,9 @@
   store: DirectoryStore
   /** Node to follow next; undefined for the store itself. */
   peer: () => FollowedPeer | undefined
-  onAll: (view: PublishedStateView) => void
-  onChanges: (changes: StoreChanges) => void
+  /** @param source the store, or the node that was followed */
+  onAll: (view: PublishedStateView, source: string) => void
+  onChanges: (changes: StoreChanges, source: string) => void
   onAway: () => void
   onReturned: () => void
 }
@@ -72,6 +73,8 @@
 const BACKOFF_FIRST_MS = 150
 const BACKOFF_MAX_MS = 1_200
 const START_JITTER_MS = 50
+/** Name of the store where the source of a change is told. */
+const STORE = 'store'
 
 export const createStoreFollower = ({ context, store, peer, onAll, onChanges, onAway, onReturned }: StoreFollowerOptions): StoreFollower => {
   const { clock, random, log } = context
@@ -110,23 +113,23 @@
     revision = read.value.revision
     directMs = clock.nowMs()
     noteAnswered()
-    onAll(read.value)
+    onAll(read.value, STORE)
     return 0
   }
 
   /** @returns whether there was a change */
-  const take = ({ view, ...changes }: StoreChanges, afterRevision: number): boolean => {
+  const take = ({ view, ...changes }: StoreChanges, afterRevision: number, source: string): boolean => {
     revision = Math.max(afterRevision, changes.revision)
     noteAnswered()
-    if (view) onAll(view)
-    else if (changes.changes.length > 0) onChanges(changes)
+    if (view) onAll(view, source)
+    else if (changes.changes.length > 0) onChanges(changes, source)
     return changes.changes.length > 0
   }
 
   const watchPeer = async (afterRevision: number, followed: FollowedPeer): Promise<number> => {
     const read = await followed.watch(afterRevision, PEER_WATCH_MS, stopped.signal)
     if (stopped.signal.aborted) return 0
-    if (read.ok) take(read.value, afterRevision)
+    if (read.ok) take(read.value, afterRevision, followed.nodeId)
     else followed.noteFailed(read.error.message)
     return 0
   }
@@ -136,7 +139,7 @@
     if (stopped.signal.aborted) return 0
     if (read.ok) {
       directMs = clock.nowMs()
-      return take(read.value, afterRevision) ? CHANGE_SPACING_MS : 0
+      return take(read.value, afterRevision, STORE) ? CHANGE_SPACING_MS : 0
     }
     if (read.error.kind === 'history-lost') {
       log('store_read_again', { revision: afterRevision, message: read.error.message })
