Keep a hedge and a retry that are placed together within the attempts of a request

A test with slow probes sent 3 times in 2 of 3 runs. The test of an order that cannot be connected failed once in 6 runs: its answer came from the daemon's own admin address, which had been given the port that the test took for closed. Change: attempts under way count when an attempt starts, and the one placed last yields; a closed port is held by a connection.

--- a/packages/daemon/src/attempts.ts
+++ b/packages/daemon/src/attempts.ts
@@ -42,9 +42,18 @@
   else startSelected(context, exchange, purpose, lastResult)
 }
 
+/** Whether one more attempt stays within the targets that the request may be sent to, those under way included. */
+const mayAttempt = ({ attempts, sendCount, kind }: Exchange): boolean =>
+  sendCount + attempts.filter(attempt => !isWritten(attempt)).length < (kind.attemptsMax ?? Infinity)
+
+/** Placing takes time, in which a retry and a hedge can both be under way; the one placed last yields. */
 const onPlaced = (
   context: PipelineContext, exchange: Exchange, purpose: AttemptPurpose, lastResult: ResultName | undefined, outcome: PlacementOutcome
 ): void => {
+  if (!mayAttempt(exchange)) {
+    if (exchange.attempts.length === 0) failExchange(context, exchange, exchange.unknownResult ?? lastResult ?? 'no-target')
+    return
+  }
   const target = outcome.step === 'send' ? exchange.runtime.table.target(outcome.targetId) : undefined
   if (outcome.step === 'send' && target) attemptAt(context, exchange, purpose, target, outcome.reason, lastResult)
   else if (purpose === 'hedge') exchange.isHedged = true
--- a/packages/daemon/test/dialect.test.ts
+++ b/packages/daemon/test/dialect.test.ts
@@ -95,6 +95,34 @@
   t.true(asked <= 3, `asked ${asked} times`)
 })
 
+test('a hedge and a retry that are placed at the same time stay within the attempts of the request', async t => {
+  let victim: number | undefined
+  let sends = 0
+  const isHealth = (received: string): boolean => received.slice(received.lastIndexOf('GET ')).startsWith('GET /health')
+  const ports = await Promise.all([0, 1, 2].map(index => startRawBackend((socket, received) => {
+    const reply = (head: string): void => { socket.write(`HTTP/1.1 200 OK\r\n${head}endpoint-load-metrics: TEXT named_metrics.in_flight=0, named_metrics.slots=4\r\ncontent-length: 2\r\n\r\nok`) }
+    if (isHealth(received)) {
+      setTimeout(() => reply(''), victim === undefined ? 0 : 20)
+      return
+    }
+    const id = idOf(received)
+    if (id !== 'victim') {
+      reply(`x-request-id: ${id}\r\n`)
+      return
+    }
+    sends++
+    victim ??= index
+    if (victim === index) setTimeout(() => socket.resetAndDestroy(), 374)
+    else setTimeout(() => reply(`x-request-id: ${id}\r\n`), 100)
+  })))
+  const daemon = await startDaemon([service(ports, { kinds: [kind({ attemptsMax: 2, objectiveMs: 400 })] })], { wire: WIRE, asksBeforeUse: true, probesPerTargetPerS: 10_000 })
+  // Hedges take a share of the requests, and the usual work is learned from answers.
+  for (let count = 0; count < 40; count++) await call(daemon.port, { headers: { 'x-request-id': `warm-${count}` } })
+  await call(daemon.port, { headers: { 'x-request-id': 'victim' } }).catch(() => undefined)
+  await new Promise(resolve => setTimeout(resolve, 200))
+  t.true(sends <= 2, `sent ${sends} times`)
+})
+
 test('a leaving node ends a connection only after the last request that it read on it', async t => {
   const port = await startRawBackend((socket, received) => {
     setTimeout(() => socket.write(answerTo(idOf(received), 'ok')), 50)
--- a/packages/daemon/test/support.ts
+++ b/packages/daemon/test/support.ts
@@ -159,13 +159,15 @@
   }))
 }
 
-/** Port on which nothing listens. */
+/**
+ * Port on which nothing listens. It is held by the client's end of a
+ * connection; a port that is merely free would be given to the next listener.
+ */
 export const closedPort = async (): Promise<number> => {
-  const server = createServer()
-  const port = await listenOnFreePort(server)
-  server.close()
-  await once(server, 'close')
-  return port
+  const client = connect(await listenOnFreePort(createServer(socket => { socket.unref() })), '127.0.0.1')
+  client.unref()
+  await once(client, 'connect')
+  return client.localPort as number
 }
 
 export type Answer = { status: number, headers: IncomingHttpHeaders, body: string, trailers: NodeJS.Dict<string> }
