--- a/packages/daemon/src/fleet/store-follower.ts
+++ b/packages/daemon/src/fleet/store-follower.ts
@@ -69,7 +69,9 @@
 /** A node that heard from the store within this time may be followed. */
 const DIRECT_AGE_MAX_MS = 1_900
 /** Changes that come together are read by one call. */
-const CHANGE_SPACING_MS = 120
+const CHANGE_SPACING_MS = 200
+/** After a start the other nodes become known within this time, and most nodes then follow one of them. */
+const MEMBERS_WAIT_MS = 500
 const BACKOFF_FIRST_MS = 150
 const BACKOFF_MAX_MS = 1_200
 const START_JITTER_MS = 50
@@ -110,11 +112,12 @@
       noteFailed(read.error.message)
       return backoff.next()
     }
+    const isFirstRead = directMs === -Infinity
     revision = read.value.revision
     directMs = clock.nowMs()
     noteAnswered()
     onAll(read.value, STORE)
-    return 0
+    return isFirstRead ? MEMBERS_WAIT_MS : 0
   }
 
   /** @returns whether there was a change */
--- a/packages/fleet/src/failure-detector.ts
+++ b/packages/fleet/src/failure-detector.ts
@@ -11,9 +11,15 @@
   | { step: 'ask-others', nodeId: string }
   | { step: 'suspect', nodeId: string }
 
+/** Members that may be pinged, and those of the next round. */
+export type DetectorMembers = {
+  present: () => string[]
+  round: () => string[]
+}
+
 export type FailureDetector = {
-  step: (nowMs: number, memberIds: () => string[]) => DetectorStep[]
-  /** Puts a new member at a random place of the round, so that the members known first are not pinged more often. */
+  step: (nowMs: number, members: DetectorMembers) => DetectorStep[]
+  /** Puts a new member at a random place of the round under way, so that the members known first are not pinged more often. */
   noteMember: (nodeId: string) => void
   /** An ack proves that a member runs. */
   noteAck: (nodeId: string) => void
@@ -28,27 +34,27 @@
   let probe: Probe | undefined
   let periodEndMs: number | undefined
 
-  const nextMember = (memberIds: () => string[]): string | undefined => {
-    const present = new Set(memberIds())
+  const nextMember = (members: DetectorMembers): string | undefined => {
+    const present = new Set(members.present())
     for (let refills = 0; refills < 2; refills++) {
       for (let next = round.pop(); next !== undefined; next = round.pop()) if (present.has(next)) return next
-      round = shuffle([...present], random)
+      round = shuffle(members.round(), random)
     }
     return undefined
   }
 
-  const startPeriod = (nowMs: number, memberIds: () => string[]): DetectorStep[] => {
+  const startPeriod = (nowMs: number, members: DetectorMembers): DetectorStep[] => {
     periodEndMs = nowMs + periodMs
-    const nodeId = nextMember(memberIds)
+    const nodeId = nextMember(members)
     probe = nodeId === undefined ? undefined : { nodeId, sentMs: nowMs, isAcked: false, askedOthers: false }
     return nodeId === undefined ? [] : [{ step: 'ping', nodeId }]
   }
 
-  const step = (nowMs: number, memberIds: () => string[]): DetectorStep[] => {
+  const step = (nowMs: number, members: DetectorMembers): DetectorStep[] => {
     periodEndMs ??= nowMs + random.next() * periodMs
     if (nowMs >= periodEndMs) {
       const failed: DetectorStep[] = probe && !probe.isAcked ? [{ step: 'suspect', nodeId: probe.nodeId }] : []
-      return [...failed, ...startPeriod(nowMs, memberIds)]
+      return [...failed, ...startPeriod(nowMs, members)]
     }
     if (!probe || probe.isAcked || probe.askedOthers || nowMs - probe.sentMs < DIRECT_TIMEOUT_MS) return []
     probe.askedOthers = true
--- a/packages/fleet/src/membership.ts
+++ b/packages/fleet/src/membership.ts
@@ -11,11 +11,12 @@
   BURST_FANOUT, CANDIDATE_PINGS_PER_PERIOD, DEAD_MEMORY_MS, INDIRECT_PROBE_COUNT, PAUSE_GAP_MS, PROTOCOL_PERIOD_MS,
   RECONNECT_INTERVAL_MS, RELAYS_MAX, SUSPICION_PERIODS_MIN, UPDATES_QUEUED_MAX
 } from './constants.js'
-import { createFailureDetector, type DetectorStep } from './failure-detector.js'
+import { createFailureDetector, type DetectorMembers, type DetectorStep } from './failure-detector.js'
 import { createMemberTable, type MemberChange } from './member-table.js'
 import { createMessageWriter, type MessageParts } from './message-writer.js'
 import { createNoteExchange } from './note-exchange.js'
 import { pickSome } from './pick-some.js'
+import { pickBurst, pickPingRound } from './ping-choice.js'
 import { createPingTracker, type PendingPing } from './ping-tracker.js'
 import { createSelfState } from './self-state.js'
 import { createSendQueue } from './send-queue.js'
@@ -60,14 +61,18 @@
     return send(to, { type: 'ping', nonce, receiverId: to.nodeId }, nowMs)
   }
 
-  const presentIds = (): string[] =>
-    [...table.records()].filter(({ update }) => update.state !== 'dead').map(({ update }) => update.nodeId)
+  const present = (): MemberUpdate[] => [...table.records()].map(({ update }) => update).filter(({ state }) => state !== 'dead')
+
+  const pingMembers: DetectorMembers = {
+    present: () => present().map(({ nodeId }) => nodeId),
+    round: () => pickPingRound(present(), self.get().zone, random).map(({ nodeId }) => nodeId)
+  }
 
   const announce = (change: MemberChange): MembershipAction[] => {
     const { record, previous } = change
     updates.add(record.update.nodeId, record.update)
     candidates.delete(record.update.nodeId)
-    if (previous === undefined) detector.noteMember(record.update.nodeId)
+    if (previous === undefined && record.update.zone === self.get().zone) detector.noteMember(record.update.nodeId)
     // Entry answers of every node have to leave out a leaving or silent node within seconds.
     if (previous === 'alive' && (record.update.state === 'leaving' || record.update.state === 'suspect')) bursts.request()
     return record.update.state === previous ? [] : [{ type: 'member-changed', member: record.update, previous }]
@@ -136,8 +141,8 @@
 
   const burst = (nowMs: number): MembershipAction[] => {
     if (!bursts.take(nowMs)) return []
-    const present = [...table.records()].filter(({ update }) => update.state === 'alive' || update.state === 'suspect')
-    return pickSome(present, BURST_FANOUT, random).map(({ update }) => ping(update, nowMs))
+    const running = present().filter(({ state }) => state !== 'leaving')
+    return pickBurst(running, self.get().zone, BURST_FANOUT, random).map(member => ping(member, nowMs))
   }
 
   const expire = (nowMs: number): MembershipAction[] => {
@@ -167,7 +172,7 @@
     self.announceLoad(nowMs)
     return [
       ...expire(nowMs),
-      ...detector.step(nowMs, presentIds).flatMap(step => runDetector(step, nowMs)),
+      ...detector.step(nowMs, pingMembers).flatMap(step => runDetector(step, nowMs)),
       ...reconnect(nowMs),
       ...pingCandidates(nowMs),
       ...burst(nowMs)
--- a/packages/fleet/test/membership.test.ts
+++ b/packages/fleet/test/membership.test.ts
@@ -6,6 +6,7 @@
 import test from 'ava'
 import fc from 'fast-check'
 import { createRandom } from '@wisteriavalve/common'
+import { pickBurst, pickPingRound } from '../src/ping-choice.js'
 import { createSimulatedFleet, isConverged, type Datagram, type SimulatedFleet, type SimulatedNode } from './simulated-fleet.js'
 
 const startedFleet = (count: number, seed: number, lossRatio = 0): SimulatedFleet => {
@@ -195,3 +196,29 @@
   }), { seed, numRuns: 25 })
   t.pass()
 })
+
+test('pings stay mostly in the zone, and a killed node is still found by all', t => {
+  const fleet = startedFleet(60, 53)
+  fleet.run(20_000)
+  const zoneOf = new Map(fleet.nodes.map(({ vm }) => [vm.host, vm.zone]))
+  const bytes = { near: 0, far: 0 }
+  fleet.onSend(({ message, to, bytes: sentBytes }) => { bytes[message.sender.zone === zoneOf.get(to.host) ? 'near' : 'far'] += sentBytes })
+  fleet.run(30_000)
+  const farShare = bytes.far / (bytes.near + bytes.far)
+  // With members chosen at random two thirds of the bytes leave a zone of three; half of that is the target.
+  t.true(farShare < 1 / 3, `share of bytes that leave the zone ${farShare.toFixed(2)}`)
+  fleet.kill(nodeAt(fleet, 3))
+  const foundMs = fleet.runUntil(() => fleet.nodes.every(({ id, membership }) =>
+    id === 'entry-3' || !membership.members().some(({ nodeId, state }) => nodeId === 'entry-3' && state === 'alive')), 60_000)
+  t.true(foundMs !== undefined && foundMs < 15_000)
+})
+
+test('a node that is alone in its zone and a zone that is cut off are found', t => {
+  const members = (zones: readonly string[]) => zones.map((zone, index) => ({ ...nodeAt(fleet, index).membership.self(), nodeId: `n-${index}`, zone }))
+  const fleet = createSimulatedFleet({ count: 8, seed: 54 })
+  const random = createRandom(54)
+  t.is(pickPingRound(members(['b', 'b', 'c', 'c']), 'a', random).length, 2)
+  t.true(pickPingRound(members(['a', 'a', 'a', 'b', 'c']), 'a', random).some(({ zone }) => zone !== 'a'))
+  t.is(pickBurst(members(['b', 'c', 'b', 'c', 'b']), 'a', 4, random).length, 4)
+  t.is(pickBurst(members(['a', 'a', 'a', 'a', 'a', 'b']), 'a', 4, random).filter(({ zone }) => zone === 'b').length, 1)
+})
