--- a/scripts/start.cjs
+++ b/scripts/start.cjs
@@ -6,6 +6,10 @@
  * V8 reject the compiled code of Node's own modules, which costs half of a
  * start. For the same reason those modules are loaded first.
  */
+
+// A request to reload may come before the program can take it, and would end the process.
+process.on('SIGHUP', () => {})
+
 const { readFileSync } = require('node:fs')
 const { join } = require('node:path')
 const { setFlagsFromString } = require('node:v8')
