--- a/eslint.config.js
+++ b/eslint.config.js
@@ -34,9 +34,20 @@
   }
 }))
 
+/** The product and its test bench know no word of a platform; its folder is imported by its entry program and tests only. */
+const platformRule = {
+  files: ['packages/*/test/**/*.ts', 'packages/testbench/**/*.ts'],
+  rules: {
+    'no-restricted-imports': ['error', {
+      patterns: [{ group: ['@wisteriavalve/platform', '**/platform/src/**', '**/platform/dist/**'], message: 'only the entry program imports the platform folder' }]
+    }]
+  }
+}
+
 export default [
   ...neostandard({ ts: true, ignores: ['**/dist/**', 'target/**', '**/src/generated/**'] }),
   ...importRules,
+  platformRule,
   {
     files: ['**/*.ts'],
     rules: { 'max-lines': ['error', { max: 350, skipBlankLines: true, skipComments: true }] }
--- a/packages/testbench/src/fleet-harness.ts
+++ b/packages/testbench/src/fleet-harness.ts
@@ -6,7 +6,7 @@
 import type { AdminRouter } from '@wisteriavalve/daemon/admin-api'
 import type { NodeStatus, VmEntry } from '@wisteriavalve/schema'
 import { startDaemonProcess, WAIT_TIMEOUT_MS, type DaemonProcess } from './daemon-process.js'
-import { takeFreeTcpPort, takeFreeUdpPort, takeLoopbackHost } from './net.js'
+import { holdTcpPort, holdUdpPort, takeLoopbackHost } from './net.js'
 import type { ConfigurationService } from './platform/configuration-service.js'
 import type { VmListDouble } from './platform/vm-list.js'
 import { createTcpProxy, type TcpProxy } from './proxy/tcp.js'
@@ -66,21 +66,24 @@
 
 const READY_PATH = '/.well-known/wisteriavalve/ready'
 
-const takePorts = async (host: string): Promise<Ports> => ({
-  caller: await takeFreeTcpPort(host),
-  gossip: await takeFreeUdpPort(host),
-  peer: await takeFreeTcpPort(host),
-  admin: await takeFreeTcpPort(host)
-})
+/** The ports are held until the daemon starts, so that none is given out twice, also not to a proxy. */
+const holdPorts = async (host: string): Promise<{ ports: Ports, release: () => Promise<unknown> }> => {
+  const [caller, peer, admin, gossip] = await Promise.all([holdTcpPort(host), holdTcpPort(host), holdTcpPort(host), holdUdpPort(host)])
+  return {
+    ports: { caller: caller.port, gossip: gossip.port, peer: peer.port, admin: admin.port },
+    release: () => Promise.all([caller, peer, admin, gossip].map(each => each.release()))
+  }
+}
 
 const createNode = async (options: FleetOptions, index: number): Promise<FleetNode> => {
   const host = takeLoopbackHost()
-  const ports = await takePorts(host)
+  const { ports, release } = await holdPorts(host)
   const zone = options.zones[index % options.zones.length] as string
   const nodeId = `entry-${index + 1}`
   // The proxies share the node's host, since a node has one advertised host.
   const gossipProxy = options.proxied ? await createUdpProxy({ host, targetHost: host, targetPort: ports.gossip }) : undefined
   const peerProxy = options.proxied ? await createTcpProxy({ host, targetHost: host, targetPort: ports.peer }) : undefined
+  await release()
   const daemon = startDaemonProcess({
     NODE_ID: nodeId,
     FLEET: options.fleet,
--- a/packages/testbench/src/net.ts
+++ b/packages/testbench/src/net.ts
@@ -28,18 +28,19 @@
 export const closeServer = (server: net.Server): Promise<void> =>
   new Promise(resolve => { server.close(() => resolve()) })
 
-export const takeFreeTcpPort = async (host: string): Promise<number> => {
+/** A port that nothing else can take until it is released. */
+export type HeldPort = { port: number, release: () => Promise<void> }
+
+export const holdTcpPort = async (host: string): Promise<HeldPort> => {
   const server = net.createServer()
   const port = await listen(server, host)
-  await closeServer(server)
-  return port
+  return { port, release: () => closeServer(server) }
 }
 
-export const takeFreeUdpPort = async (host: string): Promise<number> => {
+export const holdUdpPort = async (host: string): Promise<HeldPort> => {
   const socket = dgram.createSocket('udp4')
   socket.bind(0, host)
   await once(socket, 'listening')
   const { port } = socket.address()
-  await new Promise<void>(resolve => { socket.close(() => resolve()) })
-  return port
+  return { port, release: () => new Promise(resolve => { socket.close(() => resolve()) }) }
 }
