--- a/packages/fleet/src/ping-choice.ts
+++ b/packages/fleet/src/ping-choice.ts
@@ -10,21 +10,20 @@
 
 /** Members of the own zone for each member of another one. */
 const NEAR_PER_FAR = 6
+/** Members of other zones in each round, also for a node that is alone in its zone. */
+const FAR_MIN = 2
 
 const splitByZone = (members: readonly MemberUpdate[], zone: string): { near: MemberUpdate[], far: MemberUpdate[] } => ({
   near: members.filter(member => member.zone === zone),
   far: members.filter(member => member.zone !== zone)
 })
 
-/** All members of the own zone and a few others; a zone of few nodes pings others as often as its own, so that one node is never enough. */
+/** The members that are pinged in one round: all of the own zone, and a few of the others. */
 export const pickPingRound = (members: readonly MemberUpdate[], zone: string, random: Random): MemberUpdate[] => {
   const { near, far } = splitByZone(members, zone)
   return [...near, ...pickSome(far, Math.max(FAR_MIN, Math.ceil(near.length / NEAR_PER_FAR)), random)]
 }
 
-/** A node alone in its zone has only others to ping. */
-const FAR_MIN = 2
-
 /** Members to tell urgent news: one of another zone, the others of the own one as far as there are any. */
 export const pickBurst = (members: readonly MemberUpdate[], zone: string, count: number, random: Random): MemberUpdate[] => {
   const { near, far } = splitByZone(members, zone)
