Count the probes of a silent target after it is known, not before

A target is known not to tell its load after 3 answered probes, so the bound left no room for one probe of which the answer came after its 30 ms. The check now is that 12 requests ask no more at all once the target is known; without the feature it fails.

--- a/packages/daemon/test/dialect.test.ts
+++ b/packages/daemon/test/dialect.test.ts
@@ -91,8 +91,13 @@
     socket.write(answerTo(idOf(received), 'ok'))
   })
   const daemon = await startDaemon([service([port])], { wire: WIRE, asksBeforeUse: true, probesPerTargetPerS: 1000 })
-  for (let count = 0; count < 12; count++) t.is((await call(daemon.port)).body, 'ok')
-  t.true(asked <= 3, `asked ${asked} times`)
+  const callOften = async (): Promise<void> => { for (let count = 0; count < 12; count++) t.is((await call(daemon.port)).body, 'ok') }
+  // A probe that times out on a busy machine says nothing about the target, so the asks before the target is known vary.
+  await callOften()
+  t.true(asked > 0)
+  const askedBefore = asked
+  await callOften()
+  t.is(asked, askedBefore)
 })
 
 test('a hedge and a retry that are placed at the same time stay within the attempts of the request', async t => {
