Serve latency histograms and gauges by service, target and member state

Cause: the metrics address gave four quantiles over all requests and one metric for everything else, so a rate or a share in time for a service could not be read from it, and queue, budget, event loop delay and memory were missing. Change: histograms of prom-client by service, kind and outcome, gauges read at each scrape, one metric for each name.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,8 +1,9 @@
 /**
- * Clock, random source, rendezvous hashing and event record.
+ * Clock, random source, rendezvous hashing, counting and event record.
  */
 export * from './types.js'
 export * from './clock.js'
+export * from './count-by.js'
 export * from './random.js'
 export * from './rendezvous.js'
 export * from './configuration-keys.js'
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -2,7 +2,7 @@
  * Wiring of one node: the request path, the part that acts together with other
  * nodes, the admin address and the life of the process.
  */
-import { createRandom } from '@wisteriavalve/common'
+import { countBy, createRandom } from '@wisteriavalve/common'
 import { createCallerLimits, createFleetSize, createProbeAllowance, createWorkTimes, shareRetryLimits, type CallerLimitsOptions, type PolicyName } from '@wisteriavalve/policy'
 import type { NodeReport, NodeStatus } from '@wisteriavalve/schema'
 import { createCallerServer } from './adapters/caller-http.js'
@@ -66,12 +66,17 @@
   const lifecycle = createLifecycle(() => undefined)
   const burn = createBurnBuckets()
   const nodeEvents = createNodeEvents({ clock, events, log })
-  const metrics = createMetrics(clock, () => ({
-    caller_connections: callers.connectionCount(),
-    in_flight: pipeline.inFlightCount(),
-    load_percent: runtimes.loadPercent(clock.nowMs()),
-    ...fleet.counters()
-  }))
+  const metrics = createMetrics({
+    counters: fleet.counters,
+    gauges: () => ({
+      caller_connections: callers.connectionCount(),
+      in_flight: pipeline.inFlightCount(),
+      load_percent: runtimes.loadPercent(clock.nowMs()),
+      ...fleet.gauges()
+    }),
+    services: () => runtimes.figures(clock.nowMs()),
+    membersByState: () => countBy(fleet.members(), ({ state }) => state)
+  })
 
   const runtimes = createServiceRuntimes({
     clock,
@@ -94,13 +99,13 @@
   }
 
   let loadToldMs = -Infinity
-  const onBeat = (nowMs: number): void => {
+  const onBeat = (nowMs: number, lateMs: number): void => {
+    metrics.recordLoopDelay(lateMs)
     runtimes.maintain(nowMs)
     const notes = runtimes.takeNotes(nowMs)
     if (notes.length > 0) fleet.shareNotes(notes)
     if (nowMs - loadToldMs < LOAD_INTERVAL_MS) return
     loadToldMs = nowMs
-    metrics.rotate(nowMs)
     fleet.setLoadPercent(runtimes.loadPercent(nowMs))
   }
 
--- a/packages/daemon/src/fleet/fleet-runtime.ts
+++ b/packages/daemon/src/fleet/fleet-runtime.ts
@@ -191,6 +191,10 @@
       probes.wake(gapMs)
     },
     counters,
+    gauges: () => {
+      const order = configuration.adopted()?.order
+      return { ...(order && { configuration_version: order.revision }) }
+    },
     stop
   }
 }
--- a/packages/daemon/src/fleet/store-fleet.ts
+++ b/packages/daemon/src/fleet/store-fleet.ts
@@ -51,6 +51,7 @@
   const onNotes = createListeners<[TargetNote[]]>()
   const onProbe = createListeners<[string, string, ProbeResult]>()
   let inForce: ConfigurationInForce | undefined
+  let inForceMs: number | undefined
   let peerServer: PeerServer | undefined
   let peerSource: PeerSource | undefined
   let cancelUpkeep = (): void => {}
@@ -65,6 +66,7 @@
     const changes = state.takeChanges(clock.nowMs())
     if (changes.configuration) {
       inForce = toConfigurationInForce(changes.configuration, settings)
+      inForceMs = clock.nowMs()
       log('configuration_adopted', { revision: changes.configuration.version, store_revision: state.revision(), source, routes: changes.configuration.routes.length })
       onConfiguration.call(inForce)
       gossip.membership()?.setConfiguration(inForce.order)
@@ -210,10 +212,13 @@
     counters: () => ({
       ...gossip.counters(),
       store_calls: store.callCount(),
-      store_age_ms: Number.isFinite(follower.ageMs()) ? Math.round(follower.ageMs()) : -1,
+      peer_calls: clients.callCount()
+    }),
+    gauges: () => ({
+      ...(Number.isFinite(follower.ageMs()) && { store_age_ms: Math.round(follower.ageMs()) }),
       store_revision: state.revision(),
       configuration_version: state.configuration()?.version ?? 0,
-      peer_calls: clients.callCount()
+      ...(inForceMs !== undefined && { configuration_age_ms: Math.round(clock.nowMs() - inForceMs) })
     }),
     stop: async () => {
       isStopped = true
--- a/packages/daemon/src/metrics.ts
+++ b/packages/daemon/src/metrics.ts
@@ -1,69 +1,79 @@
 /**
- * Counts and histograms of the request path. Counting is a plain addition.
+ * Counters and latency histograms of a node, served in the Prometheus
+ * exposition format. The request path adds to them directly; gauges are read
+ * when the metrics are asked for.
  */
-import { build, type Histogram } from 'hdr-histogram-js'
-import type { Clock } from '@wisteriavalve/common'
-import type { Kind } from '@wisteriavalve/schema'
+import { Counter, Histogram, Registry } from 'prom-client'
+import type { Kind, ResultClass } from '@wisteriavalve/schema'
+import { registerGauges, type GaugeSources } from './metrics-gauges.js'
 
-const US_PER_MS = 1_000
-const HALF_WINDOW_MS = 1_800_000
+/** Upper bounds of the buckets for whole requests, which may take from a few ms to minutes. */
+const DURATION_BOUNDS_MS = [5, 10, 25, 50, 100, 200, 300, 400, 600, 800, 1_000, 1_500, 2_000, 3_000, 5_000, 10_000, 30_000]
+/** Upper bounds for what should stay below some ms. */
+const DELAY_BOUNDS_MS = [1, 2, 5, 10, 20, 50, 100, 200, 500, 1_000, 5_000]
 
-export type KindCounts = { service: string, kind: string, byResult: Map<string, number> }
+/** How a request ended: with an answer, or with what is known of its work. */
+export type RequestOutcome = 'answered' | ResultClass
+
+export type CounterName = 'retries' | 'hedges' | 'refused' | 'pauses' | 'retired_connections' | 'load_probes'
 
 export type Metrics = {
+  /** @param result answered, or a result code */
   countResult: (service: string, kind: Kind, result: string) => void
-  /** Time from the arrival of a request to its answer, and to its first write. */
-  recordAnswer: (durationMs: number) => void
-  recordDispatch: (durationMs: number) => void
+  /** Time from the arrival of a request to its end. */
+  recordDuration: (service: string, kind: Kind, outcome: RequestOutcome, durationMs: number) => void
+  /** Time from the arrival of an answered request to its first byte towards a backend server. */
+  recordDispatch: (service: string, kind: Kind, delayMs: number) => void
+  recordLoopDelay: (delayMs: number) => void
   add: (counter: CounterName) => void
-  /** To be called now and then, so that old durations are dropped. */
-  rotate: (nowMs: number) => void
+  /** Totals by name, for the status of the node. */
   counters: () => Record<string, number>
   text: () => Promise<string>
 }
 
-export type CounterName = 'retries' | 'hedges' | 'refused' | 'pauses' | 'retired_connections' | 'load_probes'
-
-export type Gauges = () => Record<string, number>
-
-const createHistogram = (): Histogram => build({
-  bitBucketSize: 32, autoResize: true, lowestDiscernibleValue: 1, highestTrackableValue: 3_600_000 * US_PER_MS, numberOfSignificantValueDigits: 2, useWebAssembly: false
-})
-
-export type Durations = { record: (durationMs: number) => void, rotate: (nowMs: number) => void, quantileMs: (percentile: number) => number }
+type KindCounts = { service: string, kind: string, byResult: Map<string, number> }
 
-/** Durations of the last half to whole hour: the older half is dropped when the newer one is full. */
-const createDurations = (clock: Clock): Durations => {
-  let older = createHistogram()
-  let newer = createHistogram()
-  let newerSinceMs = clock.nowMs()
-
-  const rotate = (nowMs: number): void => {
-    if (nowMs - newerSinceMs < HALF_WINDOW_MS) return
-    newerSinceMs = nowMs
-    older = newer
-    newer = createHistogram()
-  }
-
-  return {
-    rotate,
-    record: durationMs => newer.recordValue(Math.max(1, Math.round(durationMs * US_PER_MS))),
-    quantileMs: percentile => {
-      const all = createHistogram()
-      all.add(older)
-      all.add(newer)
-      return all.totalCount === 0 ? 0 : all.getValueAtPercentile(percentile) / US_PER_MS
+const registerResults = (registry: Registry, results: ReadonlyMap<string, KindCounts>): void => {
+  const counter = new Counter({
+    name: 'wisteriavalve_requests_total',
+    help: 'Requests by service, kind and result; answered, or a result code.',
+    labelNames: ['service', 'kind', 'result'],
+    registers: [registry],
+    collect: () => {
+      counter.reset()
+      for (const { service, kind, byResult } of results.values()) {
+        for (const [result, count] of byResult) counter.inc({ service, kind, result }, count)
+      }
     }
-  }
+  })
 }
 
-/** @param gauges further values of the node, read when metrics are asked for */
-export const createMetrics = (clock: Clock, gauges: Gauges): Metrics => {
+export const createMetrics = (sources: GaugeSources): Metrics => {
+  const registry = new Registry()
   const results = new Map<string, KindCounts>()
   const counts: Record<CounterName, number> = { retries: 0, hedges: 0, refused: 0, pauses: 0, retired_connections: 0, load_probes: 0 }
-  const answers = createDurations(clock)
-  const dispatches = createDurations(clock)
-  let renderer: (() => Promise<string>) | undefined
+  registerResults(registry, results)
+  const durations = new Histogram({
+    name: 'wisteriavalve_request_duration_ms',
+    help: 'Time from the arrival of a request to its end, by outcome: answered, not-run or outcome-unknown.',
+    labelNames: ['service', 'kind', 'outcome'],
+    buckets: DURATION_BOUNDS_MS,
+    registers: [registry]
+  })
+  const dispatches = new Histogram({
+    name: 'wisteriavalve_dispatch_delay_ms',
+    help: 'Time from the arrival of an answered request to its first byte towards a backend server.',
+    labelNames: ['service', 'kind'],
+    buckets: DELAY_BOUNDS_MS,
+    registers: [registry]
+  })
+  const loopDelays = new Histogram({
+    name: 'wisteriavalve_event_loop_delay_ms',
+    help: 'How late a timer of the process ran, seen about 20 times a second.',
+    buckets: DELAY_BOUNDS_MS,
+    registers: [registry]
+  })
+  const registerNewNames = registerGauges(registry, { ...sources, counters: () => ({ ...counts, ...sources.counters() }) })
 
   const countResult = (service: string, kind: Kind, result: string): void => {
     const key = `${service} ${kind.name}`
@@ -82,18 +92,14 @@
 
   return {
     countResult,
-    recordAnswer: answers.record,
-    recordDispatch: dispatches.record,
+    recordDuration: (service, kind, outcome, durationMs) => durations.observe({ service, kind: kind.name, outcome }, durationMs),
+    recordDispatch: (service, kind, delayMs) => dispatches.observe({ service, kind: kind.name }, delayMs),
+    recordLoopDelay: delayMs => loopDelays.observe(delayMs),
     add: counter => { counts[counter]++ },
-    rotate: nowMs => {
-      answers.rotate(nowMs)
-      dispatches.rotate(nowMs)
-    },
-    counters: () => ({ ...resultTotals(), ...counts, ...gauges() }),
-    text: async () => {
-      // Loaded when metrics are asked for, which keeps the start short.
-      renderer ??= (await import('./metrics-text.js')).createMetricsText({ results, answers, dispatches, gauges: () => ({ ...counts, ...gauges() }) })
-      return renderer()
+    counters: () => ({ ...resultTotals(), ...counts, ...sources.counters(), ...sources.gauges() }),
+    text: () => {
+      registerNewNames()
+      return registry.metrics()
     }
   }
 }
--- a/packages/daemon/src/pause-detector.ts
+++ b/packages/daemon/src/pause-detector.ts
@@ -17,12 +17,13 @@
   beatMs: number
   gapMs: number
   onPause: (gapMs: number, nowMs: number) => void
-  /** Called on each beat. */
-  onBeat: (nowMs: number) => void
+  /** Called on each beat, with how much later than planned it ran. */
+  onBeat: (nowMs: number, lateMs: number) => void
 }
 
 export const createPauseDetector = ({ clock, beatMs, gapMs, onPause, onBeat }: PauseDetectorOptions): PauseDetector => {
   let lastBeatMs = clock.nowMs()
+  let dueMs = lastBeatMs + beatMs
   let epoch = 0
   let cancel: Cancel
 
@@ -37,9 +38,11 @@
 
   const beat = (): void => {
     const nowMs = clock.nowMs()
+    const lateMs = Math.max(0, nowMs - dueMs)
     check(nowMs)
     lastBeatMs = nowMs
-    onBeat(nowMs)
+    dueMs = nowMs + beatMs
+    onBeat(nowMs, lateMs)
     cancel = clock.after(beatMs, beat)
   }
 
--- a/packages/daemon/src/pipeline-context.ts
+++ b/packages/daemon/src/pipeline-context.ts
@@ -2,7 +2,7 @@
  * What the steps of the request path share.
  */
 import type { Clock, Random } from '@wisteriavalve/common'
-import type { PolicyName, ProbeAllowance, WorkTimes } from '@wisteriavalve/policy'
+import type { PolicyName, ProbeAllowance, RepeatPurpose, WorkTimes } from '@wisteriavalve/policy'
 import type { Call } from './adapters/caller-http.js'
 import type { ResultName } from '@wisteriavalve/schema'
 import type { DeadlineWheel } from './deadline-wheel.js'
@@ -28,7 +28,7 @@
   fault: (error: unknown, requestId: string | undefined) => void
 }
 
-export type AttemptPurpose = 'first' | 'retry' | 'hedge'
+export type AttemptPurpose = 'first' | RepeatPurpose
 
 export type PipelineContext = {
   clock: Clock
--- a/packages/daemon/src/request-recorder.ts
+++ b/packages/daemon/src/request-recorder.ts
@@ -91,8 +91,8 @@
   const answered = (exchange: Exchange, attempt: Attempt, nowMs: number): void => {
     const { configuration } = exchange.runtime
     metrics.countResult(configuration.name, exchange.kind, 'answered')
-    metrics.recordAnswer(nowMs - exchange.arrivedMs)
-    metrics.recordDispatch((attempt.writtenMs ?? nowMs) - exchange.arrivedMs)
+    metrics.recordDuration(configuration.name, exchange.kind, 'answered', nowMs - exchange.arrivedMs)
+    metrics.recordDispatch(configuration.name, exchange.kind, (attempt.writtenMs ?? nowMs) - exchange.arrivedMs)
     burn.count(configuration.name, exchange.kind, causeOf(exchange, attempt.status, nowMs), attempt.targetId, Date.now())
     tellAnswer(exchange, attempt, nowMs)
   }
@@ -123,6 +123,7 @@
     const { code, class: resultClass } = resultCode(result)
     const service = exchange.runtime.configuration.name
     metrics.countResult(service, exchange.kind, code)
+    metrics.recordDuration(service, exchange.kind, resultClass, nowMs - exchange.arrivedMs)
     burn.count(service, exchange.kind, code, targetId, Date.now())
     const text = failureText(exchange, result, targetId, detail)
     add(nowMs, { event: 'request_failed', requestId: exchange.id, service, kind: exchange.kind.name, targetId, resultCode: code, text })
--- a/packages/daemon/src/service-runtimes.ts
+++ b/packages/daemon/src/service-runtimes.ts
@@ -3,7 +3,7 @@
  * admission, retry budget and connections. Configurations and target lists
  * change it in place, so requests in flight are not disturbed.
  */
-import type { Clock, Random } from '@wisteriavalve/common'
+import { countBy, type Clock, type Random } from '@wisteriavalve/common'
 import {
   connectionShare, createAdmission, createRetryBudget, createRouteIndex, createServiceIndex, createTargetTable,
   type Admission, type ProbeResult, type RetryBudget, type RetryLimits, type ServiceIndex, type TargetHealth, type TargetTable
@@ -11,6 +11,7 @@
 import type { ServiceConfiguration, Target, TargetNote, TargetStatus } from '@wisteriavalve/schema'
 import { createTargetConnections, type BackendConnection, type TargetConnections } from './backend-connections.js'
 import { QUEUE_LENGTH_MAX } from './constants.js'
+import type { ServiceFigures } from './metrics-gauges.js'
 import type { ConfigurationInForce, ServiceTargets } from './types.js'
 
 export type ServiceRuntime = {
@@ -54,12 +55,24 @@
   /** Closes idle connections and ages estimates after a pause. */
   wake: (gapMs: number, nowMs: number) => void
   status: (nowMs: number) => TargetStatus[]
+  /** What each service is doing, for the metrics. */
+  figures: (nowMs: number) => ServiceFigures[]
   closeIdle: () => void
 }
 
 const statusOf = ({ table, connections }: ServiceRuntime, nowMs: number): TargetStatus[] =>
   table.snapshot(nowMs, new Map([...connections].map(([targetId, pool]) => [targetId, pool.count()])))
 
+const figuresOf = (runtime: ServiceRuntime, nowMs: number): ServiceFigures => ({
+  service: runtime.configuration.name,
+  runningCount: runtime.admission.runningCount() - runtime.blocked.size,
+  queuedCount: runtime.admission.queuedCount() + runtime.blocked.size,
+  retriesLeft: runtime.retryBudget.left('retry', nowMs),
+  hedgesLeft: runtime.retryBudget.left('hedge', nowMs),
+  capacity: runtime.table.capacity(nowMs),
+  targetsByState: countBy(statusOf(runtime, nowMs), ({ health }) => health)
+})
+
 /** Gives each request that waits for a target one more try; it registers again when it still finds none. */
 export const unblock = (runtime: ServiceRuntime): void => {
   if (runtime.blocked.size === 0) return
@@ -219,6 +232,7 @@
       }
     },
     status: nowMs => [...runtimes.values()].flatMap(runtime => statusOf(runtime, nowMs)),
+    figures: nowMs => [...runtimes.values()].map(runtime => figuresOf(runtime, nowMs)),
     closeIdle: () => {
       for (const { connections } of runtimes.values()) for (const pool of connections.values()) pool.closeIdle()
     }
--- a/packages/daemon/src/types.ts
+++ b/packages/daemon/src/types.ts
@@ -87,6 +87,9 @@
   leave: () => void
   /** To be called when the process did not run for gapMs. */
   wake: (gapMs: number) => void
+  /** Totals that only grow, by name. */
   counters: () => Record<string, number>
+  /** Single values by name; a value that is not known yet is left out. */
+  gauges: () => Record<string, number>
   stop: () => Promise<void>
 }
--- a/packages/daemon/test/operation.test.ts
+++ b/packages/daemon/test/operation.test.ts
@@ -74,7 +74,10 @@
   t.regex(failed.at(-1)?.text ?? '', /^POST \/dead\/x of dead was not run: no connection/)
   const metrics = await (await fetch(`http://127.0.0.1:${daemon.adminPort}/metrics`)).text()
   t.regex(metrics, /wisteriavalve_requests_total\{service="shop",kind="read",result="answered"\} 1/)
-  t.regex(metrics, /wisteriavalve_request_duration_ms\{quantile="0.99"\} \d/)
+  t.regex(metrics, /wisteriavalve_request_duration_ms_bucket\{le="10000",service="shop",kind="read",outcome="answered"\} 1/)
+  t.regex(metrics, /wisteriavalve_request_duration_ms_count\{service="dead",kind="unknown",outcome="not-run"\} 1/)
+  t.regex(metrics, /wisteriavalve_dispatch_delay_ms_count\{service="shop",kind="read"\} 1/)
+  t.regex(metrics, /wisteriavalve_targets\{service="shop",state="ready"\} 1/)
   t.regex(daemon.lines.join('\n'), /^level=info time=\S+ event=request_failed request_id=dead-1 .*result_code=WV-1009/m)
 })
 
--- a/packages/daemon/test/support.ts
+++ b/packages/daemon/test/support.ts
@@ -85,6 +85,7 @@
     leave: () => { calls.push('leave') },
     wake: () => { calls.push('wake') },
     counters: () => ({}),
+    gauges: () => ({}),
     stop: async () => { calls.push('stop') }
   }
 }
--- a/packages/policy/src/retry-budget.ts
+++ b/packages/policy/src/retry-budget.ts
@@ -6,7 +6,7 @@
  * Counts are kept in buckets, so memory does not grow with the load.
  */
 import { HEDGE_SHARE, RETRY_FLOOR, RETRY_SHARE, RETRY_WINDOW_MS } from './constants.js'
-import type { RetryBudget, RetryLimits } from './types.js'
+import type { RepeatPurpose, RetryBudget, RetryLimits } from './types.js'
 
 const BUCKETS = 20
 const BUCKET_MS = RETRY_WINDOW_MS / BUCKETS
@@ -63,13 +63,18 @@
     total[field]++
   }
 
-  const tryTake = (purpose: 'retry' | 'hedge', nowMs: number): boolean => {
+  const left = (purpose: RepeatPurpose, nowMs: number): number => {
     current(nowMs)
-    if (purpose === 'retry' && total.retries + 1 > retriesMax(total.requests, total.hedges)) return false
-    if (purpose === 'hedge' && total.hedges + 1 > hedgesMax(total.requests, total.retries)) return false
+    const { requests, retries, hedges } = total
+    const count = purpose === 'retry' ? retriesMax(requests, hedges) - retries : hedgesMax(requests, retries) - hedges
+    return Math.max(0, Math.floor(count))
+  }
+
+  const tryTake = (purpose: RepeatPurpose, nowMs: number): boolean => {
+    if (left(purpose, nowMs) === 0) return false
     add(nowMs, purpose === 'retry' ? 'retries' : 'hedges')
     return true
   }
 
-  return { noteRequest: nowMs => add(nowMs, 'requests'), tryTake }
+  return { noteRequest: nowMs => add(nowMs, 'requests'), tryTake, left }
 }
--- a/packages/policy/src/types.ts
+++ b/packages/policy/src/types.ts
@@ -245,10 +245,14 @@
   hedgesMax: (requestCount: number, retryCount: number) => number
 }
 
+export type RepeatPurpose = 'retry' | 'hedge'
+
 export type RetryBudget = {
   noteRequest: (nowMs: number) => void
   /** Takes one extra attempt from the budget; false when it is used up. */
-  tryTake: (purpose: 'retry' | 'hedge', nowMs: number) => boolean
+  tryTake: (purpose: RepeatPurpose, nowMs: number) => boolean
+  /** Extra attempts that the budget allows at this moment. */
+  left: (purpose: RepeatPurpose, nowMs: number) => number
 }
 
 export type RetryState = {
--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -22,13 +22,13 @@
   conditions: ['source'],
   minifySyntax: true,
   minifyWhitespace: true,
-  alias: { undici: slim('undici.cjs'), 'hdr-histogram-js': slim('hdr-histogram.cjs'), 'prom-client': slim('prom-client.cjs'), 'node:http2': slim('http2.cjs') },
+  alias: { undici: slim('undici.cjs'), 'prom-client': slim('prom-client.cjs'), 'node:http2': slim('http2.cjs') },
   // The parts of a package are reached under its own name.
   plugins: [{
     name: 'parts',
     setup: ({ onResolve }) => {
       const require = createRequire(import.meta.url)
-      onResolve({ filter: /^(undici|hdr-histogram-js|prom-client)\// }, ({ path }) => ({ path: require.resolve(path) }))
+      onResolve({ filter: /^(undici|prom-client)\// }, ({ path }) => ({ path: require.resolve(path) }))
     }
   }],
   logLevel: 'warning'
