Let one node of each zone wait at the store, and few nodes call a store that is down

Ruled out: allow_stale reads, which may be seconds old. Change: one watcher and one relay in each zone; the relay waits at the watchers of other zones. Answers between nodes carry the age of what is known. Changes within 400 ms (200 before) are read together.

--- a/packages/daemon/src/fleet/peer-store.ts
+++ b/packages/daemon/src/fleet/peer-store.ts
@@ -1,20 +1,20 @@
 /**
  * Following another node instead of the store. Each waiting call to the store
  * is paid for and counts against a rate that grows more slowly than the fleet,
- * so a few nodes of each availability zone wait at the store and the others
- * wait at them.
+ * so one node of each availability zone waits at the store and the others wait
+ * at nodes.
  */
 import type { PublishedChange, PublishedStateView } from '@wisteriavalve/fleet'
 import type { PeerAddress, PeerClients } from '../adapters/peer-client.js'
 import { describeError } from '../adapters/http-json.js'
 import type { WatchStore } from './store-follower.js'
 
-/** What a node tells a peer that follows it. */
+/** What a node tells a peer that follows it; the age is the time since the store answered, over all nodes between. */
 export type PeerChanges =
-  | { state: 'current', revision: number, changes: PublishedChange[] }
+  | { state: 'current', revision: number, changes: PublishedChange[], ageMs: number }
   /** The asked revision is too far back. */
-  | { state: 'restart', view: PublishedStateView }
-  /** The node does not hear from the store itself. */
+  | { state: 'restart', view: PublishedStateView, ageMs: number }
+  /** The node has not heard from the store for too long. */
   | { state: 'behind' }
 
 export type ChangesQuery = { afterRevision: number, waitMs: number }
@@ -25,9 +25,9 @@
 export const createPeerStore = (clients: PeerClients, peer: PeerAddress): WatchStore => async (afterRevision, waitMs, signal) => {
   try {
     const answer = await clients.to(peer).changes.query({ afterRevision, waitMs }, { signal: AbortSignal.any([signal, AbortSignal.timeout(waitMs + MARGIN_MS)]) })
-    if (answer.state === 'current') return { ok: true, value: { revision: answer.revision, changes: answer.changes } }
-    if (answer.state === 'restart') return { ok: true, value: { revision: answer.view.revision, changes: [], view: answer.view } }
-    return { ok: false, error: { kind: 'unreachable', message: 'the node does not hear from the store' } }
+    if (answer.state === 'current') return { ok: true, value: { revision: answer.revision, changes: answer.changes, ageMs: answer.ageMs } }
+    if (answer.state === 'restart') return { ok: true, value: { revision: answer.view.revision, changes: [], view: answer.view, ageMs: answer.ageMs } }
+    return { ok: false, error: { kind: 'behind', message: 'the node does not hear from the store' } }
   } catch (error) {
     return { ok: false, error: { kind: 'unreachable', message: describeError(error) } }
   }
--- a/packages/daemon/src/fleet/store-fleet.ts
+++ b/packages/daemon/src/fleet/store-fleet.ts
@@ -1,11 +1,11 @@
 /**
  * The part of the daemon that acts together with other nodes where the
- * platform publishes configuration and targets in one store. A few nodes of
- * each availability zone follow the store and the others follow them; a node
- * that the store does not serve takes the state over from a peer. Nodes find
- * each other through seeds and then by gossip.
+ * platform publishes configuration and targets in one store. One node of each
+ * availability zone follows the store and the others follow nodes; a node that
+ * the store does not serve takes the state over from a peer. Nodes find each
+ * other through seeds and then by gossip.
  */
-import { answerNearEntry, createChangeLog, createPublishedState, watcherIds, type PublishedStateView } from '@wisteriavalve/fleet'
+import { answerNearEntry, chooseStoreSource, createChangeLog, createPublishedState, type PublishedStateView } from '@wisteriavalve/fleet'
 import type { ProbeResult } from '@wisteriavalve/policy'
 import type { EntryAnswer, MemberUpdate, TargetNote, VmEntry } from '@wisteriavalve/schema'
 import { createPeerAuth } from '../adapters/peer-auth.js'
@@ -35,8 +35,10 @@
 const ENTRY_ADDRESSES_MAX = 64
 /** Reads whose changes are kept for nodes that follow this one. */
 const CHANGE_LOG_ENTRIES = 256
-/** A node that could not be followed is left out for this time. */
+/** A node that did not answer is not followed for this time. */
 const DISTRUST_MS = 3_000
+/** A node that has not heard from the store either is not followed for this time. */
+const BEHIND_MS = 1_000
 
 export const createStoreFleet = (context: DaemonContext, { store, seeds }: StoreFleetOptions): FleetRuntime => {
   const { clock, random, settings, log } = context
@@ -81,22 +83,23 @@
     waiters.notify()
   }
 
-  let followCount = 0
+  let turn = 0
 
-  /** The watchers of this zone take turns, so that one that is cut off from the store hides changes only for one turn. */
-  const followedPeer = (): FollowedPeer | undefined => {
+  const nextSource = (): 'store' | 'none' | FollowedPeer => {
     const known = members()
-    const ids = watcherIds({ selfId: settings.nodeId, zone: settings.zone, members: known })
-    if (ids.includes(settings.nodeId)) return undefined
-    const nowMs = clock.nowMs()
-    const trusted = ids.filter(nodeId => (distrustedUntilMs.get(nodeId) ?? -Infinity) <= nowMs)
-    const nodeId = trusted[followCount++ % Math.max(1, trusted.length)]
-    const peer = known.find(member => member.nodeId === nodeId)
-    return peer && {
+    const source = chooseStoreSource({
+      view: { selfId: settings.nodeId, zone: settings.zone, members: known },
+      isTrusted: nodeId => (distrustedUntilMs.get(nodeId) ?? -Infinity) <= clock.nowMs(),
+      turn: turn++,
+      random
+    })
+    if (source.type !== 'peer') return source.type
+    const peer = known.find(({ nodeId }) => nodeId === source.nodeId) as MemberUpdate
+    return {
       nodeId: peer.nodeId,
       watch: createPeerStore(clients, peer),
-      noteFailed: message => {
-        distrustedUntilMs.set(peer.nodeId, clock.nowMs() + DISTRUST_MS)
+      noteFailed: ({ kind, message }) => {
+        distrustedUntilMs.set(peer.nodeId, clock.nowMs() + (kind === 'behind' ? BEHIND_MS : DISTRUST_MS))
         log('peer_unreachable', { member: peer.nodeId, message })
       }
     }
@@ -104,17 +107,18 @@
 
   /** Answers a node that follows this one, at once when it lags behind. */
   const changesFor = async ({ afterRevision, waitMs }: ChangesQuery): Promise<PeerChanges> => {
-    if (!follower.isDirect()) return { state: 'behind' }
+    if (!follower.canBeFollowed()) return { state: 'behind' }
     if (state.revision() <= afterRevision) await waiters.wait(waitMs)
-    if (!follower.isDirect()) return { state: 'behind' }
+    if (!follower.canBeFollowed()) return { state: 'behind' }
     const changes = changeLog.since(afterRevision)
-    return changes ? { state: 'current', revision: state.revision(), changes } : { state: 'restart', view: state.view() }
+    const ageMs = follower.ageMs()
+    return changes ? { state: 'current', revision: state.revision(), changes, ageMs } : { state: 'restart', view: state.view(), ageMs }
   }
 
   const follower = createStoreFollower({
     context,
     store,
-    peer: followedPeer,
+    source: nextSource,
     onAll: applyAll,
     onChanges: ({ revision, changes }, source) => {
       for (const change of changes) {
--- a/packages/daemon/src/fleet/store-follower.ts
+++ b/packages/daemon/src/fleet/store-follower.ts
@@ -11,8 +11,11 @@
 import { wait } from './wait.js'
 
 export type StoreFault = {
-  /** history-lost: the changes after the given revision are not kept any more. */
-  kind: 'unreachable' | 'history-lost'
+  /**
+   * history-lost: the changes after the given revision are not kept any more;
+   * behind: the node that was asked does not hear from the store.
+   */
+  kind: 'unreachable' | 'history-lost' | 'behind'
   message: string
 }
 
@@ -21,6 +24,8 @@
   changes: PublishedChange[]
   /** Given instead of changes when they are not known one by one. */
   view?: PublishedStateView
+  /** Time since the store answered the node that was asked; left out by the store itself. */
+  ageMs?: number
 }
 
 /** Resolves as soon as there is a change, or without one when the time is over. */
@@ -35,13 +40,13 @@
 }
 
 /** Another node that watches the store. */
-export type FollowedPeer = { nodeId: string, watch: WatchStore, noteFailed: (message: string) => void }
+export type FollowedPeer = { nodeId: string, watch: WatchStore, noteFailed: (fault: StoreFault) => void }
 
 export type StoreFollowerOptions = {
   context: DaemonContext
   store: DirectoryStore
-  /** Node to follow next; undefined for the store itself. */
-  peer: () => FollowedPeer | undefined
+  /** Whom to ask next: the store, a node, or nobody for now. */
+  source: () => 'store' | 'none' | FollowedPeer
   /** @param source the store, or the node that was followed */
   onAll: (view: PublishedStateView, source: string) => void
   onChanges: (changes: StoreChanges, source: string) => void
@@ -52,10 +57,10 @@
 export type StoreFollower = {
   start: () => void
   isAway: () => boolean
-  /** Time since the store last answered this node or the one it follows; Infinity before the first answer. */
+  /** Time since the store last answered, this node or one that it follows; Infinity before the first answer. */
   ageMs: () => number
-  /** Whether the store itself answered this node a short time ago, so that others may follow it. */
-  isDirect: () => boolean
+  /** Whether the store answered a short time ago, so that others may follow this node. */
+  canBeFollowed: () => boolean
   stop: () => void
 }
 
@@ -66,10 +71,12 @@
 const WATCH_MS = 1_200
 /** Nodes that wait at a peer change over to the next one as often, so that one that is cut off delays little. */
 const PEER_WATCH_MS = 700
-/** A node that heard from the store within this time may be followed. */
-const DIRECT_AGE_MAX_MS = 1_900
+/** A node that has nobody to ask looks again after this time. */
+const NO_SOURCE_WAIT_MS = 300
+/** Age up to which a node may be followed: a watch at the store, and one turn at a node that waits there, end before. */
+const FOLLOWED_AGE_MAX_MS = 2_400
 /** Changes that come together are read by one call. */
-const CHANGE_SPACING_MS = 200
+const CHANGE_SPACING_MS = 400
 /** After a start the other nodes become known within this time, and most nodes then follow one of them. */
 const MEMBERS_WAIT_MS = 500
 const BACKOFF_FIRST_MS = 150
@@ -78,18 +85,19 @@
 /** Name of the store where the source of a change is told. */
 const STORE = 'store'
 
-export const createStoreFollower = ({ context, store, peer, onAll, onChanges, onAway, onReturned }: StoreFollowerOptions): StoreFollower => {
+export const createStoreFollower = ({ context, store, source, onAll, onChanges, onAway, onReturned }: StoreFollowerOptions): StoreFollower => {
   const { clock, random, log } = context
   const backoff = createBackoff({ firstMs: BACKOFF_FIRST_MS, maxMs: BACKOFF_MAX_MS, random })
   const stopped = new AbortController()
   let revision: number | undefined
-  let answeredMs = -Infinity
-  let directMs = -Infinity
+  let isFirstRead = true
+  /** When the store last answered, this node or one that it follows. */
+  let heardMs = -Infinity
   let isAway = true
   let isFirst = true
 
-  const noteAnswered = (): void => {
-    answeredMs = clock.nowMs()
+  const noteAnswered = (ageMs: number): void => {
+    heardMs = Math.max(heardMs, clock.nowMs() - ageMs)
     backoff.reset()
     if (!isAway) return
     isAway = false
@@ -101,7 +109,7 @@
     if (isAway && !isFirst) return
     isAway = true
     isFirst = false
-    log('store_unreachable', { message, revision: revision ?? 0, age_ms: Number.isFinite(answeredMs) ? Math.round(clock.nowMs() - answeredMs) : -1 })
+    log('store_unreachable', { message, revision: revision ?? 0, age_ms: Number.isFinite(heardMs) ? Math.round(clock.nowMs() - heardMs) : -1 })
     onAway()
   }
 
@@ -112,20 +120,20 @@
       noteFailed(read.error.message)
       return backoff.next()
     }
-    const isFirstRead = directMs === -Infinity
+    const delayMs = isFirstRead ? MEMBERS_WAIT_MS : 0
+    isFirstRead = false
     revision = read.value.revision
-    directMs = clock.nowMs()
-    noteAnswered()
+    noteAnswered(0)
     onAll(read.value, STORE)
-    return isFirstRead ? MEMBERS_WAIT_MS : 0
+    return delayMs
   }
 
   /** @returns whether there was a change */
-  const take = ({ view, ...changes }: StoreChanges, afterRevision: number, source: string): boolean => {
+  const take = ({ view, ageMs = 0, ...changes }: StoreChanges, afterRevision: number, from: string): boolean => {
     revision = Math.max(afterRevision, changes.revision)
-    noteAnswered()
-    if (view) onAll(view, source)
-    else if (changes.changes.length > 0) onChanges(changes, source)
+    noteAnswered(ageMs)
+    if (view) onAll(view, from)
+    else if (changes.changes.length > 0) onChanges(changes, from)
     return changes.changes.length > 0
   }
 
@@ -133,17 +141,14 @@
     const read = await followed.watch(afterRevision, PEER_WATCH_MS, stopped.signal)
     if (stopped.signal.aborted) return 0
     if (read.ok) take(read.value, afterRevision, followed.nodeId)
-    else followed.noteFailed(read.error.message)
+    else followed.noteFailed(read.error)
     return 0
   }
 
   const watch = async (afterRevision: number): Promise<number> => {
     const read = await store.watch(afterRevision, WATCH_MS, stopped.signal)
     if (stopped.signal.aborted) return 0
-    if (read.ok) {
-      directMs = clock.nowMs()
-      return take(read.value, afterRevision, STORE) ? CHANGE_SPACING_MS : 0
-    }
+    if (read.ok) return take(read.value, afterRevision, STORE) ? CHANGE_SPACING_MS : 0
     if (read.error.kind === 'history-lost') {
       log('store_read_again', { revision: afterRevision, message: read.error.message })
       revision = undefined
@@ -153,11 +158,20 @@
     return backoff.next()
   }
 
+  /** @returns time to wait before the next call */
+  const follow = async (): Promise<number> => {
+    if (revision === undefined) return readAll()
+    const next = source()
+    if (next === 'store') return watch(revision)
+    if (next !== 'none') return watchPeer(revision, next)
+    noteFailed('nobody who could be asked hears from the store')
+    return NO_SOURCE_WAIT_MS
+  }
+
   const run = async (): Promise<void> => {
     await wait(clock, random.next() * START_JITTER_MS, stopped.signal)
     while (!stopped.signal.aborted) {
-      const followed = revision === undefined ? undefined : peer()
-      const delayMs = revision === undefined ? await readAll() : followed ? await watchPeer(revision, followed) : await watch(revision)
+      const delayMs = await follow()
       if (delayMs > 0) await wait(clock, delayMs, stopped.signal)
     }
   }
@@ -165,8 +179,8 @@
   return {
     start: () => { run().catch(error => { setImmediate(() => { throw error }) }) },
     isAway: () => isAway,
-    ageMs: () => clock.nowMs() - answeredMs,
-    isDirect: () => !isAway && clock.nowMs() - directMs <= DIRECT_AGE_MAX_MS,
+    ageMs: () => clock.nowMs() - heardMs,
+    canBeFollowed: () => !isAway && clock.nowMs() - heardMs <= FOLLOWED_AGE_MAX_MS,
     stop: () => stopped.abort()
   }
 }
--- /dev/null
+++ b/packages/fleet/test/store-sources.test.ts
@@ -0,0 +1,75 @@
+/**
+ * Who waits at the store and who at whom, over the nodes of whole fleets.
+ * Guards against a fleet whose calls to the store grow with its size, in calm
+ * and while the store does not answer, and against a zone that hears of
+ * changes in one way only.
+ */
+import { createRandom } from '@wisteriavalve/common'
+import test from 'ava'
+import type { MemberUpdate } from '@wisteriavalve/schema'
+import { chooseStoreSource, type StoreSource } from '../src/store-sources.js'
+
+const fleetOf = (zones: string[], nodesPerZone: number): MemberUpdate[] =>
+  zones.flatMap(zone => Array.from({ length: nodesPerZone }, (_, index) => ({ nodeId: `${zone}-${index}`, zone, state: 'alive' } as MemberUpdate)))
+
+const random = createRandom(1)
+
+const sourceOf = ({ nodeId, zone }: MemberUpdate, members: MemberUpdate[], turn = 0, isTrusted = (_nodeId: string): boolean => true): StoreSource =>
+  chooseStoreSource({ view: { selfId: nodeId, zone, members }, isTrusted, turn, random })
+
+const zoneOf = (nodeId: string): string => nodeId.slice(0, 1)
+
+test('one node of each zone waits at the store, whatever the size of the fleet', t => {
+  for (const nodesPerZone of [1, 2, 7, 60]) {
+    const members = fleetOf(['a', 'b', 'c'], nodesPerZone)
+    const callers = members.filter(member => sourceOf(member, members).type === 'store')
+    t.deepEqual(callers.map(({ zone }) => zone), ['a', 'b', 'c'])
+  }
+})
+
+test('a zone hears of changes from its own watcher and, through its relay, from those of other zones', t => {
+  const members = fleetOf(['a', 'b', 'c'], 7)
+  const watchers = members.filter(member => sourceOf(member, members).type === 'store').map(({ nodeId }) => nodeId)
+  const turns = (member: MemberUpdate): string[] => [0, 1].map(turn => {
+    const source = sourceOf(member, members, turn)
+    return source.type === 'peer' ? source.nodeId : source.type
+  })
+  const others = members.filter(({ nodeId }) => !watchers.includes(nodeId))
+  const relays = others.filter(member => turns(member).every(nodeId => zoneOf(nodeId) !== member.zone))
+  t.deepEqual(relays.map(({ zone }) => zone), ['a', 'b', 'c'])
+  for (const relay of relays) t.true(turns(relay).every(nodeId => watchers.includes(nodeId)))
+  for (const member of others.filter(node => !relays.includes(node))) {
+    const expected = [...watchers, ...relays.map(({ nodeId }) => nodeId)].filter(nodeId => zoneOf(nodeId) === member.zone)
+    t.deepEqual(turns(member).sort(), expected.sort())
+  }
+})
+
+test('in a fleet of one zone the second node waits at the store too', t => {
+  const members = fleetOf(['a'], 9)
+  t.is(members.filter(member => sourceOf(member, members).type === 'store').length, 2)
+})
+
+test('while nobody hears from the store, few nodes call it, and each of them at times', t => {
+  const members = fleetOf(['a', 'b', 'c'], 54)
+  const rounds = 100
+  const callsById = new Map<string, number>()
+  for (let round = 0; round < rounds; round++) {
+    for (const member of members) {
+      if (sourceOf(member, members, round, () => false).type === 'store') callsById.set(member.nodeId, (callsById.get(member.nodeId) ?? 0) + 1)
+    }
+  }
+  const calls = [...callsById.values()].reduce((sum, count) => sum + count, 0)
+  t.true(calls / rounds < 3 * 4, `${calls / rounds} calls in a round of ${members.length} nodes`)
+  t.true(callsById.size > 0.5 * members.length)
+})
+
+test('a node goes on with the source that is left', t => {
+  const members = fleetOf(['a', 'b'], 5)
+  const follower = members.find(member => {
+    const source = sourceOf(member, members)
+    return source.type === 'peer' && zoneOf(source.nodeId) === member.zone
+  }) as MemberUpdate
+  const first = sourceOf(follower, members, 0)
+  const left = [0, 1, 2, 3].map(turn => sourceOf(follower, members, turn, nodeId => first.type === 'peer' && nodeId !== first.nodeId))
+  t.true(left.every(source => source.type === 'peer' && first.type === 'peer' && source.nodeId !== first.nodeId))
+})
