Spread changes of the store within a zone over pairs of nodes

VMs have 0.19 cores at least, and an answer between nodes costs some ms of a whole core. Change: a node waits at one of two nodes before it in the order of its zone, eight at each pair. Test: 'few nodes wait at one node, and a change needs few steps, in a zone of any size' (54 and 200 nodes in a zone).

--- a/packages/daemon/src/fleet/store-follower.ts
+++ b/packages/daemon/src/fleet/store-follower.ts
@@ -73,8 +73,8 @@
 const PEER_WATCH_MS = 700
 /** A node that has nobody to ask looks again after this time. */
 const NO_SOURCE_WAIT_MS = 300
-/** Age up to which a node may be followed: a watch at the store, and one turn at a node that waits there, end before. */
-const FOLLOWED_AGE_MAX_MS = 2_400
+/** Age up to which a node may be followed: a watch at the store, and a turn at each of four nodes between, end before. */
+const FOLLOWED_AGE_MAX_MS = 4_500
 /** Changes that come together are read by one call. */
 const CHANGE_SPACING_MS = 400
 /** After a start the other nodes become known within this time, and most nodes then follow one of them. */
--- a/packages/fleet/src/store-sources.ts
+++ b/packages/fleet/src/store-sources.ts
@@ -2,13 +2,19 @@
  * From where a node hears of changes in the platform's store. Calls to the
  * store are paid for, so in each availability zone only the first node by
  * rendezvous hashing, its watcher, waits at the store. The second one, the
- * relay, waits at the watchers of other zones, and the rest of the zone waits
- * at these two in turn. So a zone hears of each change in two ways, and a
- * watcher that is cut off from the store hides little.
+ * relay, waits at the watchers of other zones. The rest of the zone waits at
+ * pairs of nodes before it in the order, at both of a pair in turn; the first
+ * pair is the watcher and the relay. So a zone hears of each change in two
+ * ways, and a node that is cut off hides little.
  */
 import { rendezvousOrder, type Random } from '@wisteriavalve/common'
 import type { ConfigurationView } from './types.js'
 
+/**
+ * Nodes that wait at one pair. A weak VM needs some 10 ms to answer one of them,
+ * so a pair that answered a whole zone would be late with each change.
+ */
+const FOLLOWERS_PER_PAIR = 8
 /** Nodes of a zone that call the store when nobody whom they could ask hears from it. */
 const STORE_CALLERS_PER_ZONE = 3
 /** The others of the zone call it together about so often in each turn, in case it refuses these. */
@@ -39,7 +45,9 @@
 
 const sourceIds = (view: ConfigurationView, rank: number, zoneIds: readonly string[]): string[] => {
   if (rank === 0) return []
-  return rank === 1 ? farWatchers(view) : zoneIds.slice(0, 2)
+  if (rank === 1) return farWatchers(view)
+  const pair = 2 * Math.floor((rank - 2) / FOLLOWERS_PER_PAIR)
+  return zoneIds.slice(pair, pair + 2)
 }
 
 export const chooseStoreSource = ({ view, isTrusted, turn, random }: StoreSourceState): StoreSource => {
