Pull changes from peers instead of the whole state, mostly within the zone

Change: a peer answers with the changes after the revision that the asking node has, where its log goes back so far; two of three pulls stay in the zone. Changes that are known already are not applied or logged again; the change log leaves them out, since they would undo newer ones (test in published-state.test.ts).

--- a/packages/daemon/src/adapters/peer-rpc.ts
+++ b/packages/daemon/src/adapters/peer-rpc.ts
@@ -7,10 +7,9 @@
 import type { AddressInfo } from 'node:net'
 import { initTRPC } from '@trpc/server'
 import { fetchRequestHandler } from '@trpc/server/adapters/fetch'
-import type { PublishedStateView } from '@wisteriavalve/fleet'
 import type { EventEntry, NodeReport, NodeStatus, VmEntry } from '@wisteriavalve/schema'
 import { parseExplainQuery, type ExplainQuery } from '../admin-api.js'
-import type { ChangesQuery, PeerChanges } from '../fleet/peer-store.js'
+import type { ChangesQuery, PeerChanges, PeerNews } from '../fleet/peer-store.js'
 import type { ListenAddress } from '../types.js'
 import { AUTHENTICATION_HEADER, isSameMac, REQUEST_NONCE_HEADER, type PeerAuth } from './peer-auth.js'
 
@@ -26,7 +25,7 @@
   values: (hashes: readonly string[]) => PeerValue[]
   vmList: () => PeerVmList | null
   /** What the platform's store publishes, when this node has read further than the given revision. */
-  published: (revision: number) => PublishedStateView | null
+  published: (revision: number) => PeerNews | null
   /** Changes of what the store publishes, for nodes that follow this one. */
   changes: (query: ChangesQuery) => Promise<PeerChanges>
   status: () => NodeStatus
--- a/packages/daemon/src/fleet/peer-store.ts
+++ b/packages/daemon/src/fleet/peer-store.ts
@@ -17,6 +17,12 @@
   /** The node has not heard from the store for too long. */
   | { state: 'behind' }
 
+/** What a node knows beyond the revision that a peer has. */
+export type PeerNews =
+  | { state: 'changes', revision: number, changes: PublishedChange[] }
+  /** The asked revision is too far back. */
+  | { state: 'whole', view: PublishedStateView }
+
 export type ChangesQuery = { afterRevision: number, waitMs: number }
 
 /** Time on top of the wait after which the peer counts as silent. */
--- a/packages/daemon/src/fleet/store-fleet.ts
+++ b/packages/daemon/src/fleet/store-fleet.ts
@@ -18,8 +18,8 @@
 import { createListeners } from './listeners.js'
 import { toConfigurationInForce } from './published-configuration.js'
 import { createChangeWaiters } from './change-waiters.js'
-import { createPeerStore, type ChangesQuery, type PeerChanges } from './peer-store.js'
-import { createStoreFollower, type DirectoryStore, type FollowedPeer } from './store-follower.js'
+import { createPeerStore, type ChangesQuery, type PeerChanges, type PeerNews } from './peer-store.js'
+import { createStoreFollower, type DirectoryStore, type FollowedPeer, type StoreChanges } from './store-follower.js'
 
 export type StoreFleetOptions = {
   store: DirectoryStore
@@ -31,6 +31,8 @@
 const UPKEEP_MS = 250
 /** Pace at which a node that the store does not serve asks its peers. */
 const PULL_INTERVAL_MS = 500
+/** One in so many pulls may leave the zone. */
+const PULLS_PER_FAR_PULL = 3
 const ENTRY_LIFETIME_DEFAULT_MS = 1_000
 const ENTRY_ADDRESSES_MAX = 64
 /** Reads whose changes are kept for nodes that follow this one. */
@@ -83,6 +85,19 @@
     waiters.notify()
   }
 
+  /** Changes come from several sources, so some are known already. */
+  const applyChanges = ({ revision, changes }: StoreChanges, source: string): void => {
+    if (revision <= state.revision()) return
+    for (const change of changes) {
+      if (change.type === 'target') log('target_listed', { service: change.target.service, target: change.target.id, state: change.target.state, store_revision: revision, source })
+      else if (change.type === 'target-removed') log('target_unlisted', { target: change.targetId, store_revision: revision, source })
+    }
+    state.applyChanges(revision, changes, clock.nowMs())
+    changeLog.add(revision, changes)
+    publish(source)
+    waiters.notify()
+  }
+
   let turn = 0
 
   const nextSource = (): 'store' | 'none' | FollowedPeer => {
@@ -120,16 +135,7 @@
     store,
     source: nextSource,
     onAll: applyAll,
-    onChanges: ({ revision, changes }, source) => {
-      for (const change of changes) {
-        if (change.type === 'target') log('target_listed', { service: change.target.service, target: change.target.id, state: change.target.state, store_revision: revision, source })
-        else if (change.type === 'target-removed') log('target_unlisted', { target: change.targetId, store_revision: revision, source })
-      }
-      state.applyChanges(revision, changes, clock.nowMs())
-      changeLog.add(revision, changes)
-      publish(source)
-      waiters.notify()
-    },
+    onChanges: applyChanges,
     onAway: state.noteAway,
     onReturned: () => state.noteReturned(clock.nowMs())
   })
@@ -142,21 +148,36 @@
     }
   })
 
+  const newsAfter = (revision: number): PeerNews | null => {
+    if (!state.configuration() || state.revision() <= revision) return null
+    const changes = changeLog.since(revision)
+    return changes ? { state: 'changes', revision: state.revision(), changes } : { state: 'whole', view: state.view() }
+  }
+
   const pullFrom = async (peer: MemberUpdate): Promise<void> => {
     try {
-      const view = await clients.to(peer).published.query({ revision: state.revision() })
-      if (view && !isStopped) applyAll(view, peer.nodeId)
+      const news = await clients.to(peer).published.query({ revision: state.revision() })
+      if (!news || isStopped) return
+      if (news.state === 'changes') applyChanges(news, peer.nodeId)
+      else applyAll(news.view, peer.nodeId)
     } catch (error) {
       log('peer_unreachable', { member: peer.nodeId, message: describeError(error) })
     }
   }
 
-  /** Takes the state over from a random peer, at a bounded pace. */
+  let pullCount = 0
+
+  /** Takes news over from a random peer, at a bounded pace and mostly from the own zone, since bytes between zones are paid for. */
   const pull = (): void => {
     const nowMs = clock.nowMs()
+    if (nowMs - pulledMs < PULL_INTERVAL_MS) return
     const known = peers().filter(({ state: memberState }) => memberState === 'alive')
-    const peer = known[random.int(Math.max(1, known.length))]
-    if (!peer || nowMs - pulledMs < PULL_INTERVAL_MS) return
+    const near = known.filter(({ zone }) => zone === settings.zone)
+    const isFarTurn = (pullCount + 1) % PULLS_PER_FAR_PULL === 0
+    const from = near.length === 0 || isFarTurn ? known : near
+    const peer = from[random.int(Math.max(1, from.length))]
+    if (!peer) return
+    pullCount++
     pulledMs = nowMs
     pullFrom(peer).catch(error => { throw error })
   }
@@ -174,7 +195,7 @@
       head: () => null,
       values: () => [],
       vmList: () => null,
-      published: revision => state.configuration() && state.revision() > revision ? state.view() : null,
+      published: newsAfter,
       changes: changesFor,
       ...source
     })
--- a/packages/fleet/src/change-log.ts
+++ b/packages/fleet/src/change-log.ts
@@ -6,6 +6,7 @@
 import type { PublishedChange } from './types.js'
 
 export type ChangeLog = {
+  /** Changes up to a revision; what comes from another source again is left out, since it would undo newer changes. */
   add: (revision: number, changes: readonly PublishedChange[]) => void
   /** Starts anew at a revision, after the whole state was read. */
   restart: (revision: number) => void
@@ -19,8 +20,11 @@
 export const createChangeLog = (entriesMax: number): ChangeLog => {
   let entries: Entry[] = []
   let baseRevision = Infinity
+  let newestRevision = -Infinity
   return {
     add: (revision, changes) => {
+      if (revision <= newestRevision) return
+      newestRevision = revision
       entries.push({ revision, changes })
       const dropped = entries.length > entriesMax ? entries.shift() : undefined
       if (dropped) baseRevision = dropped.revision
@@ -28,6 +32,7 @@
     restart: revision => {
       entries = []
       baseRevision = revision
+      newestRevision = revision
     },
     since: revision => revision < baseRevision
       ? undefined
--- a/packages/fleet/test/published-state.test.ts
+++ b/packages/fleet/test/published-state.test.ts
@@ -80,6 +80,17 @@
   t.is(log.since(10), undefined)
 })
 
+test('what the change log has already is not added behind newer changes', t => {
+  const log = createChangeLog(8)
+  log.restart(10)
+  log.add(13, [{ type: 'target-removed', targetId: 'b' }])
+  log.add(12, [{ type: 'target-removed', targetId: 'a' }])
+  t.deepEqual(log.since(10), [{ type: 'target-removed', targetId: 'b' }])
+  log.restart(20)
+  log.add(20, [{ type: 'target-removed', targetId: 'a' }])
+  t.deepEqual(log.since(20), [])
+})
+
 const member = (nodeId: string, zone: string, fields: Partial<MemberUpdate> = {}): MemberUpdate =>
   ({ nodeId, incarnation: 1, state: 'alive', zone, host: nodeId, callerPort: 1, gossipPort: 2, peerPort: 3, ...fields })
 
