--- a/packages/testbench/test/backend-failures.test.ts
+++ b/packages/testbench/test/backend-failures.test.ts
@@ -2,6 +2,7 @@
  * Guards against requests that run twice, get lost or are reported wrongly
  * when backend servers die, slow down, fail or refuse.
  */
+import { monitorEventLoopDelay } from 'node:perf_hooks'
 import test from 'ava'
 import { judgeRun, startedMs, startScenario, tallyFailures, waitUntil } from '../src/index.js'
 
@@ -74,8 +75,12 @@
   const scenario = await startScenario({ seed: 17, targetCount: 2, slots: 2, backend: { serviceTimeMs: 50, queueMax: 2 }, readDeadlineMs: 500 })
   t.teardown(scenario.close)
   const capacityPerS = 2 * 2 * 1000 / 52
+  const loopDelay = monitorEventLoopDelay({ resolution: 5 })
+  loopDelay.enable()
   const outcomes = await scenario.load({ ratePerS: capacityPerS * 2, durationMs: 5000, kinds: [scenario.kinds.read] }).done
   const verdict = judgeRun(outcomes, scenario.record)
+  // Daemons, backend servers and load share this process; when it is starved, the targets cannot work at their capacity either.
+  t.log(JSON.stringify({ capacityPerS, loopDelayP99Ms: Math.round(loopDelay.percentile(99) / 1e6), ...verdict }))
   t.true(verdict.notRun > verdict.requests * 0.2)
   t.true(verdict.inTime > capacityPerS * 5 * 0.8)
   t.is(verdict.repeated, 0)
--- a/packages/testbench/test/fault-pairs.test.ts
+++ b/packages/testbench/test/fault-pairs.test.ts
@@ -3,7 +3,7 @@
  * faults at the same time.
  */
 import test from 'ava'
-import { judgeRun, startedMs, startScenario, tallyFailures, waitInForce } from '../src/index.js'
+import { DRAIN_LIMIT_MS, judgeRun, startedMs, startScenario, tallyFailures, waitInForce } from '../src/index.js'
 
 const CLEAN = { repeated: 0, wronglyNotRun: 0, foreign: 0, truncated: 0, lateAfterDrain: 0 }
 
@@ -17,6 +17,10 @@
   const killedMs = performance.timeOrigin + performance.now()
   const outcomes = await load.done
   await stopped
+  for (const event of scenario.record.events()) {
+    if (event.type !== 'arrived-after-drain' || event.afterDrainMs < DRAIN_LIMIT_MS / 2) continue
+    t.log(JSON.stringify({ ...event, outcome: outcomes.find(({ requestId }) => requestId === event.requestId) }))
+  }
   t.like(judgeRun(outcomes, scenario.record), CLEAN)
   t.deepEqual(tallyFailures(outcomes.filter(outcome => startedMs(outcome) > killedMs + 100)), {})
 })
@@ -42,6 +46,7 @@
   await scenario.record.waitFor(event => event.type === 'started' && event.requestId === 'r-2-60')
   for (const backend of scenario.backends()) backend.proxy?.silence()
   const outcomes = await load.done
+  t.log(JSON.stringify(tallyFailures(outcomes)))
   t.like(judgeRun(outcomes, scenario.record), { ...CLEAN, lostIdempotent: 0 })
 })
 
