Place a request by what is known after six probes without an answer

On the grown sites a service has up to 172 targets and VMs have 0.19 cores. Change: six probes without an answer end the asking for that request.

--- a/packages/daemon/src/load-probes.ts
+++ b/packages/daemon/src/load-probes.ts
@@ -13,11 +13,11 @@
 const PROBE_TIMEOUT_MS = 30
 const BODY_BYTES_MAX = 16_384
 
-/** Calls done once, when the target answered, failed or took too long. */
-export const probeLoad = (context: PipelineContext, runtime: ServiceRuntime, targetId: string, done: () => void): void => {
+/** Calls done once, when the target answered, failed or took too long; isAnswered is false for the latter two. */
+export const probeLoad = (context: PipelineContext, runtime: ServiceRuntime, targetId: string, done: (isAnswered: boolean) => void): void => {
   const target = runtime.table.target(targetId)
   if (!target) {
-    done()
+    done(true)
     return
   }
   const pool: TargetConnections = context.runtimes.connectionsTo(runtime, target)
@@ -25,18 +25,18 @@
   let sending: Sending | undefined
   let isOver = false
 
-  const finish = (): void => {
+  const finish = (isAnswered: boolean): void => {
     if (isOver) return
     isOver = true
     context.wheel.cancel(timer)
-    done()
+    done(isAnswered)
   }
 
   const fail = (): void => {
     if (isOver) return
     if (connection) pool.discard(connection)
     runtime.table.noteUnwell(targetId, context.clock.nowMs())
-    finish()
+    finish(false)
   }
 
   const onHead = (status: number, headers: string[]): void => {
@@ -67,7 +67,7 @@
         connection = undefined
         pool.release(opened)
         // The connection is free for the request only after the release has taken effect.
-        queueMicrotask(finish)
+        queueMicrotask(() => finish(true))
       },
       onFailure: fail
     })
--- a/packages/daemon/src/placing.ts
+++ b/packages/daemon/src/placing.ts
@@ -13,8 +13,15 @@
 /** Part of an objective that the way between the caller and this node leaves; callers count it from their side. */
 export const OBJECTIVE_SHARE = 0.92
 
+/**
+ * After so many probes without an answer the request is placed by what is known
+ * already: then this node is likely to be short of processor time itself, and
+ * asking one target after the other would use up the time of the request.
+ */
+const UNANSWERED_PROBES_MAX = 6
+
 /** A hedge that waits would come too late, and a refusal of a repeat would hide what the first attempt met. */
-const requestOf = (context: PipelineContext, exchange: Exchange, purpose: AttemptPurpose, probed: ReadonlySet<string>): PlacementRequest => {
+const requestOf = (context: PipelineContext, exchange: Exchange, purpose: AttemptPurpose, probed: ReadonlySet<string>, mayProbe: PlacementRequest['mayProbe']): PlacementRequest => {
   const { kind, tried, arrivedMs, deadlineMs } = exchange
   const objectiveMs = (kind.objectiveMs ?? kind.deadlineMs) * OBJECTIVE_SHARE
   return {
@@ -26,7 +33,7 @@
     objectiveAtMs: arrivedMs + objectiveMs,
     deadlineMs,
     probed,
-    mayProbe: targetId => context.probeAllowance.has(targetId, context.clock.nowMs()),
+    mayProbe,
     mayWait: purpose !== 'hedge',
     mayRefuse: purpose === 'first',
     onlyGood: purpose === 'hedge'
@@ -38,6 +45,10 @@
   const { runtime } = exchange
   const probed = new Set<string>()
   let pendingCount = 0
+  let unansweredCount = 0
+
+  const mayProbe = (targetId: string): boolean =>
+    unansweredCount < UNANSWERED_PROBES_MAX && context.probeAllowance.has(targetId, context.clock.nowMs())
 
   const isRunning = (): boolean => exchange.phase === 'running'
 
@@ -48,8 +59,9 @@
       probed.add(targetId)
       context.probeAllowance.take(targetId, context.clock.nowMs())
       pendingCount++
-      probeLoad(context, runtime, targetId, () => {
+      probeLoad(context, runtime, targetId, isAnswered => {
         pendingCount--
+        if (!isAnswered) unansweredCount++
         if (pendingCount === 0) resume()
       })
     }
@@ -57,7 +69,7 @@
 
   const step = (): void => {
     const nowMs = context.clock.nowMs()
-    const placement = planPlacement(runtime.table.routing(nowMs), requestOf(context, exchange, purpose, probed), nowMs, context.random)
+    const placement = planPlacement(runtime.table.routing(nowMs), requestOf(context, exchange, purpose, probed, mayProbe), nowMs, context.random)
     if (placement.step === 'probe') probe(placement.targetIds)
     else if (placement.step === 'wait') {
       exchange.placementCheck = context.wheel.schedule(placement.untilMs, () => {
