Name the parts of a service gauge and of a placement request

Cause: read as a newcomer, the table of gauges was a list of bare tuples and the placement request took five arguments in a row. No change of behaviour; metrics, slow-probes and operation tests pass.

--- a/packages/daemon/src/load-probes.ts
+++ b/packages/daemon/src/load-probes.ts
@@ -13,7 +13,10 @@
 const PROBE_TIMEOUT_MS = 30
 const BODY_BYTES_MAX = 16_384
 
-/** Calls done once, when the target answered, failed or took too long; isAnswered is false for the latter two. */
+/**
+ * Calls done once: with true when the target answered or is not known any more,
+ * with false when it failed or took too long.
+ */
 export const probeLoad = (context: PipelineContext, runtime: ServiceRuntime, targetId: string, done: (isAnswered: boolean) => void): void => {
   const target = runtime.table.target(targetId)
   if (!target) {
--- a/packages/daemon/src/metrics-gauges.ts
+++ b/packages/daemon/src/metrics-gauges.ts
@@ -30,16 +30,18 @@
 
 const PREFIX = 'wisteriavalve_'
 
-const SERVICE_GAUGES: [name: string, help: string, read: (figures: ServiceFigures) => number][] = [
-  ['running_requests', 'Requests that are with a backend server or about to be sent.', ({ runningCount }) => runningCount],
-  ['queued_requests', 'Requests that wait for a free target.', ({ queuedCount }) => queuedCount],
-  ['capacity_requests', 'Requests that the usable targets can work on at a time, as far as this node knows.', ({ capacity }) => capacity],
-  ['retries_left', 'Retries that the budget still allows at this moment.', ({ retriesLeft }) => retriesLeft],
-  ['hedges_left', 'Hedges that the budget still allows at this moment.', ({ hedgesLeft }) => hedgesLeft]
+type ServiceGauge = { name: string, help: string, read: (figures: ServiceFigures) => number }
+
+const SERVICE_GAUGES: readonly ServiceGauge[] = [
+  { name: 'running_requests', help: 'Requests that are with a backend server or about to be sent.', read: ({ runningCount }) => runningCount },
+  { name: 'queued_requests', help: 'Requests that wait for a free target.', read: ({ queuedCount }) => queuedCount },
+  { name: 'capacity_requests', help: 'Requests that the usable targets can work on at a time, as far as this node knows.', read: ({ capacity }) => capacity },
+  { name: 'retries_left', help: 'Retries that the budget still allows at this moment.', read: ({ retriesLeft }) => retriesLeft },
+  { name: 'hedges_left', help: 'Hedges that the budget still allows at this moment.', read: ({ hedgesLeft }) => hedgesLeft }
 ]
 
 const registerServiceGauges = (registry: Registry, services: GaugeSources['services']): void => {
-  for (const [name, help, read] of SERVICE_GAUGES) {
+  for (const { name, help, read } of SERVICE_GAUGES) {
     const gauge = new Gauge({
       name: PREFIX + name,
       help,
--- a/packages/daemon/src/placing.ts
+++ b/packages/daemon/src/placing.ts
@@ -21,7 +21,9 @@
 const UNANSWERED_PROBES_MAX = 6
 
 /** A hedge that waits would come too late, and a refusal of a repeat would hide what the first attempt met. */
-const requestOf = (context: PipelineContext, exchange: Exchange, purpose: AttemptPurpose, probed: ReadonlySet<string>, mayProbe: PlacementRequest['mayProbe']): PlacementRequest => {
+const requestOf = (
+  context: PipelineContext, exchange: Exchange, purpose: AttemptPurpose, { probed, mayProbe }: Pick<PlacementRequest, 'probed' | 'mayProbe'>
+): PlacementRequest => {
   const { kind, tried, arrivedMs, deadlineMs } = exchange
   const objectiveMs = (kind.objectiveMs ?? kind.deadlineMs) * OBJECTIVE_SHARE
   return {
@@ -69,7 +71,7 @@
 
   const step = (): void => {
     const nowMs = context.clock.nowMs()
-    const placement = planPlacement(runtime.table.routing(nowMs), requestOf(context, exchange, purpose, probed, mayProbe), nowMs, context.random)
+    const placement = planPlacement(runtime.table.routing(nowMs), requestOf(context, exchange, purpose, { probed, mayProbe }), nowMs, context.random)
     if (placement.step === 'probe') probe(placement.targetIds)
     else if (placement.step === 'wait') {
       exchange.placementCheck = context.wheel.schedule(placement.untilMs, () => {
