--- a/packages/daemon/src/fleet/fleet-runtime.ts
+++ b/packages/daemon/src/fleet/fleet-runtime.ts
@@ -10,13 +10,14 @@
 import { createConfigurationService } from '../adapters/configuration-service.js'
 import { createPeerAuth } from '../adapters/peer-auth.js'
 import { createPeerClients, type PeerAddress } from '../adapters/peer-client.js'
-import { openPeerServer, type PeerServer } from '../adapters/peer-rpc.js'
+import type { PeerServer } from '../adapters/peer-rpc.js'
 import { createVmListReader } from '../adapters/vm-list.js'
 import type { ConfigurationInForce, DaemonContext, FleetRuntime, PeerSource, ServiceTargets } from '../types.js'
 import { createConfigurationDriver } from './configuration-driver.js'
 import { createGatherers, createMemberReporter } from './fleet-reports.js'
 import { createGossipDriver } from './gossip-driver.js'
 import { createListeners } from './listeners.js'
+import { openPeerAddresses } from './open-peer-addresses.js'
 import { createProbeDriver } from './probe-driver.js'
 import { createVmListDriver } from './vm-list-driver.js'
 
@@ -136,15 +137,9 @@
 
   const start = async (source: PeerSource): Promise<void> => {
     peerSource = source
-    peerServer = await openPeerServer(settings.peerListen, auth, {
+    peerServer = await openPeerAddresses(settings.peerListen, auth, {
       head: configuration.head, values: configuration.values, vmList: vmList.shared, published: () => null, changes: async () => ({ state: 'behind' }), ...source
-    })
-    try {
-      await gossip.start({ peerPort: peerServer.port })
-    } catch (error) {
-      await peerServer.close()
-      throw error
-    }
+    }, gossip)
     configuration.noteMembers()
     vmList.start()
     configuration.start()
--- a/packages/daemon/src/fleet/store-fleet.ts
+++ b/packages/daemon/src/fleet/store-fleet.ts
@@ -10,12 +10,13 @@
 import type { EntryAnswer, MemberUpdate, TargetNote, VmEntry } from '@wisteriavalve/schema'
 import { createPeerAuth } from '../adapters/peer-auth.js'
 import { createPeerClients } from '../adapters/peer-client.js'
-import { openPeerServer, type PeerServer } from '../adapters/peer-rpc.js'
+import type { PeerServer } from '../adapters/peer-rpc.js'
 import { describeError } from '../adapters/http-json.js'
 import type { ConfigurationInForce, DaemonContext, FleetRuntime, PeerSource, ServiceTargets } from '../types.js'
 import { createGatherers, createMemberReporter } from './fleet-reports.js'
 import { createGossipDriver } from './gossip-driver.js'
 import { createListeners } from './listeners.js'
+import { openPeerAddresses } from './open-peer-addresses.js'
 import { toConfigurationInForce } from './published-configuration.js'
 import { createChangeWaiters } from './change-waiters.js'
 import { createPeerStore, type ChangesQuery, type PeerChanges, type PeerNews } from './peer-store.js'
@@ -191,20 +192,14 @@
 
   const start = async (source: PeerSource): Promise<void> => {
     peerSource = source
-    peerServer = await openPeerServer(settings.peerListen, auth, {
+    peerServer = await openPeerAddresses(settings.peerListen, auth, {
       head: () => null,
       values: () => [],
       vmList: () => null,
       published: newsAfter,
       changes: changesFor,
       ...source
-    })
-    try {
-      await gossip.start({ peerPort: peerServer.port })
-    } catch (error) {
-      await peerServer.close()
-      throw error
-    }
+    }, gossip)
     follower.start()
     upkeep()
   }
