Survive a reset behind a CONNECT, and do not run what a refused connection sends

Cause: node:http takes its error listener off the socket of a CONNECT, so a reset behind it was an uncaught error and ended the daemon. Two more faults of the same place: a CONNECT behind an unanswered request was refused in the place of that request's response, and a connection beyond the limit of its address was told 429 while the request on it was still read and sent to a target.

--- a/packages/daemon/src/adapters/caller-http.ts
+++ b/packages/daemon/src/adapters/caller-http.ts
@@ -124,19 +124,46 @@
 
 const ignoreError = (): void => undefined
 
+/**
+ * Sends a last response on a socket and closes it, also when the caller reads
+ * nothing. node:http removes its error listener from the socket of a CONNECT
+ * request, and an error event without a listener would end the process.
+ * Further bytes are read and dropped, because closing a socket with unread
+ * bytes would reset it before the caller has received the response.
+ */
 const endSocketWith = (socket: Duplex, text: string): void => {
-  socket.end(text, () => { setTimeout(() => socket.destroy(), LINGER_MS) })
+  const timer = setTimeout(() => socket.destroy(), LINGER_MS)
+  socket.on('error', ignoreError)
+  socket.once('close', () => clearTimeout(timer))
+  socket.resume()
+  socket.end(text)
 }
 
+/** Connections of callers on which no further request is processed. */
+type ClosingSockets = WeakSet<Duplex>
+
 /** Without a `clientError` listener, node:http would close the connection during the responses of other requests. */
-const handleMalformedRequests = (server: Server, openCalls: WeakMap<Duplex, Set<Call>>, onMalformed: CallerServerOptions['onMalformed']): void => {
+const handleMalformedRequests = (
+  server: Server, openCalls: WeakMap<Duplex, Set<Call>>, closingSockets: ClosingSockets, onMalformed: CallerServerOptions['onMalformed']
+): void => {
+  const refuse = (socket: Duplex, name: ResultName): void => {
+    const hasUnansweredCalls = (openCalls.get(socket)?.size ?? 0) > 0
+    if (!socket.writable || hasUnansweredCalls) {
+      socket.destroy()
+      return
+    }
+    closingSockets.add(socket)
+    endSocketWith(socket, rawFailureResponse(name))
+  }
   server.on('clientError', (error: Error & { code?: string }, socket) => {
+    // The bytes behind a malformed request are reported again while its refusal is sent.
+    if (closingSockets.has(socket)) return
     const name = PARSE_ERROR_RESULTS[error.code ?? ''] ?? 'request-malformed'
     if (error.code !== 'ECONNRESET' && error.code !== 'EPIPE') onMalformed(name, (socket as Socket).remoteAddress ?? '', error.message)
-    if (!socket.writable || error.code === 'ECONNRESET' || (openCalls.get(socket)?.size ?? 0) > 0) socket.destroy()
-    else endSocketWith(socket, rawFailureResponse(name))
+    if (error.code === 'ECONNRESET') socket.destroy()
+    else refuse(socket, name)
   })
-  server.on('connect', (_req, socket) => endSocketWith(socket, rawFailureResponse('request-malformed')))
+  server.on('connect', (_req, socket) => refuse(socket, 'request-malformed'))
 }
 
 /**
@@ -148,7 +175,7 @@
 export const createCallerServer = ({ dialect, onCall, onUnexpectedError, acceptConnection, onConnectionClosed, onMalformed }: CallerServerOptions): CallerServer => {
   const openCalls = new WeakMap<Duplex, Set<Call>>()
   const latestCalls = new WeakMap<Duplex, Call>()
-  const closingSockets = new WeakSet<Duplex>()
+  const closingSockets: ClosingSockets = new WeakSet()
   let connectionCount = 0
   const server = createServer({
     maxHeaderSize: HEADER_BYTES_MAX,
@@ -213,9 +240,11 @@
       for (const call of calls) close(call)
       if (isAccepted) onConnectionClosed(address)
     })
-    if (!isAccepted) endSocketWith(socket, rawFailureResponse('caller-limit'))
+    if (isAccepted) return
+    closingSockets.add(socket)
+    endSocketWith(socket, rawFailureResponse('caller-limit'))
   })
-  handleMalformedRequests(server, openCalls, onMalformed)
+  handleMalformedRequests(server, openCalls, closingSockets, onMalformed)
 
   const setBounds = ({ headerBytesMax, headerTimeoutMs, idleTimeoutMs }: CallerBounds): void => {
     Object.assign(server, { maxHeaderSize: headerBytesMax })
