--- a/packages/daemon/test/fleet-gossip.test.ts
+++ b/packages/daemon/test/fleet-gossip.test.ts
@@ -88,6 +88,45 @@
   t.is(node.logs.filter(({ event }) => event === 'gossip_rejected').length, 1)
 })
 
+test.serial('signed messages with unusual contents do not end a running node', async t => {
+  const platform = await openPlatformDouble()
+  platform.publish(sampleConfiguration())
+  const node = await startTestNode(await createNodeSettings(0, platform.url))
+  const socket = createSocket('udp4')
+  t.teardown(async () => { socket.close(); await node.runtime.stop(); await platform.close() })
+  const { port, host } = node.settings.gossipListen
+  const codec = createDatagramCodec(FLEET)
+  const text = fc.oneof(fc.constantFrom('entry-0', 'entry-77', '127.0.0.1', '256.1.1.1', '::1', 'not a host', '__proto__'), fc.string({ minLength: 1, maxLength: 20 }))
+  const integer = fc.oneof({ weight: 300, arbitrary: fc.integer({ min: 1, max: 999 }) }, { weight: 1, arbitrary: fc.constantFrom(0, 65_536, Number.MAX_SAFE_INTEGER, -1, 0.5, NaN) })
+  const update = fc.record({
+    nodeId: text, incarnation: integer, state: fc.constantFrom<MemberUpdate['state']>('alive', 'leaving', 'suspect', 'dead'), zone: text, host: text, callerPort: integer, gossipPort: integer, peerPort: integer, loadPercent: integer
+  })
+  const note = fc.record({ service: text, targetId: text, observation: fc.constantFrom<'draining' | 'dead' | 'answering'>('draining', 'dead', 'answering'), ageMs: integer, inFlight: integer })
+  const message = fc.record<GossipMessage>({
+    type: fc.constantFrom('ping', 'ack', 'ping-request'),
+    nonce: integer,
+    subject: text,
+    sender: update.map(sender => ({ ...sender, nodeId: FLEET.nodeId })),
+    updates: fc.array(update, { maxLength: 4 }),
+    notes: fc.array(note, { maxLength: 4 }),
+    configuration: fc.record({ restoreCount: integer, revision: integer, headHash: fc.constant('ab'.repeat(32)) })
+  })
+  const seed = 516
+  t.log(`fast_check_seed=${seed}`)
+  const messages = fc.sample(message, { seed, numRuns: 3_000 })
+  let sequence = 1
+  for (const each of messages) {
+    socket.send(codec.encode(each, sequence++), port, host)
+    // Lets the node, which runs in this process, read the datagram.
+    await new Promise(setImmediate)
+  }
+  await waitUntil('datagrams are processed', () => (node.runtime.counters().gossip_received ?? 0) > 0.9 * messages.length)
+  // Suspicions, indirect pings and calls to the new members run some time later.
+  await new Promise(resolve => { setTimeout(resolve, 3_000) })
+  t.true((node.runtime.counters().gossip_rejected_malformed ?? 0) < messages.length / 2, 'most messages are valid')
+  t.is(node.runtime.configuration()?.order.revision, node.adopted[0]?.order.revision)
+})
+
 test.serial('datagrams received during a pause of the process are dropped', async t => {
   const platform = await openPlatformDouble()
   const node = await startTestNode(await createNodeSettings(0, platform.url))
