Reuse a connection only after a response that repeats its request id

Cause: an extra response of a server that does not repeat ids can arrive while the next request of its connection is in flight, and nothing tells the two apart. A quiet time before reuse was ruled out: the extra copies after 50 ms still reached 52 callers.

Change: policy/response-ownership decides whose response it is. A connection is kept only behind a response with the right id, all later responses on it need one, and no two requests with the same id use it. A target that sent a foreign response gets a new connection for each request for 10 s. Operators may trust a service with reuse (trustsReuse). Responses are ended at 16 informational heads, at 256 KB outside of the body, and at 64 MB without a length.

--- a/packages/daemon/src/adapters/backend-http.ts
+++ b/packages/daemon/src/adapters/backend-http.ts
@@ -12,12 +12,18 @@
  * a length, so socket errors are recorded before undici handles them. libuv
  * reports a reset that arrives together with the last bytes as a normal end;
  * such a socket is recognized by its missing remote address at that moment.
+ *
+ * undici limits heads and trailers, but not informational heads, chunk
+ * extensions and bodies without a length. A response that exceeds the limits of
+ * this module counts as broken, and its connection is closed at once.
  */
 import { connect, type Socket } from 'node:net'
 import type { Readable } from 'node:stream'
 import { resetSocket } from '@wisteriavalve/common'
 import { Client } from 'undici'
-import { BACKEND_IDLE_MS, CONNECT_TIMEOUT_MS, RESPONSE_HEADER_BYTES_MAX } from '../constants.js'
+import {
+  BACKEND_IDLE_MS, CHUNK_OVERHEAD_FACTOR, CONNECT_TIMEOUT_MS, INFORMATIONAL_HEADS_MAX, RESPONSE_HEADER_BYTES_MAX, RESPONSE_OVERHEAD_BYTES_MAX, UNSIZED_RESPONSE_BYTES_MAX
+} from '../constants.js'
 import { rawHeader } from '../headers.js'
 
 export type BackendRequest = {
@@ -35,6 +41,8 @@
   socket: Socket
   /** Whether the connection ended with an error. */
   hasFailed: () => boolean
+  /** Sets the function that is called when bytes have arrived; undefined removes it. */
+  setByteListener: (listener: (() => void) | undefined) => void
 }
 
 export type SendFailure =
@@ -100,8 +108,15 @@
     // undici listens for errors only from the first request on; an unhandled error before it would end the process.
     let hadError = false
     socket.off('error', onError).on('error', () => { hadError = true })
-    // remoteAddress must be read only at the end of a response, because node:net caches the first result.
-    onOpen({ client: createClient(target, socket), socket, hasFailed: () => hadError || socket.remoteAddress === undefined })
+    let onBytes: (() => void) | undefined
+    socket.on('readable', () => onBytes?.())
+    onOpen({
+      client: createClient(target, socket),
+      socket,
+      // remoteAddress must be read only at the end of a response, because node:net caches the first result.
+      hasFailed: () => hadError || socket.remoteAddress === undefined,
+      setByteListener: listener => { onBytes = listener }
+    })
   })
 }
 
@@ -127,27 +142,37 @@
 const decodeHeaders = (raw: readonly (Buffer | string)[]): string[] =>
   raw.map(item => typeof item === 'string' ? item : item.toString('latin1'))
 
+/** Whether the end of the response is known from its head. */
+const hasAnnouncedEnd = (method: string, status: number, headers: readonly string[]): boolean =>
+  method === 'HEAD' || status === 204 || status === 304 || rawHeader(headers, 'content-length') !== undefined
+
 /**
  * Whether only the end of the connection marks the end of the response. Such an
  * end cannot be distinguished from a broken connection, and a partial response
  * could be passed on as a complete one.
  */
-const isDelimitedByClose = (method: string, status: number, headers: readonly string[]): boolean => {
-  if (method === 'HEAD' || status === 204 || status === 304 || rawHeader(headers, 'content-length') !== undefined) return false
-  return !/\bchunked\s*$/i.test(rawHeader(headers, 'transfer-encoding') ?? '')
-}
+const isDelimitedByClose = (method: string, status: number, headers: readonly string[]): boolean =>
+  !hasAnnouncedEnd(method, status, headers) && !/\bchunked\s*$/i.test(rawHeader(headers, 'transfer-encoding') ?? '')
 
 export const sendRequest = (backend: BackendSocket, request: BackendRequest, handler: SendHandler): OutgoingRequest => {
   let startCount = 0
   let isWritten = false
   let hasHead = false
   let endsByClose = false
+  let hasLength = false
+  let informationalHeadCount = 0
+  let bodyBytes = 0
   let isFinished = false
   let resumeReading: () => void = () => undefined
   const stream = request.body !== null && !Buffer.isBuffer(request.body) ? request.body : undefined
 
-  const destroy = (): void => {
+  const finish = (): void => {
     isFinished = true
+    backend.setByteListener(undefined)
+  }
+
+  const destroy = (): void => {
+    finish()
     closeBackendSocket(backend)
     stream?.destroy()
   }
@@ -158,15 +183,32 @@
     handler.onFailure(failure)
   }
 
+  /** Bytes that arrived on the connection before this request was written. */
+  const bytesBefore = backend.socket.bytesRead
+
+  /** Ends a response whose bytes, apart from its body, never end. */
+  const limitOverhead = (): void => {
+    const overheadBytes = backend.socket.bytesRead - bytesBefore - bodyBytes
+    if (overheadBytes > RESPONSE_OVERHEAD_BYTES_MAX + CHUNK_OVERHEAD_FACTOR * bodyBytes) {
+      fail({ kind: hasHead ? 'broken' : 'lost', message: `the response has ${overheadBytes} bytes outside of its body` })
+    }
+  }
+
   /** Runs the final check directly before the first byte is written. */
   const allowWrite = (): boolean => {
     if (isFinished) return false
     if (isWritten) return true
+    // undici closes a used connection on which bytes arrive without a request; a new one it has not read yet.
+    if (backend.socket.readableLength > 0) {
+      fail({ kind: 'not-sent', message: 'the backend server sent bytes before the request' })
+      return false
+    }
     if (!handler.canWrite()) {
       fail({ kind: 'not-sent', message: 'the final check before the write refused the request' })
       return false
     }
     isWritten = true
+    backend.setByteListener(limitOverhead)
     handler.onWritten()
     return true
   }
@@ -182,10 +224,16 @@
   }
 
   const onHeaders = (status: number, raw: Buffer[], resume: () => void, statusText: string): boolean => {
-    if (isFinished || status < 200) return true
+    if (isFinished) return true
+    if (status < 200) {
+      informationalHeadCount++
+      if (informationalHeadCount > INFORMATIONAL_HEADS_MAX) fail({ kind: 'lost', message: `more than ${INFORMATIONAL_HEADS_MAX} informational heads` })
+      return true
+    }
     const headers = decodeHeaders(raw)
     hasHead = true
     resumeReading = resume
+    hasLength = hasAnnouncedEnd(request.method, status, headers)
     endsByClose = isDelimitedByClose(request.method, status, headers)
     if (endsByClose && !request.allowsEndByClose) fail({ kind: 'broken', message: 'the response has neither a content-length nor chunked encoding' })
     else handler.onHead(status, headers, statusText)
@@ -198,7 +246,7 @@
       fail({ kind: 'broken', message: 'the connection was reset before the response ended' })
       return
     }
-    isFinished = true
+    finish()
     handler.onEnd(decodeHeaders(trailers ?? []))
   }
 
@@ -209,7 +257,13 @@
   }
 
   const onBodySent = (): void => { if (!isFinished) handler.onBodyProgress() }
-  const onData = (chunk: Buffer): boolean => isFinished || handler.onData(chunk)
+  const onData = (chunk: Buffer): boolean => {
+    if (isFinished) return true
+    bodyBytes += chunk.length
+    if (hasLength || bodyBytes <= UNSIZED_RESPONSE_BYTES_MAX) return handler.onData(chunk)
+    fail({ kind: 'broken', message: `a response without a length is larger than ${UNSIZED_RESPONSE_BYTES_MAX} bytes` })
+    return true
+  }
 
   backend.client.dispatch(
     { method: request.method as 'GET', path: request.path, headers: request.headers, body: request.body },
--- a/packages/daemon/src/attempts.ts
+++ b/packages/daemon/src/attempts.ts
@@ -115,6 +115,7 @@
 const acquire = (context: PipelineContext, attempt: Attempt): void => {
   attempt.waiter = {
     idempotent: attempt.exchange.kind.idempotent,
+    requestId: attempt.exchange.id,
     verifiedSinceMs: attempt.exchange.firstWrittenMs,
     use: connection => {
       attempt.waiter = undefined
--- a/packages/daemon/src/backend-connections.ts
+++ b/packages/daemon/src/backend-connections.ts
@@ -4,12 +4,19 @@
  * the queue is therefore never sent.
  */
 import type { Clock } from '@wisteriavalve/common'
-import { chooseConnection, findSilentConnections, type ConnectionChoice, type ConnectionView } from '@wisteriavalve/policy'
+import { chooseConnection, findSilentConnections, isReusableAfter, type ConnectionChoice, type ConnectionView, type ResponseOwner } from '@wisteriavalve/policy'
 import type { Target } from '@wisteriavalve/schema'
+import { FOREIGN_RESPONSE_HOLD_MS } from './constants.js'
 import { CLOSED_ERROR, closeBackendSocket, openBackendSocket, type BackendSocket } from './adapters/backend-http.js'
 
 export type BackendConnection = ConnectionView & BackendSocket & {
   isClosed: boolean
+  /** Requests and probes that were sent on the connection. */
+  useCount: number
+  /** Ids of the requests that the connection has carried. */
+  requestIds: Set<string>
+  /** Owner of the last response; undefined before the first one and after a probe. */
+  lastResponseOwner?: ResponseOwner
   /** Called when the connection is retired while a request uses it. */
   onSilent?: () => void
   /**
@@ -21,6 +28,8 @@
 
 export type ConnectionWaiter = {
   idempotent: boolean
+  /** Id of the request; absent for a probe. */
+  requestId?: string
   /** If set, only a connection that was opened or answered after this time is used. */
   verifiedSinceMs?: number
   /** Called once with a connection that is marked as busy. */
@@ -33,7 +42,7 @@
   target: Target
   acquire: (waiter: ConnectionWaiter) => void
   cancel: (waiter: ConnectionWaiter) => void
-  /** Returns a connection to the pool after a complete response. */
+  /** Takes back a connection after a complete response, and closes it if no other request may use it. */
   release: (connection: BackendConnection) => void
   discard: (connection: BackendConnection) => void
   closeIdle: () => void
@@ -41,24 +50,31 @@
   retireSilent: (firstByteP99Ms: number | undefined) => BackendConnection[]
   count: () => number
   busyCount: () => number
-  /** Records that the target echoes request ids. From then on a response with another id is rejected. */
+  /** Records that the target repeats request ids. From then on a response with another id is rejected. */
   recordRequestIdEcho: () => void
   echoesRequestIds: () => boolean
+  /** Records that the target sent a response for another request. For some time, its connections then carry one request each. */
+  recordForeignResponse: () => void
 }
 
 export type TargetConnectionsOptions = {
   target: Target
   /** Maximum number of connections of this node to the target. */
   share: () => number
+  /** Whether the target is trusted with further requests on a connection although it does not repeat request ids. */
+  isReuseTrusted: () => boolean
+  /** Whether targets are known to repeat request ids before their first response. */
+  repeatsRequestIds: boolean
   clock: Clock
   nextId: () => number
 }
 
-export const createTargetConnections = ({ target, share, clock, nextId }: TargetConnectionsOptions): TargetConnections => {
+export const createTargetConnections = ({ target, share, isReuseTrusted, repeatsRequestIds, clock, nextId }: TargetConnectionsOptions): TargetConnections => {
   const connections: BackendConnection[] = []
   const waiters: ConnectionWaiter[] = []
   let openingCount = 0
-  let hasEchoedRequestId = false
+  let hasEchoedRequestId = repeatsRequestIds
+  let singleUseUntilMs = -Infinity
 
   const remove = (connection: BackendConnection): void => {
     if (connection.isClosed) return
@@ -77,8 +93,14 @@
     connection.client.destroy(CLOSED_ERROR, () => undefined)
   }
 
+  const closeIdle = (): void => {
+    for (const connection of connections.filter(({ isBusy }) => !isBusy)) closeConnection(connection)
+  }
+
   const assign = (connection: BackendConnection, waiter: ConnectionWaiter): void => {
     connection.isBusy = true
+    connection.useCount++
+    if (waiter.requestId !== undefined) connection.requestIds.add(waiter.requestId)
     waiter.use(connection)
   }
 
@@ -90,6 +112,7 @@
       client: opened.client,
       socket: opened.socket,
       hasFailed: opened.hasFailed,
+      setByteListener: opened.setByteListener,
       id: nextId(),
       openedMs: nowMs,
       lastProgressMs: nowMs,
@@ -98,6 +121,9 @@
       isRetired: false,
       sentMs: undefined,
       isClosed: false,
+      useCount: 0,
+      requestIds: new Set(),
+      lastResponseOwner: undefined,
       onSilent: undefined,
       isWaitingForCaller: undefined
     }
@@ -140,7 +166,7 @@
 
   /** @returns whether the request reuses a connection, opens one or waits */
   const choose = (waiter: ConnectionWaiter): ConnectionChoice =>
-    chooseConnection(connections, { idempotent: waiter.idempotent, verifiedSinceMs: waiter.verifiedSinceMs, share: share() }, clock.nowMs())
+    chooseConnection(connections, { idempotent: waiter.idempotent, requestId: waiter.requestId, verifiedSinceMs: waiter.verifiedSinceMs, share: share() }, clock.nowMs())
 
   /** Opens a connection if more requests wait than connections are opening. */
   const openForWaiters = (choice: ConnectionChoice): void => {
@@ -162,6 +188,16 @@
     }
   }
 
+  /**
+   * A probe has no request id. After one, the connection is kept if the target
+   * repeats ids, since the response to the next request then shows its owner.
+   */
+  const mayReuse = ({ lastResponseOwner, requestIds }: BackendConnection): boolean => {
+    if (clock.nowMs() < singleUseUntilMs) return false
+    const owner = lastResponseOwner ?? (hasEchoedRequestId ? 'own' : 'unverified')
+    return isReusableAfter(owner, { isReuseTrusted: isReuseTrusted(), requestCount: requestIds.size })
+  }
+
   const removeWaiter = (waiter: ConnectionWaiter): boolean => {
     const index = waiters.indexOf(waiter)
     if (index >= 0) waiters.splice(index, 1)
@@ -194,14 +230,12 @@
       // check is deferred.
       queueMicrotask(() => {
         connection.isBusy = false
-        if (connection.isRetired || connection.socket.destroyed) closeConnection(connection)
+        if (connection.isRetired || connection.socket.destroyed || !mayReuse(connection)) closeConnection(connection)
         if (waiters.length > 0) serveWaiters()
       })
     },
     discard,
-    closeIdle: () => {
-      for (const connection of connections.filter(({ isBusy }) => !isBusy)) closeConnection(connection)
-    },
+    closeIdle,
     retireSilent: firstByteP99Ms => {
       const nowMs = clock.nowMs()
       for (const connection of connections) if (connection.isWaitingForCaller?.()) connection.lastProgressMs = nowMs
@@ -216,6 +250,10 @@
     },
     recordRequestIdEcho: () => { hasEchoedRequestId = true },
     echoesRequestIds: () => hasEchoedRequestId,
+    recordForeignResponse: () => {
+      singleUseUntilMs = clock.nowMs() + FOREIGN_RESPONSE_HOLD_MS
+      closeIdle()
+    },
     count: () => connections.length + openingCount,
     busyCount: () => connections.reduce((sum, { isBusy }) => sum + (isBusy ? 1 : 0), 0)
   }
--- a/packages/daemon/src/constants.ts
+++ b/packages/daemon/src/constants.ts
@@ -27,6 +27,20 @@
 /** Idle time of a connection if the backend server does not state one. */
 export const BACKEND_IDLE_MS = 4_000
 export const RESPONSE_HEADER_BYTES_MAX = 65_536
+/** Maximum number of informational (1xx) heads before a response. */
+export const INFORMATIONAL_HEADS_MAX = 16
+/**
+ * Maximum number of received bytes of a response that are not part of its body:
+ * heads, chunk extensions and trailers. It includes what the socket may have
+ * buffered ahead of the parser.
+ */
+export const RESPONSE_OVERHEAD_BYTES_MAX = 262_144
+/** Allowed overhead for each byte of the body, since each chunk of a body has a header of its own. */
+export const CHUNK_OVERHEAD_FACTOR = 8
+/** Maximum size of the body of a response that announces no length. */
+export const UNSIZED_RESPONSE_BYTES_MAX = 67_108_864
+/** Time for which a target that sent a response for another request gets a new connection for each request. */
+export const FOREIGN_RESPONSE_HOLD_MS = 10_000
 
 export const RETRY_ALLOWANCE_DEFAULT = 3
 export const CALL_DEPTH_MAX = 9
--- a/packages/daemon/src/response-relay.ts
+++ b/packages/daemon/src/response-relay.ts
@@ -3,7 +3,7 @@
  * the complete response of one attempt or a broken connection, never a partial
  * response that looks complete.
  */
-import type { AttemptFailure } from '@wisteriavalve/policy'
+import { findResponseOwner, type AttemptFailure, type ResponseOwner } from '@wisteriavalve/policy'
 import { LINGER_MS, REPLAY_BYTES_MAX } from './constants.js'
 import { abandonAttempt, finishAttempt, type Attempt } from './exchange.js'
 import { rawHeader } from './headers.js'
@@ -46,17 +46,19 @@
   return isRefused
 }
 
-/**
- * Whether the response belongs to another request than the one sent on its
- * connection. Late or additional responses are detected by the request id that
- * targets echo. If the dialect does not require the echo, a different id counts
- * only if the target has echoed an id before.
- */
-const isForOtherRequest = ({ dialect }: PipelineContext, { exchange, pool }: Attempt, headers: readonly string[]): boolean => {
-  const echoed = rawHeader(headers, dialect.requestIdHeader.toLowerCase())
-  if (echoed === exchange.id) pool.recordRequestIdEcho()
-  if (echoed === undefined) return false
-  return echoed !== exchange.id && (dialect.echoesRequestId || pool.echoesRequestIds())
+/** Records whether the response belongs to the request that was sent on its connection. */
+const recordResponseOwner = ({ dialect }: PipelineContext, { exchange, pool, connection }: Attempt, headers: readonly string[]): ResponseOwner => {
+  const owner = findResponseOwner({
+    requestId: exchange.id,
+    repeatedId: rawHeader(headers, dialect.requestIdHeader.toLowerCase()),
+    isFirstUse: connection?.useCount === 1,
+    repeatsIds: pool.echoesRequestIds(),
+    isReuseTrusted: exchange.runtime.configuration.trustsReuse === true
+  })
+  if (connection) connection.lastResponseOwner = owner
+  if (owner === 'own') pool.recordRequestIdEcho()
+  else if (owner === 'foreign') pool.recordForeignResponse()
+  return owner
 }
 
 /**
@@ -77,7 +79,7 @@
 export const onResponseHead = (context: PipelineContext, attempt: Attempt, head: ResponseHead, tryTakeRetryAfterStatus: () => boolean): HeadOutcome => {
   const { exchange } = attempt
   const nowMs = head.atMs
-  if (isForOtherRequest(context, attempt, head.headers)) return { step: 'failed', message: 'the response belongs to another request' }
+  if (recordResponseOwner(context, attempt, head.headers) === 'foreign') return { step: 'failed', message: 'the response belongs to another request' }
   const isRefused = recordResponseSignals(context, attempt, head)
   if (exchange.phase === 'settled' || (exchange.responder && exchange.responder !== attempt)) {
     abandonAttempt(attempt, 'cancelled', nowMs)
--- a/packages/daemon/src/service-runtimes.ts
+++ b/packages/daemon/src/service-runtimes.ts
@@ -36,6 +36,8 @@
    * limited by the reports instead of the capacity estimate.
    */
   probesBeforeAttempt?: boolean
+  /** Whether targets are known to repeat request ids in their responses. */
+  repeatsRequestIds?: boolean
   onHealth: (service: string, targetId: string, health: TargetHealth, reason: string) => void
   onSilent: (service: string, targetId: string, retired: BackendConnection[]) => void
 }
@@ -107,7 +109,7 @@
   }
 }
 
-export const createServiceRuntimes = ({ clock, random, retryLimits, probesBeforeAttempt = false, onHealth, onSilent }: ServiceRuntimesOptions): ServiceRuntimes => {
+export const createServiceRuntimes = ({ clock, random, retryLimits, probesBeforeAttempt = false, repeatsRequestIds = false, onHealth, onSilent }: ServiceRuntimesOptions): ServiceRuntimes => {
   const runtimes = new Map<string, ServiceRuntime>()
   const targetsByService = new Map<string, ServiceTargets>()
   let index: ServiceIndex | undefined
@@ -174,7 +176,14 @@
     const existing = runtime.connections.get(target.id)
     if (existing?.target.host === target.host && existing.target.port === target.port) return existing
     existing?.closeIdle()
-    const pool = createTargetConnections({ target, share: () => runtime.share, clock, nextId: () => ++connectionId })
+    const pool = createTargetConnections({
+      target,
+      share: () => runtime.share,
+      isReuseTrusted: () => runtime.configuration.trustsReuse === true,
+      repeatsRequestIds,
+      clock,
+      nextId: () => ++connectionId
+    })
     runtime.connections.set(target.id, pool)
     return pool
   }
--- a/packages/policy/src/connections.ts
+++ b/packages/policy/src/connections.ts
@@ -48,9 +48,19 @@
  * can affect all pooled connections. It therefore uses a connection that was
  * verified after the first attempt was sent, or a new one.
  */
-const isReusable = (connection: ConnectionView, { idempotent, verifiedSinceMs }: ConnectionRequest, nowMs: number): boolean =>
+const isVerified = (connection: ConnectionView, { idempotent, verifiedSinceMs }: ConnectionRequest, nowMs: number): boolean =>
   (idempotent || isFresh(connection, nowMs)) && (verifiedSinceMs === undefined || lastVerifiedMs(connection) >= verifiedSinceMs)
 
+/**
+ * A second copy of an earlier response is recognized by its request id. Two
+ * requests with the same id must therefore not use the same connection.
+ */
+const hasCarried = ({ requestIds }: ConnectionView, { requestId }: ConnectionRequest): boolean =>
+  requestId !== undefined && requestIds?.has(requestId) === true
+
+const isReusable = (connection: ConnectionView, request: ConnectionRequest, nowMs: number): boolean =>
+  isVerified(connection, request, nowMs) && !hasCarried(connection, request)
+
 /**
  * A non-idempotent request only uses a connection that completed a response within
  * the last second, or a new one, since a silent connection would leave its outcome
--- a/packages/testbench/src/backend/server.ts
+++ b/packages/testbench/src/backend/server.ts
@@ -16,7 +16,7 @@
 import type { Backend, BackendBehaviour, BackendEvent, BackendEventWithServer, BackendOptions } from './types.js'
 
 const DEFAULT_BEHAVIOUR: BackendBehaviour = {
-  slowdown: 1, failFast: false, shed: false, loadReport: 'honest', health: 'honest', drainHeader: true
+  slowdown: 1, failFast: false, shed: false, loadReport: 'honest', health: 'honest', drainHeader: true, repeatsRequestIds: true
 }
 const COLD_SLOWDOWN = 3
 const DRAIN_CHECK_MS = 10
@@ -50,7 +50,8 @@
   return formatReport(behaviour.loadReport === 'idle' ? 0 : inFlight)
 }
 
-const setCommonHeaders = (state: State, response: http.ServerResponse): void => {
+const setCommonHeaders = (state: State, response: http.ServerResponse, requestId: string): void => {
+  if (state.behaviour.repeatsRequestIds && requestId !== '') response.setHeader('x-request-id', requestId)
   response.setHeader('endpoint-load-metrics', loadReport(state))
   if (state.drainStartMs !== undefined && state.behaviour.drainHeader) response.setHeader('x-draining', 'true')
 }
@@ -66,7 +67,7 @@
 
 const refuse = (state: State, response: http.ServerResponse, requestId: string): void => {
   state.recordEvent({ type: 'refused', requestId })
-  setCommonHeaders(state, response)
+  setCommonHeaders(state, response, requestId)
   response.writeHead(503, { 'x-request-not-run': 'true' }).end()
 }
 
@@ -92,7 +93,7 @@
 
 const sendResponse = (state: State, response: http.ServerResponse, requestId: string, sizeBytes: number): void => {
   const body = createResponseBody(requestId, state.options.id, sizeBytes)
-  setCommonHeaders(state, response)
+  setCommonHeaders(state, response, requestId)
   response.setHeader(CHECKSUM_HEADER, String(checksum(body)))
   response.setHeader('content-length', body.length)
   const resetAfterBytes = state.behaviour.breakAnswerAfterBytes
@@ -146,7 +147,7 @@
   if (state.behaviour.shed) refuse(state, response, requestId)
   else if (state.behaviour.failFast) {
     state.recordEvent({ type: 'started', requestId })
-    setCommonHeaders(state, response)
+    setCommonHeaders(state, response, requestId)
     request.resume()
     response.writeHead(500).end()
   } else runRequest(state, request, response, requestId, url.searchParams)
--- a/packages/testbench/src/backend/types.ts
+++ b/packages/testbench/src/backend/types.ts
@@ -44,6 +44,8 @@
   health: 'honest' | 'ready'
   /** Whether responses carry x-draining while the server drains. */
   drainHeader: boolean
+  /** Whether responses repeat the x-request-id of their request. */
+  repeatsRequestIds: boolean
 }
 
 /** Event that the server records. */
