Let operators trust a service with reused connections, and show it

The question trusts-reuse is answered with no by default: a target that does not repeat request ids then gets a new connection for each request. check warns of a yes, diff and status name it. The field is written only if it is true, because earlier releases reject a configuration with an unknown field.

--- a/packages/cli/src/status/merge-targets.ts
+++ b/packages/cli/src/status/merge-targets.ts
@@ -17,6 +17,8 @@
   views: HealthView[]
   inFlight: number
   connections: number
+  /** Whether the target is trusted with reused connections although it does not repeat request ids. */
+  trustsReuse: boolean
   /** Largest value of all nodes; undefined when no node has measured it. */
   firstByteP99Ms?: number
 }
@@ -34,7 +36,7 @@
   a === undefined ? b : b === undefined ? a : Math.max(a, b)
 
 const createMergedTarget = ({ service, targetId, host, port, zone }: TargetStatus): MergedTarget =>
-  ({ service, targetId, address: `${host}:${port}`, zone, views: [], inFlight: 0, connections: 0 })
+  ({ service, targetId, address: `${host}:${port}`, zone, views: [], inFlight: 0, connections: 0, trustsReuse: false })
 
 export const mergeTargets = (nodes: readonly NodeStatus[]): MergedTarget[] => {
   const merged = new Map<string, MergedTarget>()
@@ -45,6 +47,7 @@
     addView(entry.views, target)
     entry.inFlight += target.inFlight
     entry.connections += target.connections
+    entry.trustsReuse ||= target.trustsReuse === true
     entry.firstByteP99Ms = maxOf(entry.firstByteP99Ms, target.firstByteP99Ms)
   }
   for (const { views } of merged.values()) views.sort((a, b) => b.nodeCount - a.nodeCount || HEALTH_ORDER.indexOf(a.health) - HEALTH_ORDER.indexOf(b.health))
--- a/packages/cli/src/status/status-text.ts
+++ b/packages/cli/src/status/status-text.ts
@@ -67,10 +67,14 @@
   .flatMap(({ health, reason, nodeCount }) =>
     wrapText(`  ${target.targetId} ${health} for ${formatCount(nodeCount, 'node')}: ${reason}`, TERMINAL_COLUMNS, '    '))
 
+/** @returns a note on services whose responses are not always checked for their owner */
+const describeReuse = (targets: readonly MergedTarget[]): string =>
+  targets.some(({ trustsReuse }) => trustsReuse) ? '; trusted not to send a response twice' : ''
+
 const describeService = (service: string, targets: readonly MergedTarget[], showAll: boolean): string[] => {
   const unready = targets.filter(target => !isReadyEverywhere(target))
   return [
-    `service ${service}: ${formatCount(targets.length, 'target')}, ${targets.length - unready.length} ready for every node`,
+    `service ${service}: ${formatCount(targets.length, 'target')}, ${targets.length - unready.length} ready for every node${describeReuse(targets)}`,
     ...formatTargetTable(showAll ? targets : unready).map(line => `  ${line}`.slice(0, TERMINAL_COLUMNS)),
     ...unready.flatMap(describeUnreadyViews)
   ]
--- a/packages/daemon/src/service-runtimes.ts
+++ b/packages/daemon/src/service-runtimes.ts
@@ -68,8 +68,10 @@
   closeIdle: () => void
 }
 
-const statusOf = ({ table, connections }: ServiceRuntime, nowMs: number): TargetStatus[] =>
-  table.snapshot(nowMs, new Map([...connections].map(([targetId, pool]) => [targetId, pool.count()])))
+const statusOf = ({ table, connections, configuration }: ServiceRuntime, nowMs: number): TargetStatus[] => {
+  const targets = table.snapshot(nowMs, new Map([...connections].map(([targetId, pool]) => [targetId, pool.count()])))
+  return configuration.trustsReuse === true ? targets.map(target => ({ ...target, trustsReuse: true })) : targets
+}
 
 const gaugeValuesOf = (runtime: ServiceRuntime, nowMs: number): ServiceGaugeValues => ({
   service: runtime.configuration.name,
--- a/packages/daemon/test/foreign-responses.test.ts
+++ b/packages/daemon/test/foreign-responses.test.ts
@@ -91,6 +91,22 @@
   }
 }
 
+test('a service that is trusted with reuse keeps connections of targets that do not repeat request ids', async t => {
+  const connections = new Set<number>()
+  const port = await startRawBackend((socket, _received, number) => {
+    connections.add(number)
+    socket.write('HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok')
+  })
+  const countConnections = async (trustsReuse: boolean): Promise<number> => {
+    connections.clear()
+    const daemon = await startDaemon([createService([port], { trustsReuse })])
+    for (let count = 0; count < 10; count++) t.is((await call(daemon.port)).body, 'ok')
+    return connections.size
+  }
+  t.is(await countConnections(true), 1)
+  t.is(await countConnections(false), 10)
+})
+
 test('two requests with the same id do not use the same connection', async t => {
   const port = await startRepeatingBackend(true, EXTRA_RESPONSES['when the next request has arrived'] as ExtraResponse)
   const daemon = await startDaemon([createService([port])])
--- a/packages/questionnaire/src/checks/limits.ts
+++ b/packages/questionnaire/src/checks/limits.ts
@@ -44,6 +44,14 @@
   }
 }
 
+const checkReuse = ({ services }: AnswersView, report: ReportFinding): void => {
+  for (const { path, trustsReuse } of services) {
+    if (trustsReuse !== true) continue
+    report('warning', [...path, 'trustsReuse'],
+      'an extra response of a target that does not repeat request ids can reach the caller of another request')
+  }
+}
+
 /** Probes per second that all nodes together can send within their CPU budget. */
 const affordableProbesPerS = (entryVmCount: number, cpuPercent: number): number =>
   entryVmCount * cpuPercent / PERCENT * MS_PER_S / PROBE_CPU_MS
@@ -69,5 +77,6 @@
 export const checkLimits: CrossCheck = (answers, report) => {
   checkZones(answers, report)
   checkConnections(answers, report)
+  checkReuse(answers, report)
   checkProbes(answers, report)
 }
--- a/packages/questionnaire/src/checks/types.ts
+++ b/packages/questionnaire/src/checks/types.ts
@@ -27,6 +27,7 @@
   hosts: string[]
   slotsPerTarget?: number
   connectionsPerTarget?: number
+  trustsReuse?: boolean
   targets: TargetView[]
   kinds: KindView[]
 }
--- a/packages/questionnaire/src/checks/view.ts
+++ b/packages/questionnaire/src/checks/view.ts
@@ -40,6 +40,7 @@
       hosts: read([...path, 'hosts']) ?? [],
       slotsPerTarget: read([...path, 'slotsPerTarget']),
       connectionsPerTarget: read([...path, 'connectionsPerTarget']),
+      trustsReuse: read([...path, 'trustsReuse']),
       targets: items([...path, 'targets']).map(viewTarget),
       kinds: items([...path, 'kinds']).map(viewKind)
     }
--- a/packages/questionnaire/src/constants.ts
+++ b/packages/questionnaire/src/constants.ts
@@ -20,6 +20,7 @@
   replacementOverlap: 4,
   configurationServiceRestoreCount: 0,
   cpuPercent: 1,
+  trustsReuse: false,
   healthPath: '/health',
   defaultDeadlineMs: 1000,
   boundedBy: 'deadline',
--- a/packages/questionnaire/src/questions.ts
+++ b/packages/questionnaire/src/questions.ts
@@ -157,6 +157,15 @@
     rationale: 'Each entry VM gets an equal share, rounded down, and never opens more.',
     propose: () => 300
   },
+  {
+    id: 'trusts-reuse',
+    scope: 'service',
+    field: 'trustsReuse',
+    type: booleanType,
+    text: 'Do you trust targets that do not repeat request ids never to send a response twice?',
+    rationale: 'With no, such a target gets a new connection for each request, which takes about 1 ms. With yes, an extra response can reach the caller of another request.',
+    default: DEFAULTS.trustsReuse
+  },
   {
     id: 'health-path',
     scope: 'service',
--- a/packages/questionnaire/src/resolve.ts
+++ b/packages/questionnaire/src/resolve.ts
@@ -36,6 +36,8 @@
     hosts: [...service.hosts ?? []],
     slotsPerTarget: service.slotsPerTarget,
     connectionsPerTarget: service.connectionsPerTarget,
+    // Written only if it is true, because earlier releases reject a configuration with an unknown field.
+    ...(service.trustsReuse === true && { trustsReuse: true }),
     healthPath: service.healthPath ?? DEFAULTS.healthPath,
     defaultDeadlineMs: service.defaultDeadlineMs ?? DEFAULTS.defaultDeadlineMs,
     targets: (service.targets ?? []).map(resolveTarget).sort((a, b) => compareText(a.id, b.id)),
