--- a/packages/daemon/src/adapters/caller-http.ts
+++ b/packages/daemon/src/adapters/caller-http.ts
@@ -45,6 +45,8 @@
   /** Sets limits from the configuration; they apply to new connections and requests. */
   setBounds: (bounds: CallerBounds) => void
   connectionCount: () => number
+  /** Number of connections that were accepted since the start. */
+  acceptedCount: () => number
 }
 
 export const hasBody = (req: IncomingMessage): boolean =>
@@ -177,6 +179,7 @@
   const latestCalls = new WeakMap<Duplex, Call>()
   const closingSockets: ClosingSockets = new WeakSet()
   let connectionCount = 0
+  let acceptedCount = 0
   const server = createServer({
     maxHeaderSize: HEADER_BYTES_MAX,
     headersTimeout: HEAD_TIMEOUT_MS,
@@ -231,6 +234,7 @@
   server.on('connection', (socket: Socket) => {
     const address = socket.remoteAddress ?? ''
     connectionCount++
+    acceptedCount++
     const isAccepted = acceptConnection(address)
     const calls = new Set<Call>()
     openCalls.set(socket, calls)
@@ -252,5 +256,5 @@
     server.keepAliveTimeout = idleTimeoutMs
   }
 
-  return { server, setBounds, connectionCount: () => connectionCount }
+  return { server, setBounds, connectionCount: () => connectionCount, acceptedCount: () => acceptedCount }
 }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -219,6 +219,7 @@
       clock,
       server: callerServer.server,
       connectionCount: callerServer.connectionCount,
+      acceptedCount: callerServer.acceptedCount,
       inFlightCount: pipeline.inFlightCount,
       entryLifetimeMs: fleet.configuration()?.settings.entryLifetimeMs ?? ENTRY_LIFETIME_DEFAULT_MS,
       stopTimeoutMs: settings.stopTimeoutMs
--- a/packages/daemon/src/graceful-shutdown.ts
+++ b/packages/daemon/src/graceful-shutdown.ts
@@ -1,10 +1,12 @@
 /**
  * Graceful shutdown of a node. Peers and entry answers have already stopped
  * listing it. Callers that still hold its address are served until their entry
- * answer expires, then requests in flight are finished.
+ * answer expires. Then no new connections are accepted, and the requests on
+ * those that were accepted before are finished.
  */
 import type { Server } from 'node:http'
 import type { Clock } from '@wisteriavalve/common'
+import { closeListener } from './close-listener.js'
 import { LEAVE_QUIET_MS } from './constants.js'
 
 const CHECK_INTERVAL_MS = 50
@@ -20,6 +22,8 @@
   clock: Clock
   server: Server
   connectionCount: () => number
+  /** Number of connections that were accepted since the start. */
+  acceptedCount: () => number
   inFlightCount: () => number
   entryLifetimeMs: number
   /** Maximum time for the whole shutdown; 0 waits for the last request. */
@@ -39,14 +43,16 @@
   check()
 })
 
-export const shutDownGracefully = async ({ clock, server, connectionCount, inFlightCount, entryLifetimeMs, stopTimeoutMs }: GracefulShutdownOptions): Promise<void> => {
+export const shutDownGracefully = async ({ clock, server, connectionCount, acceptedCount, inFlightCount, entryLifetimeMs, stopTimeoutMs }: GracefulShutdownOptions): Promise<void> => {
   const startMs = clock.nowMs()
   const endMs = stopTimeoutMs === 0 ? Infinity : startMs + stopTimeoutMs
   const acceptMs = stopTimeoutMs === 0 ? Infinity : ACCEPT_SHARE * stopTimeoutMs
   const acceptUntilMs = startMs + Math.min(acceptMs, entryLifetimeMs * ENTRY_LIFETIME_FACTOR)
   await waitUntil(clock, () => connectionCount() === 0, LEAVE_QUIET_MS, acceptUntilMs)
-  server.close()
-  server.closeIdleConnections()
-  await waitUntil(clock, () => inFlightCount() === 0, 0, endMs)
+  await closeListener({ clock, server, acceptedCount })
+  // A connection without a request in flight may still bring its first one.
+  const closedMs = clock.nowMs()
+  const isDone = (): boolean => connectionCount() === 0 || (inFlightCount() === 0 && clock.nowMs() - closedMs >= LEAVE_QUIET_MS)
+  await waitUntil(clock, isDone, 0, endMs)
   server.closeAllConnections()
 }
