--- a/packages/testbench/test/draining.test.ts
+++ b/packages/testbench/test/draining.test.ts
@@ -4,6 +4,7 @@
  */
 import test from 'ava'
 import { checkRun, startScenario, countFailures } from '../src/index.js'
+import { logDrain } from './drain-log.js'
 
 test.serial('a draining backend server completes a long upload and gets no new requests after 3 s', async t => {
   const scenario = await startScenario({ seed: 31, nodeCount: 2 })
@@ -16,6 +17,7 @@
   t.like(await upload, { result: 'in-time', answer: 'own' })
   await stopped
   const verdict = checkRun(outcomes, scenario.record)
+  if (verdict.lateAfterDrain > 0) logDrain(t, scenario, outcomes)
   t.deepEqual(countFailures(outcomes), {})
   t.like(verdict, { lateAfterDrain: 0, truncated: 0, repeated: 0 })
   t.true(scenario.record.events().some(event => event.type === 'upload' && event.requestId === 'upload-1' && event.intact))
--- a/packages/testbench/test/fault-pairs.test.ts
+++ b/packages/testbench/test/fault-pairs.test.ts
@@ -3,7 +3,8 @@
  * nothing else fails.
  */
 import test from 'ava'
-import { DRAIN_LIMIT_MS, checkRun, intendedStartMs, startScenario, countFailures, waitUntilInForce } from '../src/index.js'
+import { checkRun, intendedStartMs, startScenario, countFailures, waitUntilInForce } from '../src/index.js'
+import { logDrain } from './drain-log.js'
 
 const NO_VIOLATIONS = { repeated: 0, wronglyNotRun: 0, foreign: 0, truncated: 0, lateAfterDrain: 0 }
 
@@ -17,11 +18,9 @@
   const killedMs = performance.timeOrigin + performance.now()
   const outcomes = await load.done
   await stopped
-  for (const event of scenario.record.events()) {
-    if (event.type !== 'arrived-after-drain' || event.afterDrainMs < DRAIN_LIMIT_MS / 2) continue
-    t.log(JSON.stringify({ ...event, outcome: outcomes.find(({ requestId }) => requestId === event.requestId) }))
-  }
-  t.like(checkRun(outcomes, scenario.record), NO_VIOLATIONS)
+  const verdict = checkRun(outcomes, scenario.record)
+  if (verdict.lateAfterDrain > 0) logDrain(t, scenario, outcomes)
+  t.like(verdict, NO_VIOLATIONS)
   t.deepEqual(countFailures(outcomes.filter(outcome => intendedStartMs(outcome) > killedMs + 100)), {})
 })
 
