--- a/packages/daemon/test/endless-responses.test.ts
+++ b/packages/daemon/test/endless-responses.test.ts
@@ -6,6 +6,10 @@
 import type { Socket } from 'node:net'
 import test from 'ava'
 import type { ServiceConfiguration } from '@wisteriavalve/schema'
+import { createHttpReader } from '../src/adapters/http-json.js'
+import { createPeerAuth } from '../src/adapters/peer-auth.js'
+import { createPeerClients } from '../src/adapters/peer-client.js'
+import { createProbeRunner } from '../src/fleet/probe-runner.js'
 import { call, createKind, createService, formatOwnResponse, ORDER, startDaemon, startRawBackend, UPLOAD } from './support.js'
 import './exit.js'
 
@@ -78,6 +82,29 @@
   }
 }
 
+const READ_BYTES_MAX = 1_000_000
+const READ_TIMEOUT_MS = 400
+/** Allows for a busy machine. */
+const READ_ENDED_WITHIN_MS = 2_000
+
+for (const [name, endless] of Object.entries(ENDLESS)) {
+  test.serial(`reads of the platform and of peers, and health probes, end in time on endless ${name}`, async t => {
+    const { port } = await startEndlessBackend(endless)
+    const reader = createHttpReader(READ_BYTES_MAX)
+    const peers = createPeerClients(createPeerAuth('test', 'a-key-of-sixteen-characters'))
+    const probes = createProbeRunner(() => performance.now())
+    const startMs = performance.now()
+    const read = await reader.get(`http://127.0.0.1:${port}/`, { timeoutMs: READ_TIMEOUT_MS })
+    t.false(read.ok)
+    t.true(performance.now() - startMs < READ_ENDED_WITHIN_MS)
+    await t.throwsAsync(peers.to({ host: '127.0.0.1', peerPort: port }).head.query())
+    const probe = await probes.probe({ id: 't', host: '127.0.0.1', port, zone: 'a' }, '/health')
+    t.false(probe.ok)
+    await Promise.all([reader.close(), peers.close(), probes.close()])
+    t.true(performance.now() - startMs < ENDED_WITHIN_MS)
+  })
+}
+
 const percentile = (values: number[], share: number): number => values.sort((a, b) => a - b)[Math.floor(share * values.length)] ?? NaN
 
 test.serial('other requests are not slowed down by servers that send without end', async t => {
