Resume a paused response before the end of its connection is handled

Cause: undici asserts that its parser is not paused when a connection ends. A target that closes behind a response, while the caller reads more slowly than the target sends, met the assertion and ended the process (exit code 70).

Change: the parser is resumed right before undici handles the end, and the empty chunk that it passes on then does not pause it again.

--- a/packages/daemon/src/adapters/backend-http.ts
+++ b/packages/daemon/src/adapters/backend-http.ts
@@ -16,6 +16,10 @@
  * undici limits heads and trailers, but not informational heads, chunk
  * extensions and bodies without a length. A response that exceeds the limits of
  * this module counts as broken, and its connection is closed at once.
+ *
+ * undici asserts that its parser is not paused when a connection ends, and the
+ * failed assertion would end the process. The end of a connection is emitted
+ * when all its bytes have been read, so the parser is resumed right before it.
  */
 import { connect, type Socket } from 'node:net'
 import type { Readable } from 'node:stream'
@@ -41,8 +45,15 @@
   socket: Socket
   /** Whether the connection ended with an error. */
   hasFailed: () => boolean
-  /** Sets the function that is called when bytes have arrived; undefined removes it. */
-  setByteListener: (listener: (() => void) | undefined) => void
+  /** Sets the listener of the running request; undefined removes it. */
+  setListener: (listener: SocketListener | undefined) => void
+}
+
+export type SocketListener = {
+  /** Called when bytes have arrived. */
+  onBytes: () => void
+  /** Called when the peer has ended the connection, before undici handles it. */
+  onEnd: () => void
 }
 
 export type SendFailure =
@@ -108,14 +119,14 @@
     // undici listens for errors only from the first request on; an unhandled error before it would end the process.
     let hadError = false
     socket.off('error', onError).on('error', () => { hadError = true })
-    let onBytes: (() => void) | undefined
-    socket.on('readable', () => onBytes?.())
+    let listener: SocketListener | undefined
+    socket.on('readable', () => listener?.onBytes()).on('end', () => listener?.onEnd())
     onOpen({
       client: createClient(target, socket),
       socket,
       // remoteAddress must be read only at the end of a response, because node:net caches the first result.
       hasFailed: () => hadError || socket.remoteAddress === undefined,
-      setByteListener: listener => { onBytes = listener }
+      setListener: next => { listener = next }
     })
   })
 }
@@ -168,7 +179,7 @@
 
   const finish = (): void => {
     isFinished = true
-    backend.setByteListener(undefined)
+    backend.setListener(undefined)
   }
 
   const destroy = (): void => {
@@ -194,6 +205,8 @@
     }
   }
 
+  const resume = (): void => { if (!isFinished) resumeReading() }
+
   /** Runs the final check directly before the first byte is written. */
   const allowWrite = (): boolean => {
     if (isFinished) return false
@@ -208,7 +221,7 @@
       return false
     }
     isWritten = true
-    backend.setByteListener(limitOverhead)
+    backend.setListener({ onBytes: limitOverhead, onEnd: resume })
     handler.onWritten()
     return true
   }
@@ -258,7 +271,8 @@
 
   const onBodySent = (): void => { if (!isFinished) handler.onBodyProgress() }
   const onData = (chunk: Buffer): boolean => {
-    if (isFinished) return true
+    // A resumed parser passes on an empty chunk, which must not pause it again.
+    if (isFinished || chunk.length === 0) return true
     bodyBytes += chunk.length
     if (hasLength || bodyBytes <= UNSIZED_RESPONSE_BYTES_MAX) return handler.onData(chunk)
     fail({ kind: 'broken', message: `a response without a length is larger than ${UNSIZED_RESPONSE_BYTES_MAX} bytes` })
@@ -269,5 +283,5 @@
     { method: request.method as 'GET', path: request.path, headers: request.headers, body: request.body },
     { onConnect, onHeaders, onData, onComplete, onError, onBodySent }
   )
-  return { resume: () => { if (!isFinished) resumeReading() }, abort: () => { if (!isFinished) destroy() } }
+  return { resume, abort: () => { if (!isFinished) destroy() } }
 }
--- a/packages/daemon/src/backend-connections.ts
+++ b/packages/daemon/src/backend-connections.ts
@@ -112,7 +112,7 @@
       client: opened.client,
       socket: opened.socket,
       hasFailed: opened.hasFailed,
-      setByteListener: opened.setByteListener,
+      setListener: opened.setListener,
       id: nextId(),
       openedMs: nowMs,
       lastProgressMs: nowMs,
