Log and count what targets say about a request limit

A node now reads the limit from responses, writes a target_limit line when it is stated, changed or ended, and counts the requests that it sends to limited targets. No decision uses the limit yet. Not measured: the lines cost at most one a second and limited target.

--- a/packages/daemon/src/attempts.ts
+++ b/packages/daemon/src/attempts.ts
@@ -176,6 +176,7 @@
       exchange.sendCount++
       exchange.firstWrittenMs ??= nowMs
       if (attempt.connection) attempt.connection.sentMs = nowMs
+      context.recorder.written(attempt)
       scheduleHedge(context, attempt, nowMs)
     },
     onBodyProgress: recordProgress,
--- a/packages/daemon/src/http-dialect.ts
+++ b/packages/daemon/src/http-dialect.ts
@@ -4,7 +4,7 @@
  * specified in docs/interfaces.md; platforms with other headers supply their
  * own.
  */
-import { parseLoadReport, type LoadReport } from '@wisteriavalve/policy'
+import { parseLoadReport, parseRequestLimit, type LoadReport, type StatedLimit } from '@wisteriavalve/policy'
 
 export type HttpDialect = {
   requestIdHeader: string
@@ -20,6 +20,8 @@
   answeredByHeader?: string
   /** Response header in which a target states that it is draining. */
   drainingHeader?: string
+  /** What a response says about the requests per second that its target accepts from all nodes together. */
+  readRequestLimit: (header: (name: string) => string | undefined) => StatedLimit
   /** Further response headers that are not forwarded to callers. */
   droppedResponseHeaders: readonly string[]
   parseLoadReport: (text: string | undefined) => LoadReport | undefined
@@ -38,6 +40,7 @@
 }
 
 const NOT_RUN_HEADER = 'x-request-not-run'
+const REQUEST_LIMIT_HEADER = 'x-request-limit-per-s'
 
 export const DEFAULT_DIALECT: HttpDialect = {
   requestIdHeader: 'x-request-id',
@@ -47,7 +50,8 @@
   forwardedForHeader: 'x-forwarded-for',
   loadReportHeader: 'endpoint-load-metrics',
   drainingHeader: 'x-draining',
-  droppedResponseHeaders: [NOT_RUN_HEADER],
+  readRequestLimit: header => parseRequestLimit(header(REQUEST_LIMIT_HEADER)),
+  droppedResponseHeaders: [NOT_RUN_HEADER, REQUEST_LIMIT_HEADER],
   parseLoadReport,
   isNotRun: (status, header) => (status === 429 || status === 503) && header(NOT_RUN_HEADER) === 'true',
   isWrongTarget: () => false,
--- a/packages/daemon/src/node-events.ts
+++ b/packages/daemon/src/node-events.ts
@@ -10,6 +10,8 @@
 
 export type NodeEvents = {
   recordTargetHealth: (service: string, targetId: string, health: TargetHealth, reason: string) => void
+  /** @param limitPerS undefined at the end of the limit */
+  recordRequestLimit: (service: string, targetId: string, limitPerS: number | undefined) => void
   recordConnectionsRetired: (service: string, targetId: string, count: number) => void
   recordProcessPause: (gapMs: number) => void
   find: (query: ExplainQuery) => EventEntry[]
@@ -33,15 +35,30 @@
   gone: 'is not used any more'
 }
 
+/** A target may change its limit with each response. */
+const LIMIT_LINE_INTERVAL_MS = 1_000
+
 export const createNodeEvents = ({ clock, events, log }: NodeEventsOptions): NodeEvents => {
   const add = (entry: Omit<EventEntry, 'atMs' | 'wallMs' | 'automatic'>): void =>
     events.add({ atMs: Math.round(clock.nowMs()), wallMs: Date.now(), automatic: true, ...entry })
 
+  const limitLoggedMs = new Map<string, number>()
+
   return {
     recordTargetHealth: (service, targetId, health, reason) => {
       log('target_state', { service, target: targetId, state: health, reason })
       add({ event: 'target_state', service, targetId, text: `Target ${targetId} of ${service} ${HEALTH_TEXT[health]}: ${reason}.` })
     },
+    recordRequestLimit: (service, targetId, limitPerS) => {
+      const key = `${service}/${targetId}`
+      const nowMs = clock.nowMs()
+      const loggedMs = limitLoggedMs.get(key)
+      if (limitPerS === undefined) limitLoggedMs.delete(key)
+      else if (loggedMs !== undefined && nowMs - loggedMs < LIMIT_LINE_INTERVAL_MS) return
+      else limitLoggedMs.set(key, nowMs)
+      log('target_limit', { service, target: targetId, ...(limitPerS !== undefined && { limit_per_s: limitPerS }), state: limitPerS === undefined ? 'ended' : 'stated' })
+      add({ event: 'target_limit', service, targetId, text: limitPerS === undefined ? `Target ${targetId} of ${service} has no request limit any more.` : `Target ${targetId} of ${service} accepts ${limitPerS} requests per second from all nodes together.` })
+    },
     recordConnectionsRetired: (service, targetId, count) => {
       log('connections_retired', { service, target: targetId, count })
       add({ event: 'connections_retired', service, targetId, text: `${count} connections to ${targetId} of ${service} made no progress while a newer connection answered, and get no new requests.` })
--- a/packages/daemon/src/pipeline-context.ts
+++ b/packages/daemon/src/pipeline-context.ts
@@ -22,6 +22,8 @@
   refused: (call: Call, result: ResultName, detail: string | undefined) => void
   /** A caller sent bytes that cannot be parsed as a request. */
   malformed: (result: ResultName, address: string, reason: string) => void
+  /** The request of an attempt was written. */
+  written: (attempt: Attempt) => void
   /** A load probe is sent to a target. */
   probed: () => void
   /** An unexpected error occurred in the daemon itself. */
--- a/packages/daemon/src/request-recorder.ts
+++ b/packages/daemon/src/request-recorder.ts
@@ -159,5 +159,9 @@
 
   const probed = (): void => metrics.increment('load_probes')
 
-  return { routed, answered, failed, refused, malformed, probed, internalError }
+  const written = ({ table, targetId }: Attempt): void => {
+    if (table.requestLimitPerS(targetId) !== undefined) metrics.increment('limited_target_requests')
+  }
+
+  return { routed, written, answered, failed, refused, malformed, probed, internalError }
 }
--- a/packages/daemon/src/response-relay.ts
+++ b/packages/daemon/src/response-relay.ts
@@ -42,6 +42,7 @@
   if (!isRefused) table.recordFirstByte(targetId, nowMs - (writtenMs ?? nowMs), nowMs)
   const report = dialect.parseLoadReport(header(dialect.loadReportHeader))
   if (report) table.recordLoadReport(targetId, report, nowMs)
+  table.recordStatedLimit(targetId, dialect.readRequestLimit(header), writtenMs ?? nowMs, nowMs)
   if (dialect.drainingHeader !== undefined && header(dialect.drainingHeader) === 'true') table.recordDraining(targetId, 'response', nowMs)
   return isRefused
 }
--- a/packages/daemon/src/service-runtimes.ts
+++ b/packages/daemon/src/service-runtimes.ts
@@ -39,6 +39,7 @@
   /** Whether targets are known to echo request ids in their responses. */
   echoesRequestIds?: boolean
   onHealth: (service: string, targetId: string, health: TargetHealth, reason: string) => void
+  onRequestLimit: (service: string, targetId: string, limitPerS: number | undefined) => void
   onSilent: (service: string, targetId: string, retired: BackendConnection[]) => void
 }
 
@@ -111,7 +112,7 @@
   }
 }
 
-export const createServiceRuntimes = ({ clock, random, retryLimits, probesBeforeAttempt = false, echoesRequestIds = false, onHealth, onSilent }: ServiceRuntimesOptions): ServiceRuntimes => {
+export const createServiceRuntimes = ({ clock, random, retryLimits, probesBeforeAttempt = false, echoesRequestIds = false, onHealth, onRequestLimit, onSilent }: ServiceRuntimesOptions): ServiceRuntimes => {
   const runtimes = new Map<string, ServiceRuntime>()
   const targetsByService = new Map<string, ServiceTargets>()
   let index: ServiceIndex | undefined
@@ -130,7 +131,8 @@
       const runtime = runtimes.get(configuration.name)
       if (runtime) changedRuntimes.add(runtime)
       onHealth(configuration.name, targetId, health, reason)
-    }
+    },
+    onRequestLimit: (targetId, limitPerS) => onRequestLimit(configuration.name, targetId, limitPerS)
   })
 
   const setTargets = (runtime: ServiceRuntime, { targets, leavingIds }: ServiceTargets): void => {
--- a/packages/policy/src/target-state.ts
+++ b/packages/policy/src/target-state.ts
@@ -42,6 +42,7 @@
     limitLoweredMs: -Infinity,
     consecutiveRefusals: 0,
     avoidUntilMs: -Infinity,
+    limitObservedMs: -Infinity,
     lastDrainObservedMs: -Infinity,
     firstBytes: createLatencyWindow(LATENCY_WINDOW_SIZE, LATENCY_COUNT_MIN),
     lastNoteMs: -Infinity
--- a/packages/policy/src/target-table.ts
+++ b/packages/policy/src/target-table.ts
@@ -4,6 +4,7 @@
 import { avoidTarget, effectiveLimit, isCongested } from './concurrency-limit.js'
 import { applyReport } from './load-estimate.js'
 import { createTableCore, currentRouting, type TableCore } from './table-core.js'
+import { applyStatedLimit } from './request-limit.js'
 import { applyTargetList } from './target-list.js'
 import { collectNotes, applyPeerNote } from './target-notes.js'
 import { applyDraining, applyFirstByte, applyOutcome, applyProbe } from './target-outcomes.js'
@@ -89,6 +90,10 @@
       state.reportsLoad = true
       core.serviceLimit.record(isCongested(state.reportedInFlight ?? 0, state.slots), core.inFlight, nowMs)
     }),
+    recordStatedLimit: (targetId, stated, writtenMs, nowMs) => withState(targetId, state => {
+      if (applyStatedLimit(state, stated, writtenMs, nowMs)) options.onRequestLimit?.(targetId, state.requestLimitPerS)
+    }),
+    requestLimitPerS: targetId => states.get(targetId)?.requestLimitPerS,
     recordHealthProbe: (targetId, result, nowMs) => withState(targetId, state => applyProbe(core, state, result, nowMs)),
     recordLoadProbeWithoutReport: (targetId, nowMs) => withState(targetId, state => {
       probesWithoutReport++
--- a/packages/policy/src/types.ts
+++ b/packages/policy/src/types.ts
@@ -1,6 +1,7 @@
 /**
  * Types of the decisions for a request.
  */
+import type { StatedLimit } from './request-limit.js'
 import type { HealthSnapshot } from './target-health.js'
 import type { ListedTarget, Random } from '@wisteriavalve/common'
 import type { Kind, ServiceConfiguration, Target, TargetNote, TargetStatus } from '@wisteriavalve/schema'
@@ -53,6 +54,8 @@
   connectionShare: number
   /** Called on each change of a target's health. */
   onHealth?: (targetId: string, health: TargetHealth, reason: string, nowMs: number) => void
+  /** Called when a target states a request limit for the first time, changes it, or has ended it. */
+  onRequestLimit?: (targetId: string, limitPerS: number | undefined) => void
 }
 
 /**
@@ -71,6 +74,13 @@
   recordLoadProbeFailure: (targetId: string, nowMs: number) => void
   /** A load probe was answered without a load report. */
   recordLoadProbeWithoutReport: (targetId: string, nowMs: number) => void
+  /**
+   * Records what a response to a request says about the request limit of its target.
+   * @param writtenMs time at which the request was written
+   */
+  recordStatedLimit: (targetId: string, stated: StatedLimit, writtenMs: number, nowMs: number) => void
+  /** Requests per second that a target accepts from all nodes together; undefined without a limit. */
+  requestLimitPerS: (targetId: string) => number | undefined
   /** Whether load probes are useful; the targets of some services never report their load. */
   supportsLoadProbes: () => boolean
   /** Applies an observation of a peer. */
@@ -135,6 +145,10 @@
   consecutiveRefusals: number
   /** Until then the target is used only when no other target is usable. */
   avoidUntilMs: number
+  /** Requests per second that the target accepts from all nodes together; undefined without a limit. */
+  requestLimitPerS?: number
+  /** Time of the response that the limit, or its end, was taken from. */
+  limitObservedMs: number
   lastResponseMs?: number
   lastDrainObservedMs: number
   reportedInFlight?: number
