Keep the request limit of a target over all nodes

Targets in need got the load they had before: no node read the limit, and a node could not have kept it alone, since the limit is for all nodes together. Class of fault: state of the whole fleet decided by one node.

Each request to a target that states a limit now needs a permit of one node, the permit owner of the target, and the check is repeated directly before the first byte. The newest statement of the limit travels with queries and answers, and a new limit with urgent notes.

A limit kept by each node alone was ruled out by the case of twelve nodes and 0.5 a second.

--- a/packages/cli/src/status/merge-targets.ts
+++ b/packages/cli/src/status/merge-targets.ts
@@ -19,6 +19,8 @@
   connections: number
   /** Whether the target is trusted with reused connections although it does not echo request ids. */
   trustsReuse: boolean
+  /** Requests per second that the target accepts from all nodes together; the smallest value of all nodes. */
+  requestLimitPerS?: number
   /** Largest value of all nodes; undefined when no node has measured it. */
   firstByteP99Ms?: number
 }
@@ -48,6 +50,7 @@
     entry.inFlight += target.inFlight
     entry.connections += target.connections
     entry.trustsReuse ||= target.trustsReuse === true
+    if (target.requestLimitPerS !== undefined) entry.requestLimitPerS = Math.min(entry.requestLimitPerS ?? Infinity, target.requestLimitPerS)
     entry.firstByteP99Ms = maxOf(entry.firstByteP99Ms, target.firstByteP99Ms)
   }
   for (const { views } of merged.values()) views.sort((a, b) => b.nodeCount - a.nodeCount || HEALTH_ORDER.indexOf(a.health) - HEALTH_ORDER.indexOf(b.health))
--- a/packages/cli/src/status/status-text.ts
+++ b/packages/cli/src/status/status-text.ts
@@ -71,15 +71,22 @@
 const describeReuse = (targets: readonly MergedTarget[]): string =>
   targets.some(({ trustsReuse }) => trustsReuse) ? '; trusted not to send a response twice' : ''
 
+const describeLimits = (targets: readonly MergedTarget[]): string[] => targets
+  .filter(({ requestLimitPerS }) => requestLimitPerS !== undefined)
+  .map(({ targetId, requestLimitPerS }) => `  ${targetId} accepts ${requestLimitPerS} requests/s from all nodes together`)
+
 const describeService = (service: string, targets: readonly MergedTarget[], showAll: boolean): string[] => {
   const unready = targets.filter(target => !isReadyEverywhere(target))
   return [
     `service ${service}: ${formatCount(targets.length, 'target')}, ${targets.length - unready.length} ready for every node${describeReuse(targets)}`,
     ...formatTargetTable(showAll ? targets : unready).map(line => `  ${line}`.slice(0, TERMINAL_COLUMNS)),
-    ...unready.flatMap(describeUnreadyViews)
+    ...unready.flatMap(describeUnreadyViews),
+    ...describeLimits(targets)
   ]
 }
 
+const isUnremarkable = (target: MergedTarget): boolean => isReadyEverywhere(target) && target.requestLimitPerS === undefined
+
 /** Above this number of services, those with all targets ready are only counted. */
 const SERVICES_MAX = 20
 
@@ -91,7 +98,7 @@
     else byService.set(target.service, [target])
   }
   const services = [...byService]
-  const shown = showAll || services.length <= SERVICES_MAX ? services : services.filter(([, group]) => !group.every(isReadyEverywhere))
+  const shown = showAll || services.length <= SERVICES_MAX ? services : services.filter(([, group]) => !group.every(isUnremarkable))
   const hiddenCount = services.length - shown.length
   return [
     ...shown.flatMap(([service, group]) => describeService(service, group, showAll)),
--- a/packages/common/src/types.ts
+++ b/packages/common/src/types.ts
@@ -44,3 +44,11 @@
   kind: Kind
   destinations: ReadonlyArray<{ service: string, weight: number }>
 }
+
+/** What a node knows of the request limit of a target. */
+export type LimitStatement = {
+  /** Requests per second that the target accepts from all nodes together; null when it states no limit any more. */
+  limitPerS: number | null
+  /** Time since the response from which the node knows it. */
+  ageMs: number
+}
--- a/packages/daemon/src/adapters/peer-rpc.ts
+++ b/packages/daemon/src/adapters/peer-rpc.ts
@@ -1,12 +1,14 @@
 /**
  * Server for calls between nodes: tRPC over HTTP on the peer address. All
- * procedures are read-only. Requests without a valid HMAC are rejected with
+ * procedures but the issue of permits are read-only. Requests without a valid HMAC are rejected with
  * status 401 before their content is parsed.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { initTRPC } from '@trpc/server'
 import { fetchRequestHandler } from '@trpc/server/adapters/fetch'
+import type { LimitStatement } from '@wisteriavalve/common'
+import type { PermitAnswer, PermitQuery } from '@wisteriavalve/fleet'
 import type { EventEntry, NodeReport, NodeStatus, VmEntry } from '@wisteriavalve/schema'
 import { parseExplainQuery, type ExplainQuery } from '../admin-api.js'
 import type { ChangesQuery, PeerChanges, PublishedUpdate } from '../fleet/peer-watch.js'
@@ -28,6 +30,8 @@
   published: (revision: number) => PublishedUpdate | null
   /** Changes of the published state, for peers that follow this node. */
   changes: (query: ChangesQuery) => Promise<PeerChanges>
+  /** Permit for a request to a target that limits the requests of all nodes together. */
+  permit: (query: PermitQuery) => PermitAnswer
   status: () => NodeStatus
   explain: (query: ExplainQuery) => EventEntry[]
   report: () => NodeReport
@@ -70,6 +74,21 @@
   return { afterRevision, waitMs }
 }
 
+/** Longest time for which a permit is issued ahead; requests do not wait longer for a target. */
+const PERMIT_WAIT_MAX_MS = 60_000
+const PERMIT_TEXT_LENGTH_MAX = 128
+
+const isText = (value: unknown): value is string => typeof value === 'string' && value.length <= PERMIT_TEXT_LENGTH_MAX
+const isFiniteFrom0 = (value: unknown): value is number => typeof value === 'number' && Number.isFinite(value) && value >= 0
+
+const parsePermitQuery = (input: unknown): PermitQuery => {
+  const { service, targetId, nodeId, statement, waitMaxMs } = (input ?? {}) as Partial<Record<keyof PermitQuery, unknown>>
+  const { limitPerS, ageMs } = (statement ?? {}) as Partial<Record<keyof LimitStatement, unknown>>
+  if (!isText(service) || !isText(targetId) || !isText(nodeId)) throw new Error('service, targetId and nodeId must be strings')
+  if ((limitPerS !== null && !isFiniteFrom0(limitPerS)) || !isFiniteFrom0(ageMs) || !isFiniteFrom0(waitMaxMs)) throw new Error('limitPerS, ageMs and waitMaxMs must be numbers of at least 0')
+  return { service, targetId, nodeId, statement: { limitPerS, ageMs }, waitMaxMs: Math.min(PERMIT_WAIT_MAX_MS, waitMaxMs) }
+}
+
 const newerVmList = (list: PeerVmList | null, { ageMs, hash }: VmListQuery): PeerVmList | null => {
   if (!list || list.ageMs >= ageMs) return null
   return list.hash === hash ? { ageMs: list.ageMs, hash } : list
@@ -84,6 +103,7 @@
     vmList: procedure.input(parseVmListQuery).query(({ input }) => newerVmList(source.vmList(), input)),
     published: procedure.input(parsePublishedQuery).query(({ input }) => source.published(input.revision)),
     changes: procedure.input(parseChangesQuery).query(({ input }) => source.changes(input)),
+    permit: procedure.input(parsePermitQuery).mutation(({ input }) => source.permit(input)),
     status: procedure.query(() => source.status()),
     explain: procedure.input(parseExplainQuery).query(({ input }) => source.explain(input)),
     report: procedure.query(() => source.report())
--- a/packages/daemon/src/attempts.ts
+++ b/packages/daemon/src/attempts.ts
@@ -8,7 +8,8 @@
 import type { BackendConnection } from './backend-connections.js'
 import { abandonAttempt, isWritten, type Attempt, type Exchange } from './exchange.js'
 import type { AttemptPurpose, PipelineContext } from './pipeline-context.js'
-import { OBJECTIVE_SHARE, place, type PlacementOutcome } from './placement.js'
+import { OBJECTIVE_SHARE, permitWaitMaxMs, place, type PlacementOutcome } from './placement.js'
+import { isPermitMissing, withPermit } from './target-permits.js'
 import { dropData, endResponse, onResponseHead, relayData } from './response-relay.js'
 import { failExchange, isolateErrors, onDeadline } from './completion.js'
 
@@ -46,6 +47,13 @@
 const canAttempt = ({ attempts, sendCount, kind }: Exchange): boolean =>
   sendCount + attempts.filter(attempt => !isWritten(attempt)).length < (kind.attemptsMax ?? Infinity)
 
+/** Ends a request that may not be sent again, unless one of its attempts is still running. */
+const failWithoutAttempt = (context: PipelineContext, exchange: Exchange, lastResult: ResultName | undefined): void => {
+  if (exchange.attempts.length === 0) failExchange(context, exchange, exchange.unknownResult ?? lastResult ?? 'no-target')
+}
+
+const REFUSAL_RESULTS = { late: 'deadline-unreachable', 'rate-limited': 'target-rate-limited' } as const
+
 /**
  * Placement is asynchronous, so a retry and a hedge can be placed at the same
  * time. If only one more attempt is allowed, the one placed last is dropped.
@@ -54,32 +62,54 @@
   context: PipelineContext, exchange: Exchange, purpose: AttemptPurpose, lastResult: ResultName | undefined, outcome: PlacementOutcome
 ): void => {
   if (!canAttempt(exchange)) {
-    if (exchange.attempts.length === 0) failExchange(context, exchange, exchange.unknownResult ?? lastResult ?? 'no-target')
+    failWithoutAttempt(context, exchange, lastResult)
     return
   }
   const target = outcome.step === 'send' ? exchange.runtime.table.target(outcome.targetId) : undefined
-  if (outcome.step === 'send' && target) startAtTarget(context, exchange, purpose, target, outcome.reason, lastResult)
+  if (outcome.step === 'send' && target) startPermitted(context, exchange, purpose, target, outcome, lastResult)
   else if (purpose === 'hedge') exchange.isHedged = true
-  else if (outcome.step === 'refuse') failExchange(context, exchange, exchange.unknownResult ?? lastResult ?? 'deadline-unreachable', { retryAfterMs: outcome.retryAfterMs })
+  else if (outcome.step === 'refuse') failExchange(context, exchange, exchange.unknownResult ?? lastResult ?? REFUSAL_RESULTS[outcome.cause], { retryAfterMs: outcome.retryAfterMs, detail: outcome.detail })
   else failExchange(context, exchange, exchange.unknownResult ?? lastResult ?? 'no-target')
 }
 
 const selectAndStart = (context: PipelineContext, exchange: Exchange, purpose: AttemptPurpose, lastResult?: ResultName): void => {
   const { runtime, kind, triedTargetIds } = exchange
   const nowMs = context.clock.nowMs()
-  const selection = selectTarget(context.policy, runtime.table, { zone: context.zone, exclude: triedTargetIds, idempotent: kind.idempotent }, nowMs, context.random)
+  const selection = selectTarget(context.policy, runtime.table, {
+    zone: context.zone,
+    exclude: triedTargetIds,
+    idempotent: kind.idempotent,
+    permitWaitMaxMs: purpose === 'hedge' ? 0 : permitWaitMaxMs(context, exchange)
+  }, nowMs, context.random)
   const target = selection.ok ? runtime.table.target(selection.targetId) : undefined
   if (selection.ok && target) {
-    startAtTarget(context, exchange, purpose, target, selection.reason, lastResult)
+    startPermitted(context, exchange, purpose, target, selection, lastResult)
     return
   }
   if (purpose === 'hedge') return
   if (!selection.ok && selection.error === 'all-busy') waitForTarget(context, exchange, purpose, lastResult)
+  else if (!selection.ok && selection.error === 'rate-limited') failExchange(context, exchange, exchange.unknownResult ?? lastResult ?? 'target-rate-limited', { retryAfterMs: selection.retryAfterMs, detail: selection.detail })
   else failExchange(context, exchange, exchange.unknownResult ?? lastResult ?? 'no-target')
 }
 
+/** Starts the attempt, after a permit for it if the target has a request limit. Without a permit another target is chosen. */
+const startPermitted = (
+  context: PipelineContext, exchange: Exchange, purpose: AttemptPurpose, target: Target,
+  { reason, permitWaitMaxMs: waitMaxMs }: { reason: string, permitWaitMaxMs: number }, lastResult: ResultName | undefined
+): void => withPermit(context, exchange, target.id, waitMaxMs, {
+  onPermitted: hasPermit => {
+    if (exchange.responder) return
+    if (canAttempt(exchange)) startAtTarget(context, exchange, purpose, target, reason, lastResult, hasPermit)
+    else failWithoutAttempt(context, exchange, lastResult)
+  },
+  onDenied: () => {
+    if (purpose === 'hedge') exchange.isHedged = true
+    else startAttempt(context, exchange, purpose, lastResult)
+  }
+})
+
 const startAtTarget = (
-  context: PipelineContext, exchange: Exchange, purpose: AttemptPurpose, target: Target, reason: string, lastResult: ResultName | undefined
+  context: PipelineContext, exchange: Exchange, purpose: AttemptPurpose, target: Target, reason: string, lastResult: ResultName | undefined, hasPermit: boolean
 ): void => {
   const { runtime, triedTargetIds } = exchange
   const nowMs = context.clock.nowMs()
@@ -90,6 +120,7 @@
     slowdown: runtime.table.slowdown(target.id),
     table: runtime.table,
     pool: context.runtimes.connectionsTo(runtime, target),
+    hasPermit,
     pauseEpoch: context.pauseDetector.epoch(nowMs),
     startedMs: nowMs,
     writtenMs: undefined,
@@ -157,7 +188,7 @@
   const { exchange } = attempt
   const nowMs = context.clock.nowMs()
   return context.pauseDetector.epoch(nowMs) === attempt.pauseEpoch && !attempt.isFinished && exchange.phase === 'running' &&
-    nowMs < exchange.deadlineMs && !exchange.runtime.draining.has(attempt.targetId)
+    nowMs < exchange.deadlineMs && !exchange.runtime.draining.has(attempt.targetId) && !isPermitMissing(attempt)
 }
 
 const createSendHandler = (context: PipelineContext, attempt: Attempt): SendHandler => {
@@ -226,7 +257,7 @@
   const isPaused = context.pauseDetector.epoch(nowMs) !== attempt.pauseEpoch
   if (nowMs >= exchange.deadlineMs) onDeadline(context, exchange)
   else if (!exchange.body.canOpen()) failExchange(context, exchange, exchange.unknownResult ?? (isPaused ? 'process-paused' : 'connect-failed'), { detail: message })
-  else if (isPaused || exchange.runtime.draining.has(attempt.targetId)) reroute(context, attempt, nowMs)
+  else if (isPaused || exchange.runtime.draining.has(attempt.targetId) || isPermitMissing(attempt)) reroute(context, attempt, nowMs)
   else if (attempt.reacquireCount++ < REACQUIRE_MAX) acquire(context, attempt)
   else onAttemptFailed(context, attempt, 'connect-failed', 'connect-failed', message)
 }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -134,6 +134,7 @@
     pauseDetector,
     runtimes,
     recorder,
+    requestPermit: fleet.requestPermit,
     nextRequestId: createRequestIds(),
     isLeaving
   }
--- a/packages/daemon/src/exchange.ts
+++ b/packages/daemon/src/exchange.ts
@@ -63,6 +63,8 @@
   slowdown: number
   table: TargetTable
   pool: TargetConnections
+  /** Whether the permit owner of the target permits one request. */
+  hasPermit: boolean
   /** Pause epoch in which the target was selected. */
   pauseEpoch: number
   startedMs: number
--- a/packages/daemon/src/fleet/datagram-codec.ts
+++ b/packages/daemon/src/fleet/datagram-codec.ts
@@ -35,7 +35,8 @@
 ]
 
 const packNote = (note: TargetNote): unknown[] => [
-  note.service, note.targetId, OBSERVATIONS.indexOf(note.observation), note.ageMs, note.inFlight ?? null, note.byProbe ?? null
+  note.service, note.targetId, OBSERVATIONS.indexOf(note.observation), note.ageMs, note.inFlight ?? null, note.byProbe ?? null,
+  ...(note.limitPerS === undefined ? [] : [note.limitPerS])
 ]
 
 const packMessage = (message: GossipMessage): unknown[] => {
@@ -62,8 +63,8 @@
 }
 
 const unpackNote = (value: unknown): Record<string, unknown> => {
-  const [service, targetId, observation, ageMs, inFlight, byProbe] = asArray(value)
-  return omitAbsent({ service, targetId, observation: OBSERVATIONS[observation as number], ageMs, inFlight, byProbe })
+  const [service, targetId, observation, ageMs, inFlight, byProbe, limitPerS] = asArray(value)
+  return omitAbsent({ service, targetId, observation: OBSERVATIONS[observation as number], ageMs, inFlight, byProbe, limitPerS })
 }
 
 const unpackOrder = (value: unknown): Record<string, unknown> => {
--- a/packages/daemon/src/fleet/fleet-runtime.ts
+++ b/packages/daemon/src/fleet/fleet-runtime.ts
@@ -18,6 +18,7 @@
 import { createGossipDriver } from './gossip-driver.js'
 import { createListeners } from './listeners.js'
 import { openPeerAddresses } from './open-peer-addresses.js'
+import { createPermits } from './permits.js'
 import { createProbeDriver } from './probe-driver.js'
 import { createVmListDriver } from './vm-list-driver.js'
 
@@ -42,6 +43,7 @@
 
   const members = (): MemberUpdate[] => gossip.membership()?.members() ?? []
   const peers = (): MemberUpdate[] => members().filter(({ nodeId }) => nodeId !== settings.nodeId)
+  const permits = createPermits({ context, members, clients })
 
   const publishTargets = (): void => {
     for (const [name, targets] of targetUnion.takeChanges(clock.nowMs())) {
@@ -138,7 +140,7 @@
   const start = async (source: PeerSource): Promise<void> => {
     peerSource = source
     peerServer = await openPeerAddresses(settings.peerListen, auth, {
-      head: configuration.head, values: configuration.values, vmList: vmList.peerList, published: () => null, changes: async () => ({ state: 'behind' }), ...source
+      head: configuration.head, values: configuration.values, vmList: vmList.peerList, published: () => null, changes: async () => ({ state: 'behind' }), permit: permits.issue, ...source
     }, gossip)
     configuration.onMembersChanged()
     vmList.start()
@@ -152,6 +154,7 @@
   const counters = (): Record<string, number> => ({
     ...gossip.counters(),
     ...probes.counters(),
+    ...permits.counters(),
     configuration_service_reads: service.readCount(),
     vm_list_reads: vmListReader.readCount(),
     peer_calls: clients.callCount(),
@@ -173,6 +176,7 @@
     onNotes: onNotes.add,
     onProbe: onProbe.add,
     setLastResponseSource: source => { lastResponseMs = source },
+    requestPermit: permits.request,
     shareNotes,
     setLoadPercent: loadPercent => gossip.membership()?.setLoadPercent(loadPercent),
     entryAnswer,
--- /dev/null
+++ b/packages/daemon/src/fleet/permits.ts
@@ -0,0 +1,70 @@
+/**
+ * Permits for requests to targets that limit the requests of all nodes together:
+ * asks the permit owner of a target, and issues permits as the owner.
+ */
+import { createPermitIssuer, createPermitShare, rankPermitOwners, type PermitAnswer, type PermitQuery } from '@wisteriavalve/fleet'
+import type { MemberUpdate } from '@wisteriavalve/schema'
+import type { PeerClients } from '../adapters/peer-client.js'
+import { describeError } from '../adapters/http-json.js'
+import type { DaemonContext } from '../types.js'
+
+export type Permits = {
+  /** Asks the owner. If it does not answer, the permit is denied and the next query goes to the next node. */
+  request: (query: Omit<PermitQuery, 'nodeId'>) => Promise<PermitAnswer>
+  /** Answers a peer that takes this node for the owner. */
+  issue: (query: PermitQuery) => PermitAnswer
+  counters: () => Record<string, number>
+}
+
+export type PermitsOptions = { context: DaemonContext, members: () => readonly MemberUpdate[], clients: PeerClients }
+
+/** A peer answers within a few ms; a request should not lose more of its time. */
+const OWNER_TIMEOUT_MS = 150
+/** Time for which an owner that did not answer is passed over. */
+const FAILED_OWNER_MS = 2_000
+const RETRY_AFTER_FAILURE_MS = 50
+
+export const createPermits = ({ context, members, clients }: PermitsOptions): Permits => {
+  const { clock, random, settings, log } = context
+  const issuer = createPermitIssuer(random)
+  const share = createPermitShare(clock.nowMs())
+  const failedUntilMs = new Map<string, number>()
+  const counts = { permits_granted: 0, permits_denied: 0, permits_issued: 0, permit_owners_failed: 0 }
+
+  const ownersOf = ({ service, targetId }: Pick<PermitQuery, 'service' | 'targetId'>): string[] =>
+    rankPermitOwners({ selfId: settings.nodeId, zone: settings.zone, members: members() }, service, targetId)
+
+  const issue = (query: PermitQuery): PermitAnswer => {
+    const owners = ownersOf(query)
+    const nowMs = clock.nowMs()
+    const answer = issuer.issue(query, share.current(owners.length, owners[0] === settings.nodeId, nowMs), nowMs)
+    if (answer.decision === 'granted') counts.permits_issued++
+    return answer
+  }
+
+  const deny = ({ statement }: Pick<PermitQuery, 'statement'>): PermitAnswer => ({ decision: 'denied', retryAfterMs: RETRY_AFTER_FAILURE_MS, statement })
+
+  const askPeer = async (peer: MemberUpdate, query: PermitQuery): Promise<PermitAnswer> => {
+    try {
+      return await clients.to(peer).permit.mutate(query, { signal: AbortSignal.timeout(OWNER_TIMEOUT_MS) })
+    } catch (error) {
+      counts.permit_owners_failed++
+      failedUntilMs.set(peer.nodeId, clock.nowMs() + FAILED_OWNER_MS)
+      log('peer_unreachable', { member: peer.nodeId, message: `no answer to a query for a permit: ${describeError(error)}` })
+      return deny(query)
+    }
+  }
+
+  const request: Permits['request'] = async withoutNode => {
+    const query: PermitQuery = { ...withoutNode, nodeId: settings.nodeId }
+    const nowMs = clock.nowMs()
+    const ownerId = ownersOf(query).find(nodeId => nodeId === settings.nodeId || (failedUntilMs.get(nodeId) ?? -Infinity) <= nowMs)
+    const owner = members().find(({ nodeId }) => nodeId === ownerId)
+    const answer = ownerId === settings.nodeId ? issue(query) : owner ? await askPeer(owner, query) : deny(query)
+    if (answer.decision === 'granted') counts.permits_granted++
+    else if (answer.decision === 'denied') counts.permits_denied++
+    return answer
+  }
+
+  return { request, issue, counters: () => ({ ...counts }) }
+}
--- a/packages/daemon/src/fleet/store-fleet.ts
+++ b/packages/daemon/src/fleet/store-fleet.ts
@@ -16,6 +16,7 @@
 import { createGossipDriver } from './gossip-driver.js'
 import { createListeners } from './listeners.js'
 import { openPeerAddresses } from './open-peer-addresses.js'
+import { createPermits } from './permits.js'
 import { toActiveConfiguration } from './published-configuration.js'
 import { createChangeWaiters } from './change-waiters.js'
 import { createPeerWatch, type ChangesQuery, type PeerChanges, type PublishedUpdate } from './peer-watch.js'
@@ -64,6 +65,7 @@
 
   const members = (): MemberUpdate[] => gossip.membership()?.members() ?? []
   const peers = (): MemberUpdate[] => members().filter(({ nodeId }) => nodeId !== settings.nodeId)
+  const permits = createPermits({ context, members, clients })
 
   /** @param source logged origin of the change: the store, a peer's node id, or time for time-driven changes */
   const publish = (source: string): void => {
@@ -197,6 +199,7 @@
       vmList: () => null,
       published: updateAfter,
       changes: handleChangesQuery,
+      permit: permits.issue,
       ...source
     }, gossip)
     follower.start()
@@ -216,6 +219,7 @@
     onNotes: onNotes.add,
     onProbe: onProbe.add,
     setLastResponseSource: () => undefined,
+    requestPermit: permits.request,
     shareNotes: notes => gossip.membership()?.queueNotes(notes, clock.nowMs()),
     setLoadPercent: loadPercent => gossip.membership()?.setLoadPercent(loadPercent),
     entryAnswer,
@@ -230,6 +234,7 @@
     resumeAfterPause: gossip.resumeAfterPause,
     counters: () => ({
       ...gossip.counters(),
+      ...permits.counters(),
       store_calls: store.callCount(),
       peer_calls: clients.callCount()
     }),
--- a/packages/daemon/src/metrics-gauges.ts
+++ b/packages/daemon/src/metrics-gauges.ts
@@ -14,6 +14,8 @@
   hedgesLeft: number
   /** Estimated number of requests that the usable targets can process at the same time. */
   capacity: number
+  /** Targets that state a request limit. */
+  limitedTargets: number
   /** Number of targets by state. */
   targetsByState: Record<string, number>
 }
@@ -37,6 +39,7 @@
   { name: 'queued_requests', help: 'Requests that wait for a free target.', read: ({ queuedCount }) => queuedCount },
   { name: 'capacity_requests', help: 'Estimated number of requests that the usable targets can process at the same time.', read: ({ capacity }) => capacity },
   { name: 'retries_left', help: 'Retries that the budget currently allows.', read: ({ retriesLeft }) => retriesLeft },
+  { name: 'limited_targets', help: 'Targets that limit the requests of all nodes together.', read: ({ limitedTargets }) => limitedTargets },
   { name: 'hedges_left', help: 'Hedges that the budget currently allows.', read: ({ hedgesLeft }) => hedgesLeft }
 ]
 
--- a/packages/daemon/src/pipeline-context.ts
+++ b/packages/daemon/src/pipeline-context.ts
@@ -11,6 +11,7 @@
 import type { PauseDetector } from './pause-detector.js'
 import type { ServiceRuntimes } from './service-runtimes.js'
 import type { HttpDialect } from './http-dialect.js'
+import type { RequestPermit } from './types.js'
 
 /** Records the events of requests for logs, metrics, explain and the report. */
 export type RequestRecorder = {
@@ -49,6 +50,7 @@
   pauseDetector: PauseDetector
   runtimes: ServiceRuntimes
   recorder: RequestRecorder
+  requestPermit: RequestPermit
   nextRequestId: () => string
   isLeaving: () => boolean
 }
--- a/packages/daemon/src/placement.ts
+++ b/packages/daemon/src/placement.ts
@@ -23,6 +23,12 @@
  */
 const UNANSWERED_PROBES_MAX = 6
 
+/** Time for which a request can wait for a permit and still be answered within its objective. */
+export const permitWaitMaxMs = ({ clock, serviceTimes }: PipelineContext, { kind, arrivedMs, deadlineMs }: Exchange): number => {
+  const objectiveMs = (kind.objectiveMs ?? kind.deadlineMs) * OBJECTIVE_SHARE
+  return Math.max(0, Math.min(arrivedMs + objectiveMs, deadlineMs) - clock.nowMs() - serviceTimes.usualMs(kind.name, objectiveMs))
+}
+
 /**
  * A hedge does not wait, since it would be sent too late. Retries and hedges
  * are not refused, since a refusal would hide the result of the first attempt.
@@ -40,6 +46,7 @@
     serviceTimeMs: context.serviceTimes.usualMs(kind.name, objectiveMs),
     objectiveEndMs: arrivedMs + objectiveMs,
     deadlineMs,
+    permitWaitMaxMs: purpose === 'hedge' ? 0 : permitWaitMaxMs(context, exchange),
     probed,
     canProbe,
     canWait: purpose !== 'hedge',
--- a/packages/daemon/src/response-relay.ts
+++ b/packages/daemon/src/response-relay.ts
@@ -9,6 +9,7 @@
 import { rawHeader } from './headers.js'
 import type { PipelineContext } from './pipeline-context.js'
 import { completeExchange } from './completion.js'
+import { recordStatedLimit } from './target-permits.js'
 
 /** Above this size, copying the chunk costs more than a second buffer in the write. */
 const JOINED_WRITE_BYTES_MAX = 4_096
@@ -42,7 +43,7 @@
   if (!isRefused) table.recordFirstByte(targetId, nowMs - (writtenMs ?? nowMs), nowMs)
   const report = dialect.parseLoadReport(header(dialect.loadReportHeader))
   if (report) table.recordLoadReport(targetId, report, nowMs)
-  table.recordStatedLimit(targetId, dialect.readRequestLimit(header), writtenMs ?? nowMs, nowMs)
+  recordStatedLimit(context, attempt, dialect.readRequestLimit(header), nowMs)
   if (dialect.drainingHeader !== undefined && header(dialect.drainingHeader) === 'true') table.recordDraining(targetId, 'response', nowMs)
   return isRefused
 }
--- a/packages/daemon/src/service-runtimes.ts
+++ b/packages/daemon/src/service-runtimes.ts
@@ -81,6 +81,7 @@
   retriesLeft: runtime.retryBudget.remaining('retry', nowMs),
   hedgesLeft: runtime.retryBudget.remaining('hedge', nowMs),
   capacity: runtime.table.capacity(nowMs),
+  limitedTargets: statusOf(runtime, nowMs).filter(({ requestLimitPerS }) => requestLimitPerS !== undefined).length,
   targetsByState: countBy(statusOf(runtime, nowMs), ({ health }) => health)
 })
 
--- a/packages/daemon/src/types.ts
+++ b/packages/daemon/src/types.ts
@@ -2,7 +2,7 @@
  * Types shared by the parts of the daemon.
  */
 import type { Clock, EventRecord, Random, Route } from '@wisteriavalve/common'
-import type { AdoptedConfiguration, CallerBounds } from '@wisteriavalve/fleet'
+import type { AdoptedConfiguration, CallerBounds, PermitAnswer, PermitQuery } from '@wisteriavalve/fleet'
 import type { ProbeResult } from '@wisteriavalve/policy'
 import type {
   ConfigurationOrder, EntryAnswer, EventEntry, LogEventName, MemberUpdate, NodeReport, NodeStatus, Target, TargetNote
@@ -66,6 +66,8 @@
   report: () => NodeReport
 }
 
+export type RequestPermit = (query: Omit<PermitQuery, 'nodeId'>) => Promise<PermitAnswer>
+
 /** The part of the daemon that communicates with other nodes and reads from the platform. */
 export type FleetRuntime = {
   /** Binds the gossip and peer addresses and starts reading the configuration. */
@@ -81,6 +83,8 @@
    */
   setLastResponseSource: (lastResponseMs: (service: string, targetId: string) => number | undefined) => void
   shareNotes: (notes: TargetNote[]) => void
+  /** Asks for permission to send one request to a target that limits the requests of all nodes together. */
+  requestPermit: RequestPermit
   setLoadPercent: (loadPercent: number) => void
   entryAnswer: (zone?: string) => EntryAnswer
   members: () => MemberUpdate[]
--- a/packages/daemon/test/metrics.test.ts
+++ b/packages/daemon/test/metrics.test.ts
@@ -37,7 +37,7 @@
 
 test('requests, budgets, targets and members are reported, the last two by state', async t => {
   const metrics = createTestMetrics({
-    services: () => [{ service: 'shop', runningCount: 3, queuedCount: 2, retriesLeft: 5, hedgesLeft: 1, capacity: 8, targetsByState: { ready: 4, ejected: 1 } }],
+    services: () => [{ service: 'shop', runningCount: 3, queuedCount: 2, retriesLeft: 5, hedgesLeft: 1, capacity: 8, limitedTargets: 1, targetsByState: { ready: 4, ejected: 1 } }],
     membersByState: () => ({ alive: 19, suspect: 1 })
   })
   const text = await metrics.text()
@@ -50,7 +50,7 @@
 
 test('a state without targets is absent from the next scrape', async t => {
   let targetsByState: Record<string, number> = { ejected: 1 }
-  const metrics = createTestMetrics({ services: () => [{ service: 'shop', runningCount: 0, queuedCount: 0, retriesLeft: 0, hedgesLeft: 0, capacity: 0, targetsByState }] })
+  const metrics = createTestMetrics({ services: () => [{ service: 'shop', runningCount: 0, queuedCount: 0, retriesLeft: 0, hedgesLeft: 0, capacity: 0, limitedTargets: 0, targetsByState }] })
   t.true((await metrics.text()).includes('state="ejected"'))
   targetsByState = { ready: 1 }
   t.false((await metrics.text()).includes('state="ejected"'))
--- a/packages/daemon/test/support.ts
+++ b/packages/daemon/test/support.ts
@@ -72,6 +72,7 @@
     onTargets: listener => { targetListeners.push(listener) },
     onNotes: () => undefined,
     onProbe: () => undefined,
+    requestPermit: async ({ statement }) => ({ decision: 'granted', delayMs: 0, statement }),
     setLastResponseSource: () => undefined,
     shareNotes: notes => { sharedNotes.push(...notes) },
     setLoadPercent: () => undefined,
--- a/packages/fleet/src/membership.ts
+++ b/packages/fleet/src/membership.ts
@@ -14,7 +14,7 @@
 import { createFailureDetector, type DetectorMembers, type DetectorStep } from './failure-detector.js'
 import { createMemberTable, type MemberChange } from './member-table.js'
 import { createMessageWriter, type MessageParts } from './message-writer.js'
-import { createNoteExchange } from './note-exchange.js'
+import { createNoteExchange, isStateNote } from './note-exchange.js'
 import { pickRandom } from './pick-random.js'
 import { pickBurstReceivers, pickPingRound } from './ping-selection.js'
 import { createPingTracker, type PendingPing } from './ping-tracker.js'
@@ -195,7 +195,7 @@
     const from = message.sender.nodeId
     const actions = [...applySender(message.sender, nowMs), ...message.updates.flatMap(update => applyUpdate(update, nowMs))]
     const newNotes = notes.accept(message.notes, nowMs)
-    if (newNotes.some(({ observation }) => observation !== 'answering')) bursts.request()
+    if (newNotes.some(isStateNote)) bursts.request()
     if (newNotes.length > 0) actions.push({ type: 'notes-received', from, notes: newNotes })
     if (message.configuration) actions.push({ type: 'configuration-seen', from, order: message.configuration })
     return actions
@@ -244,7 +244,7 @@
 
   const queueNotes = (observed: readonly TargetNote[], nowMs: number): void => {
     const newNotes = notes.accept(observed, nowMs)
-    if (newNotes.some(({ observation }) => observation !== 'answering')) bursts.request()
+    if (newNotes.some(isStateNote)) bursts.request()
   }
 
   const setConfiguration = (order: ConfigurationOrder): void => {
--- a/packages/fleet/src/note-exchange.ts
+++ b/packages/fleet/src/note-exchange.ts
@@ -25,10 +25,20 @@
   clear: () => void
 }
 
-const isStateNote = (note: TargetNote): boolean => note.observation !== 'answering'
+const isLimitNote = (note: TargetNote): boolean => note.limitPerS !== undefined
 
-const keyOf = (note: TargetNote): string =>
-  `${note.service}/${note.targetId}/${isStateNote(note) ? note.observation : note.byProbe ? 'probed' : 'answering'}`
+/** Observations that all nodes must learn at once. */
+export const isStateNote = (note: TargetNote): boolean => note.observation !== 'answering' || isLimitNote(note)
+
+const subjectOf = (note: TargetNote): string => {
+  if (isLimitNote(note)) return 'limit'
+  return isStateNote(note) ? note.observation : note.byProbe ? 'probed' : 'answering'
+}
+
+const keyOf = (note: TargetNote): string => `${note.service}/${note.targetId}/${subjectOf(note)}`
+
+/** A limit may end and be stated again within the time in which a state is not repeated. */
+const repeatMs = (note: TargetNote): number => isStateNote(note) && !isLimitNote(note) ? STATE_NOTE_REPEAT_MS : ANSWERING_NOTE_REPEAT_MS
 
 /** Returns the note with its age at the time of sending. */
 export const withCurrentAge = ({ note, observedMs }: Observation, nowMs: number): TargetNote =>
@@ -42,7 +52,7 @@
   const isNew = (note: TargetNote, observedMs: number, nowMs: number): boolean => {
     const previousObservedMs = observedMsByKey.get(keyOf(note))
     if (previousObservedMs === undefined || nowMs - previousObservedMs > NOTE_RETENTION_MS) return true
-    return observedMs - previousObservedMs > (isStateNote(note) ? STATE_NOTE_REPEAT_MS : ANSWERING_NOTE_REPEAT_MS)
+    return observedMs - previousObservedMs > repeatMs(note)
   }
 
   const accept = (notes: readonly TargetNote[], nowMs: number): TargetNote[] => {
--- a/packages/policy/src/placement-types.ts
+++ b/packages/policy/src/placement-types.ts
@@ -22,11 +22,12 @@
 }
 
 export type Placement =
-  | { step: 'send', targetId: string, reason: string }
+  /** permitWaitMaxMs: how long the request may wait for a permit if the target has a request limit. */
+  | { step: 'send', targetId: string, reason: string, permitWaitMaxMs: number }
   /** Probe the load of these targets, and plan again after each result. */
   | { step: 'probe', targetIds: string[] }
   | { step: 'wait', untilMs: number }
-  /** The request cannot be served in time. */
-  | { step: 'refuse', retryAfterMs: number }
+  /** The request cannot be served in time, because of the load of the targets or because of their request limits. */
+  | { step: 'refuse', cause: 'late' | 'rate-limited', retryAfterMs: number, detail?: string }
   /** No target is usable. */
   | { step: 'none' }
--- a/packages/policy/src/placement.ts
+++ b/packages/policy/src/placement.ts
@@ -18,6 +18,7 @@
 import { halfLifeWeight } from './half-life.js'
 import { expectedLoad } from './load-estimate.js'
 import type { Placement, PlacementRequest } from './placement-types.js'
+import { chooseLimited, hasLimit, isPermitPossible } from './request-limit.js'
 import type { RoutingState, TargetState } from './types.js'
 
 /** A report of at most this age is used as the current state of the target. */
@@ -120,6 +121,9 @@
 const describe = (state: TargetState, nowMs: number): string =>
   `load ${loadOf(state)} of ${state.slots} slots, work takes ${state.slowdown.toFixed(2)} times the usual, report ${Math.round(nowMs - state.lastReportMs)} ms old`
 
+const send = (state: TargetState, reason: string, permitWaitMaxMs = 0): Placement =>
+  ({ step: 'send', targetId: state.target.id, reason, permitWaitMaxMs })
+
 /**
  * Sends to a first choice among the free and fast targets of a group, else probes
  * the next target of the group, else sends to a second choice.
@@ -129,7 +133,7 @@
 ): Placement | undefined => {
   const fresh = group.filter(state => hasFreshReport(state, nowMs) && isFreeAndFast(state))
   const firstChoice = withLowestCost(fresh.filter(state => isFirstChoice(state, nowMs)), state => expectedCost(state, loadOf(state), request.zone, nowMs), random)
-  if (firstChoice) return { step: 'send', targetId: firstChoice.target.id, reason: describe(firstChoice, nowMs) }
+  if (firstChoice) return send(firstChoice, describe(firstChoice, nowMs))
   const unprobed = group.filter(state => !request.probed.has(state.target.id) && !hasFreshReport(state, nowMs) && request.canProbe(state.target.id))
   const targetIds: string[] = []
   for (let count = 0; count < PARALLEL_PROBES_MAX; count++) {
@@ -138,7 +142,7 @@
   }
   if (targetIds.length > 0) return { step: 'probe', targetIds }
   const secondChoice = withLowestCost(fresh, state => expectedCost(state, loadOf(state), request.zone, nowMs), random)
-  return secondChoice && { step: 'send', targetId: secondChoice.target.id, reason: `second choice: ${describe(secondChoice, nowMs)}` }
+  return secondChoice && send(secondChoice, `second choice: ${describe(secondChoice, nowMs)}`)
 }
 
 const waitMs = (serviceTimeMs: number): number => Math.min(WAIT_MAX_MS, Math.max(WAIT_MIN_MS, WAIT_SHARE * serviceTimeMs))
@@ -169,18 +173,13 @@
   const isTooLate = hasRecentReport(best, nowMs) && nowMs + EXPECTED_TIME_SHARE * expectedMs > request.deadlineMs
   if (request.canRefuse && (!free || isTooLate)) {
     const backlogMs = Math.min(...group.map(state => queueWaitMs(state, request.serviceTimeMs)))
-    return { step: 'refuse', retryAfterMs: Math.max(RETRY_AFTER_MIN_MS, backlogMs) }
+    return { step: 'refuse', cause: 'late', retryAfterMs: Math.max(RETRY_AFTER_MIN_MS, backlogMs) }
   }
-  return { step: 'send', targetId: best.target.id, reason: `none is better: ${describe(best, nowMs)}` }
+  return send(best, `none is better: ${describe(best, nowMs)}`)
 }
 
-/**
- * Next step for a request that has no target yet. Call again after each probe
- * result and after each wait.
- */
-export const planPlacement = (routing: RoutingState, request: PlacementRequest, nowMs: number, random: Random): Placement => {
-  const eligible = routing.candidates.filter(state => isEligible(state, request, routing.isFailOpen))
-  if (eligible.length === 0) return { step: 'none' }
+/** Next step among targets without a request limit. */
+const planUnlimited = (eligible: readonly TargetState[], routing: RoutingState, request: PlacementRequest, nowMs: number, random: Random): Placement => {
   const acceptingTargets = eligible.filter(state => isAcceptingRequests(state, nowMs))
   const usable = acceptingTargets.length > 0 ? acceptingTargets : eligible
   const zoneTargets = usable.filter(({ target }) => target.zone === request.zone)
@@ -194,3 +193,46 @@
   if (canWait) return { step: 'wait', untilMs: nowMs + waitMs(request.serviceTimeMs) }
   return chooseFallback(usable, request, nowMs, random)
 }
+
+/**
+ * Whether a target with a request limit may be used although others are free: a
+ * permit is due, and nothing recent speaks against the target.
+ */
+const isPermittedFirst = (state: TargetState, { zone, bodyBytes }: PlacementRequest, nowMs: number): boolean =>
+  isPermitPossible(state, 0, nowMs) && isAcceptingRequests(state, nowMs) && !hasRecentFailure(state, nowMs) &&
+  (state.target.zone === zone || bodyBytes <= CROSS_ZONE_BODY_BYTES_MAX) &&
+  (!hasRecentReport(state, nowMs) || isFreeAndFast(state))
+
+/**
+ * Uses a target with a request limit while a permit is due. The limit says how
+ * much the target can take, so it is asked for no load report, and what the limit
+ * leaves goes to other targets. Hedges leave the permits to requests.
+ */
+const choosePermitted = (limited: readonly TargetState[], request: PlacementRequest, nowMs: number, random: Random): Placement | undefined => {
+  if (request.requiresFreeAndFast) return undefined
+  const permitted = limited.filter(state => isPermittedFirst(state, request, nowMs))
+  const best = withLowestCost(permitted, state => expectedCost(state, loadOf(state), request.zone, nowMs), random)
+  return best && send(best, `within its request limit: ${describe(best, nowMs)}`)
+}
+
+/** Chooses when each usable target has a request limit. */
+const chooseAmongLimited = (limited: readonly TargetState[], request: PlacementRequest, nowMs: number, random: Random): Placement => {
+  if (request.requiresFreeAndFast) return { step: 'none' }
+  const choice = chooseLimited(limited, request, nowMs, random.next())
+  if ('state' in choice) return send(choice.state, `its permit is due first: ${describe(choice.state, nowMs)}`, choice.permitWaitMaxMs)
+  return request.canRefuse ? { step: 'refuse', cause: 'rate-limited', retryAfterMs: choice.retryAfterMs, detail: choice.detail } : { step: 'none' }
+}
+
+/**
+ * Next step for a request that has no target yet. Call again after each probe
+ * result and after each wait.
+ */
+export const planPlacement = (routing: RoutingState, request: PlacementRequest, nowMs: number, random: Random): Placement => {
+  const eligible = routing.candidates.filter(state => isEligible(state, request, routing.isFailOpen))
+  if (eligible.length === 0) return { step: 'none' }
+  const limited = eligible.filter(hasLimit)
+  if (limited.length === 0) return planUnlimited(eligible, routing, request, nowMs, random)
+  return choosePermitted(limited, request, nowMs, random) ?? (limited.length === eligible.length
+    ? chooseAmongLimited(limited, request, nowMs, random)
+    : planUnlimited(eligible.filter(state => !hasLimit(state)), routing, request, nowMs, random))
+}
--- a/packages/policy/src/select-target.ts
+++ b/packages/policy/src/select-target.ts
@@ -5,6 +5,7 @@
  */
 import type { Random } from '@wisteriavalve/common'
 import { effectiveLimit } from './concurrency-limit.js'
+import { chooseLimited, hasLimit, isPermitPossible } from './request-limit.js'
 import { policies } from './policies/index.js'
 import { slowStartShare } from './target-state.js'
 import type { PolicyName, RoutingState, Selection, SelectionRequest, TargetState, TargetTable } from './types.js'
@@ -18,6 +19,7 @@
     const state = candidates[index] as TargetState
     if (request.exclude.size > 0 && request.exclude.has(state.target.id)) continue
     usableCount++
+    if (!isPermitPossible(state, 0, nowMs)) continue
     if (state.inFlight >= effectiveLimit(state) || nowMs < state.avoidUntilMs) continue
     if (state.health === 'probation' && request.idempotent === false && !routing.isFailOpen) continue
     if (routing.hasCold && state.health === 'cold' && random.next() >= slowStartShare(state, nowMs)) continue
@@ -27,20 +29,30 @@
 }
 
 /** Adds the targets that are cold, on probation or avoided after a refusal, as a last resort. */
-const relaxFilter = ({ candidates, scratch }: RoutingState, request: SelectionRequest): void => {
+const relaxFilter = ({ candidates, scratch }: RoutingState, request: SelectionRequest, nowMs: number): void => {
   for (const state of candidates) {
-    if (!request.exclude.has(state.target.id) && state.inFlight < effectiveLimit(state)) scratch.push(state)
+    if (!request.exclude.has(state.target.id) && state.inFlight < effectiveLimit(state) && isPermitPossible(state, 0, nowMs)) scratch.push(state)
   }
 }
 
+/** Waits for a free target if one has no request limit, and otherwise for the permit that is due first. */
+const selectWithoutFreeTarget = ({ candidates }: RoutingState, request: SelectionRequest, nowMs: number, random: Random): Selection => {
+  const usable = candidates.filter(({ target }) => !request.exclude.has(target.id))
+  if (!usable.every(hasLimit)) return { ok: false, error: 'all-busy' }
+  const choice = chooseLimited(usable, request, nowMs, random.next())
+  return 'state' in choice
+    ? { ok: true, targetId: choice.state.target.id, reason: 'its permit is due first', permitWaitMaxMs: choice.permitWaitMaxMs }
+    : { ok: false, error: 'rate-limited', retryAfterMs: choice.retryAfterMs, detail: choice.detail }
+}
+
 export const selectTarget = (
   policyName: PolicyName, table: TargetTable, request: SelectionRequest, nowMs: number, random: Random
 ): Selection => {
   const routing = table.routing(nowMs)
   const usableCount = filterCandidates(routing, request, nowMs, random)
   if (usableCount === 0) return { ok: false, error: 'no-target' }
-  if (routing.scratch.length === 0) relaxFilter(routing, request)
-  if (routing.scratch.length === 0) return { ok: false, error: 'all-busy' }
+  if (routing.scratch.length === 0) relaxFilter(routing, request, nowMs)
+  if (routing.scratch.length === 0) return selectWithoutFreeTarget(routing, request, nowMs, random)
   const { state, reason } = policies[policyName](routing.scratch, { routing, zone: request.zone, nowMs, random })
-  return { ok: true, targetId: state.target.id, reason }
+  return { ok: true, targetId: state.target.id, reason, permitWaitMaxMs: 0 }
 }
--- a/packages/policy/src/target-notes.ts
+++ b/packages/policy/src/target-notes.ts
@@ -6,6 +6,7 @@
 import type { TargetNote } from '@wisteriavalve/schema'
 import { AVOID_MAX_MS } from './concurrency-limit.js'
 import { applyReport } from './load-estimate.js'
+import { applyLimitStatement, limitStatementOf } from './request-limit.js'
 import type { TableCore } from './table-core.js'
 import { applyDraining } from './target-outcomes.js'
 import { addPenalty } from './target-state.js'
@@ -25,6 +26,9 @@
     addPenalty(state, state.slots, core.routing.slowLatencyMs, nowMs)
     state.avoidUntilMs = Math.max(state.avoidUntilMs, nowMs + AVOID_MAX_MS)
   }
+  if (note.limitPerS !== undefined && applyLimitStatement(state, { limitPerS: note.limitPerS, ageMs: note.ageMs }, nowMs)) {
+    core.options.onRequestLimit?.(state.target.id, state.requestLimitPerS)
+  }
   if (note.inFlight !== undefined) {
     applyReport(state, { inFlight: note.inFlight }, core.routing, core.options.slotsPerTarget, observedMs)
   }
@@ -46,9 +50,16 @@
   return note
 }
 
+const toLimitNote = (core: TableCore, state: TargetState, nowMs: number): TargetNote => {
+  const { limitPerS, ageMs } = limitStatementOf(state, nowMs)
+  return { service: core.options.service, targetId: state.target.id, observation: 'answering', ageMs: Math.round(ageMs), ...(limitPerS !== null && { limitPerS }) }
+}
+
 export const collectNotes = (core: TableCore, nowMs: number): TargetNote[] => {
   const notes: TargetNote[] = []
   for (const state of core.states.values()) {
+    if (state.isLimitUnshared) notes.push(toLimitNote(core, state, nowMs))
+    state.isLimitUnshared = false
     if (!isDue(state, nowMs)) continue
     notes.push(toNote(core, state, nowMs))
     delete state.pendingNote
--- a/packages/policy/src/target-state.ts
+++ b/packages/policy/src/target-state.ts
@@ -43,6 +43,8 @@
     consecutiveRefusals: 0,
     avoidUntilMs: -Infinity,
     limitObservedMs: -Infinity,
+    nextPermitMs: -Infinity,
+    isLimitUnshared: false,
     lastDrainObservedMs: -Infinity,
     firstBytes: createLatencyWindow(LATENCY_WINDOW_SIZE, LATENCY_COUNT_MIN),
     lastNoteMs: -Infinity
--- a/packages/policy/src/target-table.ts
+++ b/packages/policy/src/target-table.ts
@@ -4,7 +4,7 @@
 import { avoidTarget, effectiveLimit, isCongested } from './concurrency-limit.js'
 import { applyReport } from './load-estimate.js'
 import { createTableCore, currentRouting, type TableCore } from './table-core.js'
-import { applyStatedLimit } from './request-limit.js'
+import { applyLimitStatement, applyStatedLimit, limitStatementOf } from './request-limit.js'
 import { applyTargetList } from './target-list.js'
 import { collectNotes, applyPeerNote } from './target-notes.js'
 import { applyDraining, applyFirstByte, applyOutcome, applyProbe } from './target-outcomes.js'
@@ -36,6 +36,7 @@
     status.reportedInFlight = state.reportedInFlight
     status.reportAgeMs = Math.max(0, Math.round(nowMs - state.lastReportMs))
   }
+  if (state.requestLimitPerS !== undefined) status.requestLimitPerS = state.requestLimitPerS
   const p50 = firstBytes.quantile(0.5)
   const p99 = firstBytes.quantile(0.99)
   if (p50 !== undefined) status.firstByteP50Ms = p50
@@ -94,6 +95,14 @@
       if (applyStatedLimit(state, stated, writtenMs, nowMs)) options.onRequestLimit?.(targetId, state.requestLimitPerS)
     }),
     requestLimitPerS: targetId => states.get(targetId)?.requestLimitPerS,
+    limitStatement: (targetId, nowMs) => {
+      const state = states.get(targetId)
+      return state ? limitStatementOf(state, nowMs) : { limitPerS: null, ageMs: 0 }
+    },
+    recordLimitStatement: (targetId, statement, nowMs) => withState(targetId, state => {
+      if (applyLimitStatement(state, statement, nowMs)) options.onRequestLimit?.(targetId, state.requestLimitPerS)
+    }),
+    recordPermitDenied: (targetId, untilMs) => withState(targetId, state => { state.nextPermitMs = untilMs }),
     recordHealthProbe: (targetId, result, nowMs) => withState(targetId, state => applyProbe(core, state, result, nowMs)),
     recordLoadProbeWithoutReport: (targetId, nowMs) => withState(targetId, state => {
       probesWithoutReport++
--- a/packages/policy/src/types.ts
+++ b/packages/policy/src/types.ts
@@ -3,7 +3,7 @@
  */
 import type { StatedLimit } from './request-limit.js'
 import type { HealthSnapshot } from './target-health.js'
-import type { ListedTarget, Random } from '@wisteriavalve/common'
+import type { LimitStatement, ListedTarget, Random } from '@wisteriavalve/common'
 import type { Kind, ServiceConfiguration, Target, TargetNote, TargetStatus } from '@wisteriavalve/schema'
 
 export type PolicyName = 'round-robin' | 'random' | 'least-in-flight' | 'two-choices' | 'prequal' | 'adaptive'
@@ -81,6 +81,12 @@
   recordStatedLimit: (targetId: string, stated: StatedLimit, writtenMs: number, nowMs: number) => void
   /** Requests per second that a target accepts from all nodes together; undefined without a limit. */
   requestLimitPerS: (targetId: string) => number | undefined
+  /** What this node knows of the limit of a target, to be told to the permit owner. */
+  limitStatement: (targetId: string, nowMs: number) => LimitStatement
+  /** Applies what the permit owner knows of the limit. */
+  recordLimitStatement: (targetId: string, statement: LimitStatement, nowMs: number) => void
+  /** Records that no permit for a request to the target is issued before a time. */
+  recordPermitDenied: (targetId: string, untilMs: number) => void
   /** Whether load probes are useful; the targets of some services never report their load. */
   supportsLoadProbes: () => boolean
   /** Applies an observation of a peer. */
@@ -149,6 +155,10 @@
   requestLimitPerS?: number
   /** Time of the response that the limit, or its end, was taken from. */
   limitObservedMs: number
+  /** Before this time, the permit owner issues no permit for a request to the target. */
+  nextPermitMs: number
+  /** The limit was stated for the first time, and peers are to be told. */
+  isLimitUnshared: boolean
   lastResponseMs?: number
   lastDrainObservedMs: number
   reportedInFlight?: number
@@ -201,12 +211,16 @@
   exclude: ReadonlySet<string>
   /** Non-idempotent requests are not sent to targets on probation. Defaults to true. */
   idempotent?: boolean
+  /** How long the request can wait for a permit if only targets with a request limit are usable; 0 if absent. */
+  permitWaitMaxMs?: number
 }
 
 export type Selection =
-  | { ok: true, targetId: string, reason: string }
-  /** no-target: no target is usable; all-busy: each usable target is at its limit. */
+  | { ok: true, targetId: string, reason: string, permitWaitMaxMs: number }
+  /** no-target: no target is usable; all-busy: each usable target is at its limit of concurrent requests. */
   | { ok: false, error: 'no-target' | 'all-busy' }
+  /** Only targets with a request limit are usable, and no permit for them is issued in time. */
+  | { ok: false, error: 'rate-limited', retryAfterMs: number, detail: string }
 
 export type AdmissionRequest = {
   id: string
