Leave alone targets that state that they are leaving or want a pause

Targets that said in an answer that they were leaving got requests until the store said so, and again when the store listed them anew; targets that refused with 503 and Retry-After got the next request as usual. Cause: the platform's dialect read neither header, and the draining state of a target ended with the next list that showed it.

A stated draining holds for the incarnation of the target. A pause bars the target from every attempt and load probe until its end. Both are checked again before the write and told to peers. A change of a service's sizes no longer builds a new target table, which forgot all that targets had stated.

The test of the draining note expects the new field, and is as strict as before.

--- a/packages/daemon/src/attempts.ts
+++ b/packages/daemon/src/attempts.ts
@@ -2,7 +2,7 @@
  * Attempts of an exchange: selects a target, acquires a connection, sends the
  * request, and decides on a retry, a hedge or a failure when an attempt ends.
  */
-import { objectiveHedgeDelayMs, planHedge, planRetry, selectTarget, silenceLimitMs, splitRetryAllowance, type AttemptFailure } from '@wisteriavalve/policy'
+import { canTakeRetry, objectiveHedgeDelayMs, planHedge, planRetry, selectTarget, silenceLimitMs, splitRetryAllowance, type AttemptFailure } from '@wisteriavalve/policy'
 import type { ResultName, Target } from '@wisteriavalve/schema'
 import { sendRequest, type SendFailure, type SendHandler } from './adapters/backend-http.js'
 import type { BackendConnection } from './backend-connections.js'
@@ -52,7 +52,7 @@
   if (exchange.attempts.length === 0) failExchange(context, exchange, exchange.unknownResult ?? lastResult ?? 'no-target')
 }
 
-const REFUSAL_RESULTS = { late: 'deadline-unreachable', 'rate-limited': 'target-rate-limited' } as const
+const REFUSAL_RESULTS = { late: 'deadline-unreachable', 'rate-limited': 'target-rate-limited', paused: 'targets-paused' } as const
 
 /**
  * Placement is asynchronous, so a retry and a hedge can be placed at the same
@@ -88,6 +88,7 @@
   }
   if (purpose === 'hedge') return
   if (!selection.ok && selection.error === 'all-busy') waitForTarget(context, exchange, purpose, lastResult)
+  else if (!selection.ok && selection.error === 'paused') failExchange(context, exchange, exchange.unknownResult ?? lastResult ?? 'targets-paused', { retryAfterMs: selection.retryAfterMs })
   else if (!selection.ok && selection.error === 'rate-limited') failExchange(context, exchange, exchange.unknownResult ?? lastResult ?? 'target-rate-limited', { retryAfterMs: selection.retryAfterMs, detail: selection.detail })
   else failExchange(context, exchange, exchange.unknownResult ?? lastResult ?? 'no-target')
 }
@@ -183,12 +184,16 @@
   }, createSendHandler(context, attempt))
 }
 
+/** Whether the target stated since it was chosen that it does not want this request. */
+const isTargetClosed = (attempt: Attempt, nowMs: number): boolean =>
+  attempt.exchange.runtime.draining.has(attempt.targetId) || attempt.table.isPaused(attempt.targetId, nowMs) || isPermitMissing(attempt)
+
 /** The only check before the first byte of the request is written. */
 const canWrite = (context: PipelineContext, attempt: Attempt): boolean => {
   const { exchange } = attempt
   const nowMs = context.clock.nowMs()
   return context.pauseDetector.epoch(nowMs) === attempt.pauseEpoch && !attempt.isFinished && exchange.phase === 'running' &&
-    nowMs < exchange.deadlineMs && !exchange.runtime.draining.has(attempt.targetId) && !isPermitMissing(attempt)
+    nowMs < exchange.deadlineMs && !isTargetClosed(attempt, nowMs)
 }
 
 const createSendHandler = (context: PipelineContext, attempt: Attempt): SendHandler => {
@@ -257,7 +262,7 @@
   const isPaused = context.pauseDetector.epoch(nowMs) !== attempt.pauseEpoch
   if (nowMs >= exchange.deadlineMs) onDeadline(context, exchange)
   else if (!exchange.body.canOpen()) failExchange(context, exchange, exchange.unknownResult ?? (isPaused ? 'process-paused' : 'connect-failed'), { detail: message })
-  else if (isPaused || exchange.runtime.draining.has(attempt.targetId) || isPermitMissing(attempt)) reroute(context, attempt, nowMs)
+  else if (isPaused || isTargetClosed(attempt, nowMs)) reroute(context, attempt, nowMs)
   else if (attempt.reacquireCount++ < REACQUIRE_MAX) acquire(context, attempt)
   else onAttemptFailed(context, attempt, 'connect-failed', 'connect-failed', message)
 }
@@ -281,12 +286,12 @@
   else if (exchange.attempts.length === 0) retryOrFail(context, exchange, failure, result, detail)
 }
 
-const hasOtherTarget = ({ runtime, triedTargetIds }: Exchange, nowMs: number): boolean =>
-  runtime.table.routing(nowMs).candidates.some(({ target }) => !triedTargetIds.has(target.id))
+const hasOtherTarget = ({ runtime, triedTargetIds }: Exchange, failure: AttemptFailure, nowMs: number): boolean =>
+  runtime.table.routing(nowMs).candidates.some(state => !triedTargetIds.has(state.target.id) && canTakeRetry(state, failure, nowMs))
 
 const tryTakeRetry = (context: PipelineContext, exchange: Exchange, failure: AttemptFailure): boolean => {
   const nowMs = context.clock.nowMs()
-  if (!hasOtherTarget(exchange, nowMs)) return false
+  if (!hasOtherTarget(exchange, failure, nowMs)) return false
   const { decision } = planRetry({
     idempotent: exchange.kind.idempotent,
     isBodyReplayable: exchange.body.canOpen(),
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -89,6 +89,7 @@
     ...(fleetRetries && { retryLimits: shareRetryLimits(fleetRetries.share, fleetRetries.extra, fleetSize) }),
     onHealth: nodeEvents.recordTargetHealth,
     onRequestLimit: nodeEvents.recordRequestLimit,
+    onTargetPause: nodeEvents.recordTargetPause,
     onSilent: (service, targetId, retired) => {
       for (let count = 0; count < retired.length; count++) metrics.increment('retired_connections')
       nodeEvents.recordConnectionsRetired(service, targetId, retired.length)
--- a/packages/daemon/src/fleet/datagram-codec.ts
+++ b/packages/daemon/src/fleet/datagram-codec.ts
@@ -34,9 +34,13 @@
   update.callerPort, update.gossipPort, update.peerPort, update.loadPercent ?? null
 ]
 
+/** Older nodes ignore these fields, which are only sent when one of them is present. */
+const packStatement = ({ limitPerS, pauseMs, isStated }: TargetNote): unknown[] =>
+  limitPerS === undefined && pauseMs === undefined && isStated === undefined ? [] : [limitPerS ?? null, pauseMs ?? null, isStated ?? null]
+
 const packNote = (note: TargetNote): unknown[] => [
   note.service, note.targetId, OBSERVATIONS.indexOf(note.observation), note.ageMs, note.inFlight ?? null, note.byProbe ?? null,
-  ...(note.limitPerS === undefined ? [] : [note.limitPerS])
+  ...packStatement(note)
 ]
 
 const packMessage = (message: GossipMessage): unknown[] => {
@@ -63,8 +67,8 @@
 }
 
 const unpackNote = (value: unknown): Record<string, unknown> => {
-  const [service, targetId, observation, ageMs, inFlight, byProbe, limitPerS] = asArray(value)
-  return omitAbsent({ service, targetId, observation: OBSERVATIONS[observation as number], ageMs, inFlight, byProbe, limitPerS })
+  const [service, targetId, observation, ageMs, inFlight, byProbe, limitPerS, pauseMs, isStated] = asArray(value)
+  return omitAbsent({ service, targetId, observation: OBSERVATIONS[observation as number], ageMs, inFlight, byProbe, limitPerS, pauseMs, isStated })
 }
 
 const unpackOrder = (value: unknown): Record<string, unknown> => {
--- a/packages/daemon/src/headers.ts
+++ b/packages/daemon/src/headers.ts
@@ -50,7 +50,7 @@
     ...lowerCase([dialect.requestIdHeader, dialect.timeoutHeader, dialect.retryAllowanceHeader, dialect.callDepthHeader, dialect.forwardedForHeader, dialect.targetIdHeader])
   ])
   const responseDropped = new Set([
-    ...HOP_BY_HOP, ...NODE_ONLY_HEADERS, ...lowerCase([dialect.requestIdHeader, dialect.loadReportHeader, dialect.drainingHeader, ...dialect.droppedResponseHeaders])
+    ...HOP_BY_HOP, ...NODE_ONLY_HEADERS, ...lowerCase([dialect.requestIdHeader, dialect.loadReportHeader, ...dialect.droppedResponseHeaders])
   ])
   const notInTrailers = new Set([...responseDropped, ...NOT_IN_TRAILERS])
   return {
--- a/packages/daemon/src/http-dialect.ts
+++ b/packages/daemon/src/http-dialect.ts
@@ -4,7 +4,7 @@
  * specified in docs/interfaces.md; platforms with other headers supply their
  * own.
  */
-import { parseLoadReport, parseRequestLimit, type LoadReport, type StatedLimit } from '@wisteriavalve/policy'
+import { parseLoadReport, parsePauseMs, parseRequestLimit, type LoadReport, type StatedLimit } from '@wisteriavalve/policy'
 
 export type HttpDialect = {
   requestIdHeader: string
@@ -18,8 +18,10 @@
   loadReportHeader: string
   /** Response header in which a target states its id in response to a load probe. */
   answeredByHeader?: string
-  /** Response header in which a target states that it is draining. */
-  drainingHeader?: string
+  /** Whether a response states that its target is draining. */
+  isDraining: (header: (name: string) => string | undefined) => boolean
+  /** Time for which a target that refuses a request asks to be left alone; undefined without such a wish. */
+  readPauseMs: (status: number, header: (name: string) => string | undefined) => number | undefined
   /** What a response says about the requests per second that its target accepts from all nodes together. */
   readRequestLimit: (header: (name: string) => string | undefined) => StatedLimit
   /** Further response headers that are not forwarded to callers. */
@@ -40,8 +42,15 @@
 }
 
 const NOT_RUN_HEADER = 'x-request-not-run'
+const DRAINING_HEADER = 'x-draining'
 const REQUEST_LIMIT_HEADER = 'x-request-limit-per-s'
 
+const UNAVAILABLE_STATUS = 503
+
+/** Reads the pause from the standard header. */
+export const readPauseMs: HttpDialect['readPauseMs'] = (status, header) =>
+  status === UNAVAILABLE_STATUS ? parsePauseMs(header('retry-after'), Date.now()) : undefined
+
 export const DEFAULT_DIALECT: HttpDialect = {
   requestIdHeader: 'x-request-id',
   timeoutHeader: 'x-request-timeout-ms',
@@ -49,9 +58,10 @@
   callDepthHeader: 'x-call-depth',
   forwardedForHeader: 'x-forwarded-for',
   loadReportHeader: 'endpoint-load-metrics',
-  drainingHeader: 'x-draining',
+  readPauseMs,
+  isDraining: header => header(DRAINING_HEADER) === 'true',
   readRequestLimit: header => parseRequestLimit(header(REQUEST_LIMIT_HEADER)),
-  droppedResponseHeaders: [NOT_RUN_HEADER, REQUEST_LIMIT_HEADER],
+  droppedResponseHeaders: [NOT_RUN_HEADER, DRAINING_HEADER, REQUEST_LIMIT_HEADER],
   parseLoadReport,
   isNotRun: (status, header) => (status === 429 || status === 503) && header(NOT_RUN_HEADER) === 'true',
   isWrongTarget: () => false,
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -11,4 +11,4 @@
 export { createHttpReader, parseJson, type HttpResponse } from './adapters/http-json.js'
 export { runDaemon, type DaemonProgram } from './run-daemon.js'
 export type { Daemon, DaemonOptions } from './daemon.js'
-export type { HttpDialect } from './http-dialect.js'
+export { readPauseMs, type HttpDialect } from './http-dialect.js'
--- a/packages/daemon/src/load-probes.ts
+++ b/packages/daemon/src/load-probes.ts
@@ -49,12 +49,15 @@
     // Probes have no request id, so a response with one belongs to an earlier request.
     const isForeign = (rawHeader(headers, context.dialect.requestIdHeader.toLowerCase()) ?? '') !== ''
     if (answeredBy !== undefined && answeredBy !== targetId) runtime.table.recordDraining(targetId, 'other-server', nowMs)
+    else if (context.dialect.isDraining(name => rawHeader(headers, name))) runtime.table.recordDraining(targetId, 'response', nowMs)
     else if (isForeign) {
       pool.recordForeignResponse()
       fail()
     } else if (report && status < 300) runtime.table.recordLoadReport(targetId, report, nowMs)
     else if (status < 300) runtime.table.recordLoadProbeWithoutReport(targetId, nowMs)
     else runtime.table.recordLoadProbeFailure(targetId, nowMs)
+    const pauseMs = context.dialect.readPauseMs(status, name => rawHeader(headers, name))
+    if (pauseMs !== undefined) runtime.table.recordPause(targetId, pauseMs, nowMs)
   }
 
   const send = (opened: BackendConnection): void => {
--- a/packages/daemon/src/node-events.ts
+++ b/packages/daemon/src/node-events.ts
@@ -12,6 +12,7 @@
   recordTargetHealth: (service: string, targetId: string, health: TargetHealth, reason: string) => void
   /** @param limitPerS undefined at the end of the limit */
   recordRequestLimit: (service: string, targetId: string, limitPerS: number | undefined) => void
+  recordTargetPause: (service: string, targetId: string, pauseMs: number) => void
   recordConnectionsRetired: (service: string, targetId: string, count: number) => void
   recordProcessPause: (gapMs: number) => void
   find: (query: ExplainQuery) => EventEntry[]
@@ -59,6 +60,10 @@
       log('target_limit', { service, target: targetId, ...(limitPerS !== undefined && { limit_per_s: limitPerS }), state: limitPerS === undefined ? 'ended' : 'stated' })
       add({ event: 'target_limit', service, targetId, text: limitPerS === undefined ? `Target ${targetId} of ${service} has no request limit any more.` : `Target ${targetId} of ${service} accepts ${limitPerS} requests per second from all nodes together.` })
     },
+    recordTargetPause: (service, targetId, pauseMs) => {
+      log('target_paused', { service, target: targetId, pause_ms: Math.round(pauseMs) })
+      add({ event: 'target_paused', service, targetId, text: `Target ${targetId} of ${service} asked to be left alone for ${Math.round(pauseMs)} ms.` })
+    },
     recordConnectionsRetired: (service, targetId, count) => {
       log('connections_retired', { service, target: targetId, count })
       add({ event: 'connections_retired', service, targetId, text: `${count} connections to ${targetId} of ${service} made no progress while a newer connection answered, and get no new requests.` })
--- a/packages/daemon/src/response-relay.ts
+++ b/packages/daemon/src/response-relay.ts
@@ -44,7 +44,9 @@
   const report = dialect.parseLoadReport(header(dialect.loadReportHeader))
   if (report) table.recordLoadReport(targetId, report, nowMs)
   recordStatedLimit(context, attempt, dialect.readRequestLimit(header), nowMs)
-  if (dialect.drainingHeader !== undefined && header(dialect.drainingHeader) === 'true') table.recordDraining(targetId, 'response', nowMs)
+  const pauseMs = dialect.readPauseMs(status, header)
+  if (pauseMs !== undefined) table.recordPause(targetId, pauseMs, nowMs)
+  if (dialect.isDraining(header)) table.recordDraining(targetId, 'response', nowMs)
   return isRefused
 }
 
--- a/packages/daemon/src/service-runtimes.ts
+++ b/packages/daemon/src/service-runtimes.ts
@@ -40,6 +40,7 @@
   echoesRequestIds?: boolean
   onHealth: (service: string, targetId: string, health: TargetHealth, reason: string) => void
   onRequestLimit: (service: string, targetId: string, limitPerS: number | undefined) => void
+  onTargetPause: (service: string, targetId: string, pauseMs: number) => void
   onSilent: (service: string, targetId: string, retired: BackendConnection[]) => void
 }
 
@@ -113,7 +114,7 @@
   }
 }
 
-export const createServiceRuntimes = ({ clock, random, retryLimits, probesBeforeAttempt = false, echoesRequestIds = false, onHealth, onRequestLimit, onSilent }: ServiceRuntimesOptions): ServiceRuntimes => {
+export const createServiceRuntimes = ({ clock, random, retryLimits, probesBeforeAttempt = false, echoesRequestIds = false, onHealth, onRequestLimit, onTargetPause, onSilent }: ServiceRuntimesOptions): ServiceRuntimes => {
   const runtimes = new Map<string, ServiceRuntime>()
   const targetsByService = new Map<string, ServiceTargets>()
   let index: ServiceIndex | undefined
@@ -133,7 +134,8 @@
       if (runtime) changedRuntimes.add(runtime)
       onHealth(configuration.name, targetId, health, reason)
     },
-    onRequestLimit: (targetId, limitPerS) => onRequestLimit(configuration.name, targetId, limitPerS)
+    onRequestLimit: (targetId, limitPerS) => onRequestLimit(configuration.name, targetId, limitPerS),
+    onPause: (targetId, pauseMs) => onTargetPause(configuration.name, targetId, pauseMs)
   })
 
   const setTargets = (runtime: ServiceRuntime, { targets, leavingIds }: ServiceTargets): void => {
@@ -171,8 +173,7 @@
     const isResized = existing.share !== share || existing.configuration.slotsPerTarget !== configuration.slotsPerTarget
     existing.configuration = configuration
     existing.share = share
-    // Attempts in flight keep a reference to the old table, in which they were counted.
-    if (isResized) existing.table = createTable(configuration, share, existing.draining)
+    if (isResized) existing.table.resize({ slotsPerTarget: configuration.slotsPerTarget, connectionShare: share })
     setTargets(existing, targets)
   }
 
--- a/packages/daemon/test/fleet-gossip.test.ts
+++ b/packages/daemon/test/fleet-gossip.test.ts
@@ -26,7 +26,7 @@
   nonce: 2 ** 47,
   sender: createMember('entry-77'),
   updates: [createMember('entry-78', 'suspect')],
-  notes: [{ service: 's', targetId: 't', observation: 'dead', ageMs: 3, inFlight: 2, byProbe: true }, { service: 's', targetId: 'u', observation: 'answering', ageMs: 4, limitPerS: 5.3 }],
+  notes: [{ service: 's', targetId: 't', observation: 'dead', ageMs: 3, inFlight: 2, byProbe: true }, { service: 's', targetId: 'u', observation: 'answering', ageMs: 4, limitPerS: 5.3 }, { service: 's', targetId: 'v', observation: 'answering', ageMs: 5, pauseMs: 3_000 }, { service: 's', targetId: 'w', observation: 'draining', ageMs: 6, isStated: true }],
   configuration: { restoreCount: 1, revision: 99, headHash: 'ab'.repeat(32) },
   ...fields
 })
--- a/packages/fleet/src/note-exchange.ts
+++ b/packages/fleet/src/note-exchange.ts
@@ -25,20 +25,21 @@
   clear: () => void
 }
 
-const isLimitNote = (note: TargetNote): boolean => note.limitPerS !== undefined
+/** What a target stated about itself. It may end and be stated again soon. */
+const isStatement = (note: TargetNote): boolean => note.limitPerS !== undefined || note.pauseMs !== undefined
 
 /** Observations that all nodes must learn at once. */
-export const isStateNote = (note: TargetNote): boolean => note.observation !== 'answering' || isLimitNote(note)
+export const isStateNote = (note: TargetNote): boolean => note.observation !== 'answering' || isStatement(note)
 
 const subjectOf = (note: TargetNote): string => {
-  if (isLimitNote(note)) return 'limit'
+  if (note.limitPerS !== undefined) return 'limit'
+  if (note.pauseMs !== undefined) return 'pause'
   return isStateNote(note) ? note.observation : note.byProbe ? 'probed' : 'answering'
 }
 
 const keyOf = (note: TargetNote): string => `${note.service}/${note.targetId}/${subjectOf(note)}`
 
-/** A limit may end and be stated again within the time in which a state is not repeated. */
-const repeatMs = (note: TargetNote): number => isStateNote(note) && !isLimitNote(note) ? STATE_NOTE_REPEAT_MS : ANSWERING_NOTE_REPEAT_MS
+const repeatMs = (note: TargetNote): number => isStateNote(note) && !isStatement(note) ? STATE_NOTE_REPEAT_MS : ANSWERING_NOTE_REPEAT_MS
 
 /** Returns the note with its age at the time of sending. */
 export const withCurrentAge = ({ note, observedMs }: Observation, nowMs: number): TargetNote =>
--- a/packages/policy/src/placement-types.ts
+++ b/packages/policy/src/placement-types.ts
@@ -27,7 +27,7 @@
   /** Probe the load of these targets, and plan again after each result. */
   | { step: 'probe', targetIds: string[] }
   | { step: 'wait', untilMs: number }
-  /** The request cannot be served in time, because of the load of the targets or because of their request limits. */
-  | { step: 'refuse', cause: 'late' | 'rate-limited', retryAfterMs: number, detail?: string }
+  /** The request cannot be served in time, because of the load of the targets, their request limits or their pauses. */
+  | { step: 'refuse', cause: 'late' | 'rate-limited' | 'paused', retryAfterMs: number, detail?: string }
   /** No target is usable. */
   | { step: 'none' }
--- a/packages/policy/src/placement.ts
+++ b/packages/policy/src/placement.ts
@@ -19,6 +19,7 @@
 import { expectedLoad } from './load-estimate.js'
 import type { Placement, PlacementRequest } from './placement-types.js'
 import { chooseLimited, hasLimit, isPermitPossible } from './request-limit.js'
+import { isPaused, pauseRetryAfterMs } from './target-pause.js'
 import type { RoutingState, TargetState } from './types.js'
 
 /** A report of at most this age is used as the current state of the target. */
@@ -230,9 +231,11 @@
 export const planPlacement = (routing: RoutingState, request: PlacementRequest, nowMs: number, random: Random): Placement => {
   const eligible = routing.candidates.filter(state => isEligible(state, request, routing.isFailOpen))
   if (eligible.length === 0) return { step: 'none' }
-  const limited = eligible.filter(hasLimit)
-  if (limited.length === 0) return planUnlimited(eligible, routing, request, nowMs, random)
-  return choosePermitted(limited, request, nowMs, random) ?? (limited.length === eligible.length
+  const usable = eligible.filter(state => !isPaused(state, nowMs))
+  if (usable.length === 0) return request.canRefuse ? { step: 'refuse', cause: 'paused', retryAfterMs: pauseRetryAfterMs(eligible, nowMs, random.next()) } : { step: 'none' }
+  const limited = usable.filter(hasLimit)
+  if (limited.length === 0) return planUnlimited(usable, routing, request, nowMs, random)
+  return choosePermitted(limited, request, nowMs, random) ?? (limited.length === usable.length
     ? chooseAmongLimited(limited, request, nowMs, random)
-    : planUnlimited(eligible.filter(state => !hasLimit(state)), routing, request, nowMs, random))
+    : planUnlimited(usable.filter(state => !hasLimit(state)), routing, request, nowMs, random))
 }
--- a/packages/policy/src/retry.ts
+++ b/packages/policy/src/retry.ts
@@ -2,7 +2,9 @@
  * Decides whether a failed attempt is retried, and splits the allowance of
  * extra attempts of a call tree.
  */
-import type { AttemptFailure, RetryDecision, RetryState } from './types.js'
+import { hasLimit, isPermitPossible } from './request-limit.js'
+import { isPaused } from './target-pause.js'
+import type { AttemptFailure, RetryDecision, RetryState, TargetState } from './types.js'
 
 /** Failures after which the request cannot have run. */
 const NOT_RUN: ReadonlySet<AttemptFailure> = new Set(['connect-failed', 'refused'])
@@ -34,3 +36,10 @@
   const forwarded = Math.floor(whole / 2)
   return { forwarded, retained: whole - forwarded }
 }
+
+/**
+ * Whether a target may be chosen for a retry. A response with an error status is
+ * dropped for a retry, so it is kept if the target could still deny the permit.
+ */
+export const canTakeRetry = (state: TargetState, failure: AttemptFailure, nowMs: number): boolean =>
+  !isPaused(state, nowMs) && (failure === 'error-status' ? !hasLimit(state) : isPermitPossible(state, 0, nowMs))
--- a/packages/policy/src/select-target.ts
+++ b/packages/policy/src/select-target.ts
@@ -6,6 +6,7 @@
 import type { Random } from '@wisteriavalve/common'
 import { effectiveLimit } from './concurrency-limit.js'
 import { chooseLimited, hasLimit, isPermitPossible } from './request-limit.js'
+import { isPaused, pauseRetryAfterMs } from './target-pause.js'
 import { policies } from './policies/index.js'
 import { slowStartShare } from './target-state.js'
 import type { PolicyName, RoutingState, Selection, SelectionRequest, TargetState, TargetTable } from './types.js'
@@ -19,7 +20,7 @@
     const state = candidates[index] as TargetState
     if (request.exclude.size > 0 && request.exclude.has(state.target.id)) continue
     usableCount++
-    if (!isPermitPossible(state, 0, nowMs)) continue
+    if (isPaused(state, nowMs) || !isPermitPossible(state, 0, nowMs)) continue
     if (state.inFlight >= effectiveLimit(state) || nowMs < state.avoidUntilMs) continue
     if (state.health === 'probation' && request.idempotent === false && !routing.isFailOpen) continue
     if (routing.hasCold && state.health === 'cold' && random.next() >= slowStartShare(state, nowMs)) continue
@@ -31,13 +32,15 @@
 /** Adds the targets that are cold, on probation or avoided after a refusal, as a last resort. */
 const relaxFilter = ({ candidates, scratch }: RoutingState, request: SelectionRequest, nowMs: number): void => {
   for (const state of candidates) {
-    if (!request.exclude.has(state.target.id) && state.inFlight < effectiveLimit(state) && isPermitPossible(state, 0, nowMs)) scratch.push(state)
+    if (!request.exclude.has(state.target.id) && state.inFlight < effectiveLimit(state) && !isPaused(state, nowMs) && isPermitPossible(state, 0, nowMs)) scratch.push(state)
   }
 }
 
 /** Waits for a free target if one has no request limit, and otherwise for the permit that is due first. */
 const selectWithoutFreeTarget = ({ candidates }: RoutingState, request: SelectionRequest, nowMs: number, random: Random): Selection => {
-  const usable = candidates.filter(({ target }) => !request.exclude.has(target.id))
+  const remaining = candidates.filter(({ target }) => !request.exclude.has(target.id))
+  const usable = remaining.filter(state => !isPaused(state, nowMs))
+  if (usable.length === 0) return { ok: false, error: 'paused', retryAfterMs: pauseRetryAfterMs(remaining, nowMs, random.next()) }
   if (!usable.every(hasLimit)) return { ok: false, error: 'all-busy' }
   const choice = chooseLimited(usable, request, nowMs, random.next())
   return 'state' in choice
--- a/packages/policy/src/target-list.ts
+++ b/packages/policy/src/target-list.ts
@@ -27,11 +27,14 @@
 /**
  * A known id with a new address or incarnation is a different server, and so is
  * a target that was gone. A target that left the list while draining and is
- * listed again was only missing from the list; its draining state is discarded.
+ * listed again was only missing from the list; its draining state is discarded,
+ * unless the target itself stated it: no list knows better.
  */
-const isReplaced = (existing: TargetState, target: ListedTarget): boolean =>
-  existing.health === 'gone' || !isSameAddress(existing.target, target) || existing.target.incarnation !== target.incarnation ||
-  (existing.isUnlisted && existing.health === 'draining')
+const isReplaced = (existing: TargetState, target: ListedTarget): boolean => {
+  if (!isSameAddress(existing.target, target) || existing.target.incarnation !== target.incarnation) return true
+  if (existing.hasStatedDraining) return false
+  return existing.health === 'gone' || (existing.isUnlisted && existing.health === 'draining')
+}
 
 const unlistTarget = (core: TableCore, state: TargetState, nowMs: number): void => {
   state.isUnlisted = true
--- a/packages/policy/src/target-outcomes.ts
+++ b/packages/policy/src/target-outcomes.ts
@@ -79,6 +79,7 @@
 /** @param observedMs time at which the target was observed draining */
 export const applyDraining = (core: TableCore, state: TargetState, source: DrainSource, observedMs: number, nowMs: number): void => {
   if (state.health === 'gone') return
+  if (source === 'response') state.hasStatedDraining = true
   const isNew = state.health !== 'draining'
   state.lastDrainObservedMs = Math.max(state.lastDrainObservedMs, observedMs)
   dispatchHealthEvent(core, state, { type: 'DRAIN', source, nowMs })
--- a/packages/policy/src/target-state.ts
+++ b/packages/policy/src/target-state.ts
@@ -43,9 +43,12 @@
     consecutiveRefusals: 0,
     avoidUntilMs: -Infinity,
     limitObservedMs: -Infinity,
+    pausedUntilMs: -Infinity,
+    isPauseUnshared: false,
     nextPermitMs: -Infinity,
     isLimitUnshared: false,
     lastDrainObservedMs: -Infinity,
+    hasStatedDraining: false,
     firstBytes: createLatencyWindow(LATENCY_WINDOW_SIZE, LATENCY_COUNT_MIN),
     lastNoteMs: -Infinity
   }
--- a/packages/policy/src/target-table.ts
+++ b/packages/policy/src/target-table.ts
@@ -8,6 +8,7 @@
 import { applyTargetList } from './target-list.js'
 import { collectNotes, applyPeerNote } from './target-notes.js'
 import { applyDraining, applyFirstByte, applyOutcome, applyProbe } from './target-outcomes.js'
+import { applyPause } from './target-pause.js'
 import { addStartTime, removeStartTime, slowStartShare } from './target-state.js'
 import type { TargetState, TargetTable, TargetTableOptions } from './types.js'
 import type { TargetStatus } from '@wisteriavalve/schema'
@@ -54,7 +55,14 @@
   core.isStale = true
 }
 
-export const createTargetTable = (options: TargetTableOptions): TargetTable => {
+/** The slots of a target without a number of its own are those of its service. */
+const resizeTarget = (state: TargetState, slotsPerTarget: number, connectionShare: number): void => {
+  if (state.target.slots === undefined && !state.reportsLoad) state.slots = slotsPerTarget
+  state.limit = Math.min(state.limit, connectionShare)
+}
+
+export const createTargetTable = (initial: TargetTableOptions): TargetTable => {
+  const options = { ...initial }
   const core = createTableCore(options)
   const { states, firstBytes } = core
   let probesWithoutReport = 0
@@ -73,6 +81,10 @@
 
   return {
     setTargets: (targets, nowMs) => applyTargetList(core, targets, nowMs),
+    resize: ({ slotsPerTarget, connectionShare }) => {
+      Object.assign(options, { slotsPerTarget, connectionShare })
+      for (const state of states.values()) resizeTarget(state, slotsPerTarget, connectionShare)
+    },
     recordDraining: (targetId, source, nowMs) => withState(targetId, state => applyDraining(core, state, source, nowMs, nowMs)),
     recordStart: (targetId, nowMs) => withState(targetId, state => {
       addStartTime(state, nowMs)
@@ -94,6 +106,12 @@
     recordStatedLimit: (targetId, stated, writtenMs, nowMs) => withState(targetId, state => {
       if (applyStatedLimit(state, stated, writtenMs, nowMs)) options.onRequestLimit?.(targetId, state.requestLimitPerS)
     }),
+    recordPause: (targetId, pauseMs, nowMs) => withState(targetId, state => {
+      if (!applyPause(state, nowMs + pauseMs)) return
+      state.isPauseUnshared = true
+      options.onPause?.(targetId, pauseMs)
+    }),
+    isPaused: (targetId, nowMs) => nowMs < (states.get(targetId)?.pausedUntilMs ?? -Infinity),
     requestLimitPerS: targetId => states.get(targetId)?.requestLimitPerS,
     limitStatement: (targetId, nowMs) => {
       const state = states.get(targetId)
--- a/packages/policy/src/types.ts
+++ b/packages/policy/src/types.ts
@@ -56,6 +56,8 @@
   onHealth?: (targetId: string, health: TargetHealth, reason: string, nowMs: number) => void
   /** Called when a target states a request limit for the first time, changes it, or has ended it. */
   onRequestLimit?: (targetId: string, limitPerS: number | undefined) => void
+  /** Called when a target asked this node or a peer to be left alone. */
+  onPause?: (targetId: string, pauseMs: number) => void
 }
 
 /**
@@ -64,6 +66,8 @@
  */
 export type TargetTable = {
   setTargets: (targets: readonly ListedTarget[], nowMs: number) => void
+  /** Applies new sizes and keeps all that is known of the targets. */
+  resize: (sizes: Pick<TargetTableOptions, 'slotsPerTarget' | 'connectionShare'>) => void
   recordDraining: (targetId: string, source: DrainSource, nowMs: number) => void
   recordStart: (targetId: string, nowMs: number) => void
   recordFirstByte: (targetId: string, firstByteMs: number, nowMs: number) => void
@@ -81,6 +85,9 @@
   recordStatedLimit: (targetId: string, stated: StatedLimit, writtenMs: number, nowMs: number) => void
   /** Requests per second that a target accepts from all nodes together; undefined without a limit. */
   requestLimitPerS: (targetId: string) => number | undefined
+  /** Records that a target asked in a response to be left alone for a time. */
+  recordPause: (targetId: string, pauseMs: number, nowMs: number) => void
+  isPaused: (targetId: string, nowMs: number) => boolean
   /** What this node knows of the limit of a target, to be told to the permit owner. */
   limitStatement: (targetId: string, nowMs: number) => LimitStatement
   /** Applies what the permit owner knows of the limit. */
@@ -155,12 +162,18 @@
   requestLimitPerS?: number
   /** Time of the response that the limit, or its end, was taken from. */
   limitObservedMs: number
+  /** The target asked to be left alone until then. */
+  pausedUntilMs: number
+  /** The pause was stated to this node, and peers are to be told. */
+  isPauseUnshared: boolean
   /** Before this time, the permit owner issues no permit for a request to the target. */
   nextPermitMs: number
   /** The limit was stated for the first time, and peers are to be told. */
   isLimitUnshared: boolean
   lastResponseMs?: number
   lastDrainObservedMs: number
+  /** The target itself stated that it is draining, which holds for its whole incarnation. */
+  hasStatedDraining: boolean
   reportedInFlight?: number
   /** Responses of the target carry load reports. */
   reportsLoad: boolean
@@ -221,6 +234,8 @@
   | { ok: false, error: 'no-target' | 'all-busy' }
   /** Only targets with a request limit are usable, and no permit for them is issued in time. */
   | { ok: false, error: 'rate-limited', retryAfterMs: number, detail: string }
+  /** All usable targets asked to be left alone for a time. */
+  | { ok: false, error: 'paused', retryAfterMs: number }
 
 export type AdmissionRequest = {
   id: string
--- a/packages/policy/test/target-health.test.ts
+++ b/packages/policy/test/target-health.test.ts
@@ -179,7 +179,7 @@
   const table = createTable(3)
   table.recordDraining('t0', 'response', 10)
   table.recordDraining('t1', 'peer', 10)
-  t.deepEqual(table.takeNotes(30), [{ service: 's', targetId: 't0', observation: 'draining', ageMs: 20 }])
+  t.deepEqual(table.takeNotes(30), [{ service: 's', targetId: 't0', observation: 'draining', ageMs: 20, isStated: true }])
   t.deepEqual(table.takeNotes(40), [])
 })
 
