Refuse requests that come too late in a planned stop to be finished

It could happen here: with an entry lifetime above half of the stop's time, a request at 1.6 s of a stop of 3 s was sent to a target that needs 2 s, and its connection was closed without an answer.

--- a/packages/daemon/src/attempts.ts
+++ b/packages/daemon/src/attempts.ts
@@ -9,6 +9,7 @@
 import { abandonAttempt, isWritten, type Attempt, type Exchange } from './exchange.js'
 import type { AttemptPurpose, PipelineContext } from './pipeline-context.js'
 import { OBJECTIVE_SHARE, permitWaitMaxMs, place, type PlacementOutcome } from './placement.js'
+import { LEAVING_RETRY_AFTER_MS } from './constants.js'
 import { isPermitMissing, withPermit } from './target-permits.js'
 import { dropData, endResponse, onResponseHead, relayData } from './response-relay.js'
 import { failExchange, isolateErrors, onDeadline } from './completion.js'
@@ -39,6 +40,10 @@
 }
 
 export const startAttempt = (context: PipelineContext, exchange: Exchange, purpose: AttemptPurpose, lastResult?: ResultName): void => {
+  if (purpose === 'first' && context.isTooLateToSend()) {
+    failExchange(context, exchange, 'node-leaving', { retryAfterMs: LEAVING_RETRY_AFTER_MS })
+    return
+  }
   if (context.probesBeforeAttempt && exchange.runtime.table.supportsLoadProbes()) place(context, exchange, purpose, outcome => onPlaced(context, exchange, purpose, lastResult, outcome))
   else selectAndStart(context, exchange, purpose, lastResult)
 }
--- a/packages/daemon/src/constants.ts
+++ b/packages/daemon/src/constants.ts
@@ -76,6 +76,8 @@
  */
 export const BURN_CAUSES_MAX = 64
 
+/** Retry-After of a node that stops. It is short because the caller's next try goes to another node. */
+export const LEAVING_RETRY_AFTER_MS = 40
 /** A leaving node stops early after this time without caller connections. */
 export const LEAVE_QUIET_MS = 1_000
 
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -11,7 +11,7 @@
 import { createBurnBuckets } from './burn-buckets.js'
 import { MAINTENANCE_INTERVAL_MS, CALLER_LIMITS, PAUSE_MS_MIN, REPLAY_BYTES_MAX, WHEEL_TICK_MS } from './constants.js'
 import { createDeadlineWheel } from './deadline-wheel.js'
-import { shutDownGracefully } from './graceful-shutdown.js'
+import { sendEndMs, shutDownGracefully } from './graceful-shutdown.js'
 import { createHeaderRules } from './headers.js'
 import { createLifecycle, type Phase } from './lifecycle.js'
 import { boundPort, listen, toStartupError } from './listening.js'
@@ -119,6 +119,7 @@
   const recorder = createRequestRecorder({
     clock, events, log, metrics, burnBuckets, configurationRevision: () => fleet.configuration()?.order.revision ?? 0
   })
+  let lastSendMs = Infinity
   const isLeaving = (): boolean => lifecycle.phase() === 'leaving'
   const context: PipelineContext = {
     clock,
@@ -137,7 +138,8 @@
     recorder,
     requestPermit: fleet.requestPermit,
     nextRequestId: createRequestIds(),
-    isLeaving
+    isLeaving,
+    isTooLateToSend: () => clock.nowMs() >= lastSendMs
   }
   const pipeline = createRequestPipeline(context, createCallerLimits(callerLimits))
   const wellKnown = {
@@ -216,6 +218,7 @@
 
   const leave = async (): Promise<void> => {
     lifecycle.send('stop-requested')
+    lastSendMs = sendEndMs(clock.nowMs(), settings.stopTimeoutMs)
     fleet.leave()
     log('daemon_leaving', { in_flight: pipeline.inFlightCount() })
     await shutDownGracefully({
--- a/packages/daemon/src/graceful-shutdown.ts
+++ b/packages/daemon/src/graceful-shutdown.ts
@@ -18,6 +18,16 @@
  */
 const ACCEPT_SHARE = 0.6
 
+/**
+ * Share of a bounded shutdown in which requests are still sent to targets. Later
+ * ones are refused as not run, because they could be cut off at its end.
+ */
+const SEND_SHARE = 0.5
+
+/** Time from which a node that stops sends no further request; Infinity if the shutdown waits for all requests. */
+export const sendEndMs = (startMs: number, stopTimeoutMs: number): number =>
+  stopTimeoutMs === 0 ? Infinity : startMs + SEND_SHARE * stopTimeoutMs
+
 export type GracefulShutdownOptions = {
   clock: Clock
   server: Server
--- a/packages/daemon/src/pipeline-context.ts
+++ b/packages/daemon/src/pipeline-context.ts
@@ -53,4 +53,6 @@
   requestPermit: RequestPermit
   nextRequestId: () => string
   isLeaving: () => boolean
+  /** Whether a request that is not sent yet comes too late in the shutdown of this node. */
+  isTooLateToSend: () => boolean
 }
--- a/packages/daemon/src/request-pipeline.ts
+++ b/packages/daemon/src/request-pipeline.ts
@@ -6,6 +6,7 @@
 import type { ResultName } from '@wisteriavalve/schema'
 import { sendFailureResponse, type Call } from './adapters/caller-http.js'
 import { startAttempt } from './attempts.js'
+import { LEAVING_RETRY_AFTER_MS } from './constants.js'
 import type { Exchange } from './exchange.js'
 import { isRequestId } from './headers.js'
 import { validateCall, type CallValidation } from './request-validation.js'
@@ -135,6 +136,7 @@
   let inFlightCount = 0
 
   const refuse = (call: Call, result: ResultName, detail?: string, retryAfterMs?: number): void => {
+    if (context.isLeaving() && call.isLatest()) call.closeAfter()
     sendFailureResponse(call, result, { detail, retryAfterMs })
     context.recorder.refused(call, result, detail)
   }
@@ -175,6 +177,10 @@
   }
 
   const handle = (call: Call): void => {
+    if (context.isTooLateToSend()) {
+      refuse(call, 'node-leaving', undefined, LEAVING_RETRY_AFTER_MS)
+      return
+    }
     const limit = callerLimits.tryRequest(call.address, context.clock.nowMs())
     if (!limit.ok) {
       refuse(call, 'caller-limit', undefined, limit.retryAfterMs)
