Keep the purpose of an attempt that is placed again

A hedge whose target stopped taking requests before it was written was placed again as a first attempt. If no target was left then, the request was answered as not run and its running attempt given up, although a target might have run it. Such cases became more likely with limits and pauses. The hedge is now dropped while another attempt runs, and an attempt that is placed again keeps its purpose; a request that came too late in a stop is told not-run only if nothing of it was sent. Found by reading; no test shows it, because the state of the target would have to change between the choice and the write of a hedge.

--- a/packages/daemon/src/attempts.ts
+++ b/packages/daemon/src/attempts.ts
@@ -2,14 +2,15 @@
  * Attempts of an exchange: selects a target, acquires a connection, sends the
  * request, and decides on a retry, a hedge or a failure when an attempt ends.
  */
-import { canTakeRetry, objectiveHedgeDelayMs, planHedge, planRetry, selectTarget, silenceLimitMs, splitRetryAllowance, type AttemptFailure } from '@wisteriavalve/policy'
+import { canTakeRetry, planRetry, selectTarget, splitRetryAllowance, type AttemptFailure } from '@wisteriavalve/policy'
 import type { ResultName, Target } from '@wisteriavalve/schema'
 import { sendRequest, type SendFailure, type SendHandler } from './adapters/backend-http.js'
 import type { BackendConnection } from './backend-connections.js'
 import { abandonAttempt, isWritten, type Attempt, type Exchange } from './exchange.js'
 import type { AttemptPurpose, PipelineContext } from './pipeline-context.js'
-import { OBJECTIVE_SHARE, permitWaitMaxMs, place, type PlacementOutcome } from './placement.js'
+import { permitWaitMaxMs, place, type PlacementOutcome } from './placement.js'
 import { LEAVING_RETRY_AFTER_MS } from './constants.js'
+import { scheduleHedge } from './hedging.js'
 import { isPermitMissing, withPermit } from './target-permits.js'
 import { dropData, endResponse, onResponseHead, relayData } from './response-relay.js'
 import { failExchange, isolateErrors, onDeadline } from './completion.js'
@@ -41,7 +42,7 @@
 
 export const startAttempt = (context: PipelineContext, exchange: Exchange, purpose: AttemptPurpose, lastResult?: ResultName): void => {
   if (purpose === 'first' && context.isTooLateToSend()) {
-    failExchange(context, exchange, 'node-leaving', { retryAfterMs: LEAVING_RETRY_AFTER_MS })
+    failExchange(context, exchange, exchange.unknownResult ?? 'node-leaving', { retryAfterMs: LEAVING_RETRY_AFTER_MS })
     return
   }
   if (context.probesBeforeAttempt && exchange.runtime.table.supportsLoadProbes()) place(context, exchange, purpose, outcome => onPlaced(context, exchange, purpose, lastResult, outcome))
@@ -126,6 +127,7 @@
     slowdown: runtime.table.slowdown(target.id),
     table: runtime.table,
     pool: context.runtimes.connectionsTo(runtime, target),
+    purpose,
     hasPermit,
     pauseEpoch: context.pauseDetector.epoch(nowMs),
     startedMs: nowMs,
@@ -218,7 +220,10 @@
       exchange.firstWrittenMs ??= nowMs
       if (attempt.connection) attempt.connection.sentMs = nowMs
       context.recorder.written(attempt)
-      scheduleHedge(context, attempt, nowMs)
+      scheduleHedge(context, attempt, nowMs, {
+        startHedge: () => startAttempt(context, exchange, 'hedge'),
+        onStalled: () => onSilent(context, attempt)
+      })
     },
     onBodyProgress: recordProgress,
     onHead: (status, headers, statusText) => isolateErrors(context, exchange, () => {
@@ -272,13 +277,14 @@
   else onAttemptFailed(context, attempt, 'connect-failed', 'connect-failed', message)
 }
 
+/** Chooses again for an attempt that wrote nothing. A hedge is dropped instead, since the attempt that it was to help is still running. */
 const reroute = (context: PipelineContext, attempt: Attempt, nowMs: number): void => {
-  const { exchange } = attempt
+  const { exchange, purpose } = attempt
   abandonAttempt(attempt, 'cancelled', nowMs)
   exchange.triedTargetIds.delete(attempt.targetId)
   exchange.attemptCount--
   exchange.retryAllowance += attempt.forwardedAllowance
-  startAttempt(context, exchange, 'first')
+  if (exchange.attempts.length === 0) startAttempt(context, exchange, purpose === 'hedge' ? 'retry' : purpose)
 }
 
 const onAttemptFailed = (context: PipelineContext, attempt: Attempt, failure: AttemptFailure, result: ResultName, detail: string): void => {
@@ -338,65 +344,3 @@
   exchange.unknownResult ??= 'no-progress'
   startAttempt(context, exchange, 'retry', 'no-progress')
 }
-
-/**
- * Hedge delay from the objective if the usual processing time is known,
- * otherwise from the slowest responses of the service.
- */
-const hedgeDelayMs = (context: PipelineContext, { exchange, writtenMs }: Attempt): number | undefined => {
-  const { kind, runtime, arrivedMs } = exchange
-  const usualMs = runtime.table.hedgeDelayMs()
-  if (!context.probesBeforeAttempt || kind.objectiveMs === undefined || writtenMs === undefined) return usualMs
-  const serviceTimeMs = context.serviceTimes.usualMs(kind.name, kind.objectiveMs)
-  return objectiveHedgeDelayMs(arrivedMs + OBJECTIVE_SHARE * kind.objectiveMs - writtenMs, serviceTimeMs) ?? usualMs
-}
-
-const scheduleHedge = (context: PipelineContext, attempt: Attempt, nowMs: number): void => {
-  const { exchange } = attempt
-  const { kind, runtime, responder } = exchange
-  if (!kind.idempotent || exchange.isHedged || exchange.attempts.length !== 1 || responder) return
-  if (exchange.sendCount >= (kind.attemptsMax ?? Infinity)) return
-  const decision = planHedge({
-    idempotent: true,
-    isBodyReplayable: exchange.body.canOpen(),
-    hasFirstByte: false,
-    isHedged: false,
-    startedMs: attempt.writtenMs ?? nowMs,
-    deadlineMs: exchange.deadlineMs,
-    allowance: exchange.retryAllowance
-  }, hedgeDelayMs(context, attempt), runtime.retryBudget, nowMs)
-  if (decision.decision === 'wait') {
-    exchange.hedgeTimer = context.wheel.schedule(decision.untilMs, () => isolateErrors(context, exchange, () => {
-      exchange.hedgeTimer = undefined
-      if (!attempt.isFinished && exchange.phase === 'running') scheduleHedge(context, attempt, context.clock.nowMs())
-    }))
-  } else if (decision.decision === 'hedge') {
-    exchange.isHedged = true
-    exchange.retryAllowance -= 1
-    startAttempt(context, exchange, 'hedge')
-  } else {
-    scheduleStallCheck(context, attempt)
-  }
-}
-
-/**
- * Share of the remaining time after which an attempt without a response byte
- * is retried on another target.
- */
-const STALL_SHARE = 0.5
-
-/**
- * Checks an attempt without a hedge for a silent connection. Such a connection
- * can stay undetected, because routing avoids its target and so no newer
- * connection answers there. The attempt is abandoned while there is still time
- * for another one, within the retry budget.
- */
-const scheduleStallCheck = (context: PipelineContext, attempt: Attempt): void => {
-  const { exchange, writtenMs, table, targetId } = attempt
-  if (writtenMs === undefined || exchange.hedgeTimer || !isDeadlineBounded(exchange)) return
-  const limitMs = Math.max(silenceLimitMs(table.firstByteP99Ms(targetId)), STALL_SHARE * (exchange.deadlineMs - writtenMs))
-  if (writtenMs + limitMs >= exchange.deadlineMs) return
-  exchange.hedgeTimer = context.wheel.schedule(writtenMs + limitMs, () => isolateErrors(context, exchange, () => {
-    if (!attempt.connection?.isWaitingForCaller?.()) onSilent(context, attempt)
-  }))
-}
--- a/packages/daemon/src/exchange.ts
+++ b/packages/daemon/src/exchange.ts
@@ -8,6 +8,7 @@
 import type { Call } from './adapters/caller-http.js'
 import type { OutgoingRequest } from './adapters/backend-http.js'
 import type { BackendConnection, ConnectionWaiter, TargetConnections } from './backend-connections.js'
+import type { AttemptPurpose } from './pipeline-context.js'
 import type { WheelEntry } from './deadline-wheel.js'
 import type { RequestBody } from './request-body.js'
 import type { ServiceRuntime } from './service-runtimes.js'
@@ -63,6 +64,7 @@
   slowdown: number
   table: TargetTable
   pool: TargetConnections
+  purpose: AttemptPurpose
   /** Whether the permit owner of the target permits one request. */
   hasPermit: boolean
   /** Pause epoch in which the target was selected. */
