Ask for a permit at most once at a time, and believe a denial

A request that was denied a permit for less time than it could wait asked again at once. If the node itself was the owner, as right after its start, or the query failed, this ran in microtasks and held the event loop until the time of the request was used up; for a request that can wait for more than a second it also happened with every denial, because a denial was believed for a second only.

After a denial a request waits until a permit may be due. A denial is believed as long as it says, and after a second the next request asks once, so the end of a limit is found.

--- a/packages/daemon/src/exchange.ts
+++ b/packages/daemon/src/exchange.ts
@@ -54,6 +54,8 @@
   hedgeTimer?: WheelEntry
   placementTimer?: WheelEntry
   targetWaiter?: () => void
+  /** A permit for a target with a request limit was denied. */
+  isPermitDenied: boolean
 }
 
 export type Attempt = {
--- a/packages/daemon/src/request-pipeline.ts
+++ b/packages/daemon/src/request-pipeline.ts
@@ -81,7 +81,8 @@
     progressTimer: undefined,
     hedgeTimer: undefined,
     placementTimer: undefined,
-    targetWaiter: undefined
+    targetWaiter: undefined,
+    isPermitDenied: false
   }
   return exchange
 }
--- a/packages/daemon/src/target-permits.ts
+++ b/packages/daemon/src/target-permits.ts
@@ -15,42 +15,60 @@
   onDenied: () => void
 }
 
-/**
- * Longest time for which a denial is believed without asking again, so that the
- * end of a limit becomes known.
- */
-const DENIAL_MS_MAX = 1_000
+/** Time after which a query that failed is repeated. */
+const RETRY_AFTER_FAILURE_MS = 50
 
 /** Whether the target of an attempt has stated a limit since the attempt was started without a permit. */
 export const isPermitMissing = ({ hasPermit, table, targetId }: Attempt): boolean => !hasPermit && table.requestLimitPerS(targetId) !== undefined
 
-/** Calls one of the handlers, unless the request ends before. */
+/**
+ * Time at which a request asks for a permit. After a denial it waits until a
+ * permit may be due; another request may be able to wait longer, and asks at once.
+ */
+const queryMs = ({ isPermitDenied, runtime }: Exchange, targetId: string, nowMs: number): number =>
+  isPermitDenied ? Math.max(nowMs, runtime.table.nextPermitMs(targetId)) : nowMs
+
+/**
+ * Calls one of the handlers, unless the request ends before.
+ * @param waitMaxMs how long the request can wait for a permit
+ */
 export const withPermit = (context: PipelineContext, exchange: Exchange, targetId: string, waitMaxMs: number, { onPermitted, onDenied }: PermitHandlers): void => {
   const { clock, wheel } = context
   const { table, configuration } = exchange.runtime
-  if (table.requestLimitPerS(targetId) === undefined) {
-    onPermitted(false)
-    return
-  }
   const resume = (run: () => void): void => isolateErrors(context, exchange, () => { if (exchange.phase === 'running') run() })
 
+  const deny = (retryAfterMs: number): void => {
+    table.recordPermitDenied(targetId, retryAfterMs, clock.nowMs())
+    exchange.isPermitDenied = true
+    resume(onDenied)
+  }
+
   const onAnswer = (answer: PermitAnswer): void => {
     const nowMs = clock.nowMs()
     table.recordLimitStatement(targetId, answer.statement, nowMs)
-    if (answer.decision === 'denied') {
-      table.recordPermitDenied(targetId, nowMs + Math.min(DENIAL_MS_MAX, answer.retryAfterMs))
-      resume(onDenied)
-    } else if (answer.decision === 'unlimited') resume(() => onPermitted(false))
-    else if (answer.delayMs < 1) resume(() => onPermitted(true))
-    else exchange.placementTimer = wheel.schedule(nowMs + answer.delayMs, () => resume(() => onPermitted(true)))
+    if (answer.decision === 'denied') deny(answer.retryAfterMs)
+    else if (answer.decision === 'granted' && answer.delayMs >= 1) exchange.placementTimer = wheel.schedule(nowMs + answer.delayMs, () => resume(() => onPermitted(true)))
+    else resume(() => onPermitted(true))
+  }
+
+  const askAt = (atMs: number): void => {
+    if (table.requestLimitPerS(targetId) === undefined) {
+      onPermitted(false)
+      return
+    }
+    const waitedMs = atMs - startMs
+    context.requestPermit({ service: configuration.name, targetId, statement: table.limitStatement(targetId, clock.nowMs()), waitMaxMs: Math.max(0, waitMaxMs - waitedMs) })
+      .then(onAnswer)
+      .catch((error: unknown) => {
+        context.recorder.internalError(error, exchange.id)
+        deny(RETRY_AFTER_FAILURE_MS)
+      })
   }
 
-  context.requestPermit({ service: configuration.name, targetId, statement: table.limitStatement(targetId, clock.nowMs()), waitMaxMs })
-    .then(onAnswer)
-    .catch((error: unknown) => {
-      context.recorder.internalError(error, exchange.id)
-      resume(onDenied)
-    })
+  const startMs = clock.nowMs()
+  const atMs = queryMs(exchange, targetId, startMs)
+  if (atMs <= startMs) askAt(startMs)
+  else exchange.placementTimer = wheel.schedule(atMs, () => resume(() => askAt(atMs)))
 }
 
 /** Records what a response says about the limit. The permit owner is told of the end of a limit, because nodes without a limit do not ask it. */
--- a/packages/daemon/test/support.ts
+++ b/packages/daemon/test/support.ts
@@ -16,7 +16,7 @@
 import { createDaemon, type Daemon, type DaemonOptions } from '../src/daemon.js'
 import { createLog } from '../src/logs.js'
 import { parseSettings } from '../src/settings.js'
-import type { FleetRuntime, ServiceTargets } from '../src/types.js'
+import type { FleetRuntime, RequestPermit, ServiceTargets } from '../src/types.js'
 
 const OBJECTIVE = { inTimePercent: 99, windowDays: 28 }
 
@@ -46,6 +46,8 @@
   calls: string[]
   sharedNotes: TargetNote[]
   setTargets: (service: string, targets: ServiceTargets) => void
+  /** Answers queries for permits; tests replace it. */
+  answerPermit: RequestPermit
 }
 
 export const createFakeFleet = (services: readonly ServiceConfiguration[], entryLifetimeMs = 300): FakeFleet => {
@@ -60,7 +62,7 @@
   const targetListeners: ((service: string, targets: ServiceTargets) => void)[] = []
   const configurationListeners: ((configuration: AdoptedConfiguration) => void)[] = []
   const queryNothing = async () => ({ nodes: [], missing: [] })
-  return {
+  const fleet: FakeFleet = {
     calls,
     sharedNotes,
     setTargets: (name, targets) => { for (const listener of targetListeners) listener(name, targets) },
@@ -72,7 +74,8 @@
     onTargets: listener => { targetListeners.push(listener) },
     onNotes: () => undefined,
     onProbe: () => undefined,
-    requestPermit: async ({ statement }) => ({ decision: 'granted', delayMs: 0, statement }),
+    requestPermit: query => fleet.answerPermit(query),
+    answerPermit: async ({ statement }) => ({ decision: 'granted', delayMs: 0, statement }),
     setLastResponseSource: () => undefined,
     shareNotes: notes => { sharedNotes.push(...notes) },
     setLoadPercent: () => undefined,
@@ -89,6 +92,7 @@
     gauges: () => ({}),
     stop: async () => { calls.push('stop') }
   }
+  return fleet
 }
 
 export const SETTINGS_ENV = {
--- a/packages/policy/src/request-limit.ts
+++ b/packages/policy/src/request-limit.ts
@@ -52,9 +52,15 @@
 
 export const hasLimit = ({ requestLimitPerS }: TargetState): boolean => requestLimitPerS !== undefined
 
+/**
+ * Time for which a denial is believed. The next request asks again, because only
+ * the owner tells that a limit has ended or was raised.
+ */
+const DENIAL_MS = 1_000
+
 /** Whether a permit for the target may be available after the given wait. */
 export const isPermitPossible = (state: TargetState, waitMaxMs: number, nowMs: number): boolean =>
-  !hasLimit(state) || state.nextPermitMs - nowMs <= waitMaxMs
+  !hasLimit(state) || state.nextPermitMs - nowMs <= waitMaxMs || nowMs - state.permitDeniedMs >= DENIAL_MS
 
 /** Wait that is told to callers at least, since a permit that is due now is taken by requests that are here. */
 const RETRY_AFTER_MIN_MS = 100
--- a/packages/policy/src/target-table.ts
+++ b/packages/policy/src/target-table.ts
@@ -120,7 +120,11 @@
     recordLimitStatement: (targetId, statement, nowMs) => withState(targetId, state => {
       if (applyLimitStatement(state, statement, nowMs)) options.onRequestLimit?.(targetId, state.requestLimitPerS)
     }),
-    recordPermitDenied: (targetId, untilMs) => withState(targetId, state => { state.nextPermitMs = untilMs }),
+    recordPermitDenied: (targetId, retryAfterMs, nowMs) => withState(targetId, state => {
+      state.nextPermitMs = nowMs + retryAfterMs
+      state.permitDeniedMs = nowMs
+    }),
+    nextPermitMs: targetId => states.get(targetId)?.nextPermitMs ?? -Infinity,
     recordHealthProbe: (targetId, result, nowMs) => withState(targetId, state => applyProbe(core, state, result, nowMs)),
     recordLoadProbeWithoutReport: (targetId, nowMs) => withState(targetId, state => {
       probesWithoutReport++
--- a/packages/policy/src/types.ts
+++ b/packages/policy/src/types.ts
@@ -92,8 +92,10 @@
   limitStatement: (targetId: string, nowMs: number) => LimitStatement
   /** Applies what the permit owner knows of the limit. */
   recordLimitStatement: (targetId: string, statement: LimitStatement, nowMs: number) => void
-  /** Records that no permit for a request to the target is issued before a time. */
-  recordPermitDenied: (targetId: string, untilMs: number) => void
+  /** Records that no permit for a request to the target is issued before the given time has passed. */
+  recordPermitDenied: (targetId: string, retryAfterMs: number, nowMs: number) => void
+  /** Time before which no permit is expected; -Infinity if nothing is known. */
+  nextPermitMs: (targetId: string) => number
   /** Whether load probes are useful; the targets of some services never report their load. */
   supportsLoadProbes: () => boolean
   /** Applies an observation of a peer. */
@@ -168,6 +170,8 @@
   isPauseUnshared: boolean
   /** Before this time, the permit owner issues no permit for a request to the target. */
   nextPermitMs: number
+  /** Time of the last denial of a permit. */
+  permitDeniedMs: number
   /** The limit was stated for the first time, and peers are to be told. */
   isLimitUnshared: boolean
   lastResponseMs?: number
--- a/packages/policy/test/request-limit.test.ts
+++ b/packages/policy/test/request-limit.test.ts
@@ -84,7 +84,7 @@
   const table = createTable(2)
   table.recordStatedLimit('t0', 5, 900, 1_000)
   t.like(place(table), { step: 'send', targetId: 't0', permitWaitMaxMs: 0 })
-  table.recordPermitDenied('t0', NOW_MS + 200)
+  table.recordPermitDenied('t0', 200, NOW_MS)
   t.deepEqual(place(table), { step: 'probe', targetIds: ['t1'] })
 })
 
@@ -97,10 +97,10 @@
 test('when all targets are limited, a request waits for the permit that is due first, or is refused at once with a spread Retry-After', t => {
   const table = createTable(2)
   for (const targetId of ['t0', 't1']) table.recordStatedLimit(targetId, 5, 900, 1_000)
-  table.recordPermitDenied('t0', NOW_MS + 500)
-  table.recordPermitDenied('t1', NOW_MS + 200)
+  table.recordPermitDenied('t0', 500, NOW_MS)
+  table.recordPermitDenied('t1', 200, NOW_MS)
   t.like(place(table), { step: 'send', targetId: 't1', permitWaitMaxMs: 300 })
-  table.recordPermitDenied('t1', NOW_MS + 400)
+  table.recordPermitDenied('t1', 400, NOW_MS)
   const refusal = place(table)
   t.like(refusal, { step: 'refuse', cause: 'rate-limited' })
   t.true(refusal.step === 'refuse' && refusal.retryAfterMs >= 400 && refusal.retryAfterMs <= 800)
@@ -109,7 +109,7 @@
 test('the policies without load probes keep to permits as well', t => {
   const table = createTable(2)
   table.recordStatedLimit('t0', 5, 900, 1_000)
-  table.recordPermitDenied('t0', NOW_MS + 400)
+  table.recordPermitDenied('t0', 400, NOW_MS)
   const select = (exclude: string[], permitWaitMaxMs = 0) =>
     selectTarget('two-choices', table, { zone: 'a', exclude: new Set(exclude), permitWaitMaxMs }, NOW_MS, createRandom(1))
   t.like(select([]), { ok: true, targetId: 't1' })
