--- a/packages/daemon/src/target-permits.ts
+++ b/packages/daemon/src/target-permits.ts
@@ -74,6 +74,7 @@
 /** Records what a response says about the limit. The permit owner is told of the end of a limit, because nodes without a limit do not ask it. */
 export const recordStatedLimit = ({ clock, requestPermit, recorder }: PipelineContext, attempt: Attempt, stated: StatedLimit, nowMs: number): void => {
   const { table, targetId, writtenMs, exchange } = attempt
+  if (stated === 'unreadable') recorder.limitUnreadable(attempt)
   const hadLimit = table.requestLimitPerS(targetId) !== undefined
   table.recordStatedLimit(targetId, stated, writtenMs ?? nowMs, nowMs)
   if (!hadLimit || table.requestLimitPerS(targetId) !== undefined) return
