Give the nodes of the daemon's tests an address of each test process

The nodes now listen on a loopback address that only their test process uses, on ports below the range from which the kernel draws.

--- a/packages/daemon/test/fleet-configuration.test.ts
+++ b/packages/daemon/test/fleet-configuration.test.ts
@@ -11,7 +11,7 @@
 import { openPlatformDouble, type PlatformDouble } from './platform-double.js'
 
 const startFleet = async (t: ExecutionContext, count: number, platform: PlatformDouble): Promise<TestNode[]> => {
-  const settings = await Promise.all(Array.from({ length: count }, (_, index) => createNodeSettings(index, platform.url)))
+  const settings = Array.from({ length: count }, (_, index) => createNodeSettings(index, platform.url))
   platform.setVms(settings.map(createEntryVm))
   const nodes = await Promise.all(settings.map(startTestNode))
   t.teardown(async () => { await Promise.all(nodes.map(node => node.runtime.stop())); await platform.close() })
@@ -45,7 +45,7 @@
   await waitUntil('adopted', isInForceEverywhere(nodes, first))
   const stale = await openPlatformDouble()
   stale.publish(sampleConfiguration({ probesPerTargetPerS: 9 }), 1)
-  const settings = await createNodeSettings(3, platform.url, { configurationServiceUrl: stale.url })
+  const settings = createNodeSettings(3, platform.url, { configurationServiceUrl: stale.url })
   const late = await startTestNode(settings)
   t.teardown(async () => { await late.runtime.stop(); await stale.close() })
   await waitUntil('adopted', () => late.adopted.length > 0)
--- a/packages/daemon/test/fleet-gossip.test.ts
+++ b/packages/daemon/test/fleet-gossip.test.ts
@@ -69,7 +69,7 @@
 test.serial('foreign, replayed and garbage datagrams to a running node change nothing, are counted, and give one log line', async t => {
   const platform = await openPlatformDouble()
   platform.publish(sampleConfiguration())
-  const node = await startTestNode(await createNodeSettings(0, platform.url))
+  const node = await startTestNode(createNodeSettings(0, platform.url))
   const socket = createSocket('udp4')
   t.teardown(async () => { socket.close(); await node.runtime.stop(); await platform.close() })
   const { port, host } = node.settings.gossipListen
@@ -91,7 +91,7 @@
 test.serial('signed messages with unusual contents do not end a running node', async t => {
   const platform = await openPlatformDouble()
   platform.publish(sampleConfiguration())
-  const node = await startTestNode(await createNodeSettings(0, platform.url))
+  const node = await startTestNode(createNodeSettings(0, platform.url))
   const socket = createSocket('udp4')
   t.teardown(async () => { socket.close(); await node.runtime.stop(); await platform.close() })
   const { port, host } = node.settings.gossipListen
@@ -129,7 +129,7 @@
 
 test.serial('datagrams received during a pause of the process are dropped', async t => {
   const platform = await openPlatformDouble()
-  const node = await startTestNode(await createNodeSettings(0, platform.url))
+  const node = await startTestNode(createNodeSettings(0, platform.url))
   const socket = createSocket('udp4')
   t.teardown(async () => { socket.close(); await node.runtime.stop(); await platform.close() })
   const { port, host } = node.settings.gossipListen
@@ -144,15 +144,15 @@
 test('calls and responses without the fleet key are rejected, and a response is bound to its request', async t => {
   const platform = await openPlatformDouble()
   platform.publish(sampleConfiguration())
-  const node = await startTestNode(await createNodeSettings(0, platform.url))
+  const node = await startTestNode(createNodeSettings(0, platform.url))
   const clients = [createPeerClients(createPeerAuth('okonkwo', 'a-test-key-of-the-fleet')), createPeerClients(createPeerAuth('okonkwo', 'another-key-of-16'))] as const
   t.teardown(async () => { await Promise.all([...clients.map(client => client.close()), node.runtime.stop()]); await platform.close() })
   await waitUntil('adopted', () => node.adopted.length === 1)
-  const address = { host: '127.0.0.1', peerPort: node.settings.peerListen.port }
+  const address = { host: node.settings.advertiseHost, peerPort: node.settings.peerListen.port }
   const head = await clients[0].to(address).head.query()
   t.is(head?.revision, node.adopted[0]?.order.revision)
   await t.throwsAsync(clients[1].to(address).head.query(), { message: /not authentic/ })
-  t.is((await fetch(`http://127.0.0.1:${address.peerPort}/peer/head`)).status, 401)
+  t.is((await fetch(`http://${address.host}:${address.peerPort}/peer/head`)).status, 401)
   t.is(node.runtime.counters().peer_rejected, 2)
   const random = createRandom(1)
   const auth = createPeerAuth('okonkwo', `key-${random.next()}`)
--- a/packages/daemon/test/fleet-nodes.ts
+++ b/packages/daemon/test/fleet-nodes.ts
@@ -3,8 +3,6 @@
 import type { ActiveConfiguration } from '../src/types.js'
 import type { LogEventName, NodeStatus, TargetNote, VmEntry } from '@wisteriavalve/schema'
 import { createFleetRuntime, type DaemonSettings, type FleetRuntime, type ServiceTargets } from '../src/index.js'
-import { createSocket } from 'node:dgram'
-import { createServer, type AddressInfo } from 'node:net'
 
 export type TestNode = {
   id: string
@@ -17,30 +15,21 @@
   logs: Array<{ event: LogEventName, fields: Record<string, unknown> }>
 }
 
-const freeTcpPort = (): Promise<number> => new Promise(resolve => {
-  const server = createServer().listen(0, '127.0.0.1', () => {
-    const { port } = server.address() as AddressInfo
-    server.close(() => resolve(port))
-  })
-})
-
-const freeUdpPort = (): Promise<number> => new Promise(resolve => {
-  const socket = createSocket('udp4').bind(0, '127.0.0.1', () => {
-    const { port } = socket.address()
-    socket.close(() => resolve(port))
-  })
-})
-
-const host = '127.0.0.1'
+/** A loopback address for each test process: a port that is free now can be taken by a parallel test before it is bound. */
+const host = `127.${220 + (process.pid >> 8) % 30}.${process.pid % 256}.1`
+/** Below the range from which the kernel draws ports. */
+const FIRST_PORT = 21_000
+let portCount = 0
+const nextPort = (): number => FIRST_PORT + portCount++
 
-export const createNodeSettings = async (index: number, platformUrl: string, change: Partial<DaemonSettings> = {}): Promise<DaemonSettings> => ({
+export const createNodeSettings = (index: number, platformUrl: string, change: Partial<DaemonSettings> = {}): DaemonSettings => ({
   nodeId: `entry-${index}`,
   fleet: 'okonkwo',
   zone: ['lagos-a', 'lagos-b', 'ibadan-c'][index % 3] as string,
   fleetKey: 'a-test-key-of-the-fleet',
   callerListen: { host, port: 20_000 + index },
-  gossipListen: { host, port: await freeUdpPort() },
-  peerListen: { host, port: await freeTcpPort() },
+  gossipListen: { host, port: nextPort() },
+  peerListen: { host, port: nextPort() },
   adminListen: { host, port: 1 },
   advertiseHost: host,
   configurationServiceUrl: platformUrl,
--- a/packages/daemon/test/fleet-probes.test.ts
+++ b/packages/daemon/test/fleet-probes.test.ts
@@ -52,7 +52,7 @@
   platform.setVms(['idle', 'leaving', 'busy'].map((vmId, index): VmEntry => ({
     vmId, role: 'backend', service: 'stockview', zone: 'z', host: '127.0.0.1', port: servers[index]?.port ?? 1, state: vmId === 'leaving' ? 'leaving' : 'live'
   })))
-  const node = await startTestNode(await createNodeSettings(0, platform.url))
+  const node = await startTestNode(createNodeSettings(0, platform.url))
   const results: string[] = []
   node.runtime.setLastResponseSource((_service, targetId) => targetId === 'busy' ? performance.now() : undefined)
   node.runtime.onProbe((service, targetId, result) => { results.push(`${service}/${targetId}/${result.ok}`) })
--- a/packages/daemon/test/fleet-runtime.test.ts
+++ b/packages/daemon/test/fleet-runtime.test.ts
@@ -12,7 +12,7 @@
   ({ vmId: `stock-${index}`, role: 'backend' as const, service: 'stockview', zone: 'lagos-a', host: '127.0.0.1', port: 9 + index, state })
 
 const startFleet = async (count: number, platform: PlatformDouble): Promise<TestNode[]> => {
-  const settings = await Promise.all(Array.from({ length: count }, (_, index) => createNodeSettings(index, platform.url)))
+  const settings = Array.from({ length: count }, (_, index) => createNodeSettings(index, platform.url))
   platform.setVms([...settings.map(createEntryVm), createBackendVm(1), createBackendVm(2)])
   return Promise.all(settings.map(startTestNode))
 }
@@ -41,7 +41,7 @@
 
   platform.setAvailable(false)
   platform.setVms([])
-  const settings = await createNodeSettings(6, platform.url)
+  const settings = createNodeSettings(6, platform.url)
   platform.setAvailable(true)
   platform.setVms(nodes.map(({ vm }) => vm))
   // A configuration service without a head, as after a loss of its data. The VM list works.
