Relay requests of a node that is cut off from all targets to a peer

What callers saw: at a node that reaches no target, while callers, the store and its peers still reach it, requests failed until their deadline or were refused, for as long as the fault lasted. Callers keep the address of such a node for a lifetime or more.

Cause: a node had no other way to a target than its own connections, and took the loss of all targets for the failure of each one.

Change: a series of failures at several targets without a success between them is the loss of the targets (policy/reachability), of their responses or of new connections to them. A relayed request is never relayed again; a peer that is cut off as well refuses it at once as not run, and another peer gets it. A request that is not idempotent is relayed only while it cannot have run. While cut off, a node probes a target each 250 ms in which it has a request.

--- a/packages/daemon/src/attempts.ts
+++ b/packages/daemon/src/attempts.ts
@@ -9,8 +9,9 @@
 import { abandonAttempt, isWritten, type Attempt, type Exchange } from './exchange.js'
 import type { AttemptPurpose, PipelineContext } from './pipeline-context.js'
 import { permitWaitMaxMs, place, type PlacementOutcome } from './placement.js'
-import { LEAVING_RETRY_AFTER_MS } from './constants.js'
+import { LEAVING_RETRY_AFTER_MS, RELAYED_BY_HEADER } from './constants.js'
 import { scheduleHedge } from './hedging.js'
+import { CUT_OFF_RETRY_AFTER_MS, isCutOff, isRelayed, RELAY_REASON, selectRelayPeer, tryTargetAgain } from './relaying.js'
 import { isPermitMissing, withPermit } from './target-permits.js'
 import { dropData, endResponse, onResponseHead, relayData } from './response-relay.js'
 import { failExchange, isolateErrors, onDeadline } from './completion.js'
@@ -45,10 +46,29 @@
     failExchange(context, exchange, exchange.unknownResult ?? 'node-leaving', { retryAfterMs: LEAVING_RETRY_AFTER_MS })
     return
   }
+  if (purpose !== 'hedge' && handleWithoutTargets(context, exchange, purpose, lastResult)) return
   if (context.probesBeforeAttempt && exchange.runtime.table.supportsLoadProbes()) place(context, exchange, purpose, outcome => onPlaced(context, exchange, purpose, lastResult, outcome))
   else selectAndStart(context, exchange, purpose, lastResult)
 }
 
+/**
+ * Relays the request if no target answers this node, or refuses one that was
+ * already relayed. Without a usable peer it is handled as usual.
+ * @returns whether the request was handled
+ */
+const handleWithoutTargets = (context: PipelineContext, exchange: Exchange, purpose: AttemptPurpose, lastResult: ResultName | undefined): boolean => {
+  const peer = selectRelayPeer(context, exchange, lastResult)
+  if (peer || isCutOff(context)) tryTargetAgain(context, exchange)
+  if (peer) {
+    exchange.relayCount++
+    startAt(context, exchange, { ...relayDestination(context, peer), purpose }, lastResult)
+    return true
+  }
+  if (!isRelayed(exchange.call) || !isCutOff(context)) return false
+  failExchange(context, exchange, exchange.unknownResult ?? 'targets-unreachable', { retryAfterMs: CUT_OFF_RETRY_AFTER_MS })
+  return true
+}
+
 /** Whether another attempt stays within the limit of attempts, counting those that are not written yet. */
 const canAttempt = ({ attempts, sendCount, kind }: Exchange): boolean =>
   sendCount + attempts.filter(attempt => !isWritten(attempt)).length < (kind.attemptsMax ?? Infinity)
@@ -106,7 +126,7 @@
 ): void => withPermit(context, exchange, target.id, waitMaxMs, {
   onPermitted: hasPermit => {
     if (exchange.responder) return
-    if (canAttempt(exchange)) startAtTarget(context, exchange, purpose, target, reason, lastResult, hasPermit)
+    if (canAttempt(exchange)) startAt(context, exchange, { ...targetDestination(context, exchange, target), purpose, reason, hasPermit }, lastResult)
     else failWithoutAttempt(context, exchange, lastResult)
   },
   onDenied: () => {
@@ -115,20 +135,25 @@
   }
 })
 
-const startAtTarget = (
-  context: PipelineContext, exchange: Exchange, purpose: AttemptPurpose, target: Target, reason: string, lastResult: ResultName | undefined, hasPermit: boolean
-): void => {
-  const { runtime, triedTargetIds } = exchange
+type Destination = Pick<Attempt, 'targetId' | 'reason' | 'slowdown' | 'table' | 'pool' | 'purpose' | 'hasPermit' | 'isRelay'>
+
+const targetDestination = (context: PipelineContext, { runtime }: Exchange, target: Target): Omit<Destination, 'purpose' | 'reason' | 'hasPermit'> => ({
+  targetId: target.id,
+  slowdown: runtime.table.slowdown(target.id),
+  table: runtime.table,
+  pool: context.runtimes.connectionsTo(runtime, target),
+  isRelay: false
+})
+
+const relayDestination = ({ relaying: { peers } }: PipelineContext, peer: Target): Omit<Destination, 'purpose'> =>
+  ({ targetId: peer.id, reason: RELAY_REASON, slowdown: 1, table: peers.table, pool: peers.connectionsTo(peer), isRelay: true, hasPermit: false })
+
+const startAt = (context: PipelineContext, exchange: Exchange, destination: Destination, lastResult: ResultName | undefined): void => {
+  const { targetId, purpose } = destination
   const nowMs = context.clock.nowMs()
   const attempt: Attempt = {
+    ...destination,
     exchange,
-    targetId: target.id,
-    reason,
-    slowdown: runtime.table.slowdown(target.id),
-    table: runtime.table,
-    pool: context.runtimes.connectionsTo(runtime, target),
-    purpose,
-    hasPermit,
     pauseEpoch: context.pauseDetector.epoch(nowMs),
     startedMs: nowMs,
     writtenMs: undefined,
@@ -143,10 +168,10 @@
     forwardedAllowance: takeForwardedAllowance(exchange),
     reacquireCount: 0
   }
-  triedTargetIds.add(target.id)
+  exchange.triedTargetIds.add(targetId)
   exchange.attempts.push(attempt)
   exchange.attemptCount++
-  attempt.table.recordStart(target.id, nowMs)
+  attempt.table.recordStart(targetId, nowMs)
   context.recorder.routed(attempt, purpose, lastResult)
   acquire(context, attempt)
 }
@@ -168,11 +193,12 @@
   attempt.pool.acquire(attempt.waiter)
 }
 
-const controlHeaders = ({ dialect }: PipelineContext, { exchange, forwardedAllowance, targetId }: Attempt, nowMs: number): string[] => {
+const controlHeaders = ({ dialect, relaying }: PipelineContext, { exchange, forwardedAllowance, targetId, isRelay }: Attempt, nowMs: number): string[] => {
   const headers: string[] = []
   if (dialect.retryAllowanceHeader !== undefined) headers.push(dialect.retryAllowanceHeader, String(forwardedAllowance))
-  if (dialect.callDepthHeader !== undefined) headers.push(dialect.callDepthHeader, String(exchange.callDepth + 1))
-  if (dialect.targetIdHeader !== undefined) headers.push(dialect.targetIdHeader, targetId)
+  if (dialect.callDepthHeader !== undefined) headers.push(dialect.callDepthHeader, String(isRelay ? exchange.callDepth : exchange.callDepth + 1))
+  if (isRelay) headers.push(RELAYED_BY_HEADER, relaying.nodeId)
+  if (!isRelay && dialect.targetIdHeader !== undefined) headers.push(dialect.targetIdHeader, targetId)
   if (isDeadlineBounded(exchange)) headers.push(dialect.timeoutHeader, String(Math.max(1, Math.floor(exchange.deadlineMs - nowMs))))
   return headers
 }
@@ -216,7 +242,7 @@
     onWritten: () => {
       const nowMs = context.clock.nowMs()
       attempt.writtenMs = nowMs
-      exchange.sendCount++
+      if (!attempt.isRelay) exchange.sendCount++
       exchange.firstWrittenMs ??= nowMs
       if (attempt.connection) attempt.connection.sentMs = nowMs
       context.recorder.written(attempt)
@@ -230,6 +256,7 @@
       const head = { status, headers, statusText, atMs: recordProgress() }
       const step = onResponseHead(context, attempt, head, () => tryTakeRetryAfterStatus(context, attempt))
       if (step.step === 'failed') onAttemptFailed(context, attempt, 'reset', 'answer-broken', step.message)
+      else if (step.step === 'refused' && attempt.isRelay) startAttempt(context, exchange, attempt.purpose)
       else if (step.step === 'refused') retryOrFail(context, exchange, 'refused', 'backend-refused')
       else if (step.step === 'retry') startAttempt(context, exchange, 'retry', 'answer-broken')
     }),
@@ -289,12 +316,19 @@
 
 const onAttemptFailed = (context: PipelineContext, attempt: Attempt, failure: AttemptFailure, result: ResultName, detail: string): void => {
   const { exchange } = attempt
-  abandonAttempt(attempt, failure, context.clock.nowMs())
+  const nowMs = context.clock.nowMs()
+  if (!attempt.isRelay && exchange.responder !== attempt) context.relaying.responses.recordFailure(attempt.targetId, nowMs)
+  abandonAttempt(attempt, failure, nowMs)
   if (exchange.phase === 'settled') return
   if (isWritten(attempt)) exchange.unknownResult ??= result
   else exchange.retryAllowance += attempt.forwardedAllowance
-  if (exchange.responder === attempt) failExchange(context, exchange, result, { detail })
-  else if (exchange.attempts.length === 0) retryOrFail(context, exchange, failure, result, detail)
+  if (exchange.responder === attempt) {
+    failExchange(context, exchange, result, { detail })
+    return
+  }
+  if (exchange.attempts.length > 0) return
+  if (attempt.isRelay && (!isWritten(attempt) || exchange.kind.idempotent)) startAttempt(context, exchange, attempt.purpose, result)
+  else retryOrFail(context, exchange, failure, result, detail)
 }
 
 const hasOtherTarget = ({ runtime, triedTargetIds }: Exchange, failure: AttemptFailure, nowMs: number): boolean =>
@@ -321,6 +355,7 @@
 }
 
 const retryOrFail = (context: PipelineContext, exchange: Exchange, failure: AttemptFailure, result: ResultName, detail?: string): void => {
+  if (failure === 'connect-failed' && handleWithoutTargets(context, exchange, 'retry', result)) return
   if (tryTakeRetry(context, exchange, failure)) startAttempt(context, exchange, 'retry', result)
   else failExchange(context, exchange, exchange.unknownResult ?? result, { detail, retryAfterMs: RETRY_AFTER_REFUSAL_MS })
 }
--- a/packages/daemon/src/backend-connections.ts
+++ b/packages/daemon/src/backend-connections.ts
@@ -67,9 +67,11 @@
   echoesRequestIds: boolean
   clock: Clock
   nextId: () => number
+  /** Called when a new connection has opened or failed to open. */
+  onOpenResult?: (isOpen: boolean) => void
 }
 
-export const createTargetConnections = ({ target, share, isReuseTrusted, echoesRequestIds, clock, nextId }: TargetConnectionsOptions): TargetConnections => {
+export const createTargetConnections = ({ target, share, isReuseTrusted, echoesRequestIds, clock, nextId, onOpenResult }: TargetConnectionsOptions): TargetConnections => {
   const connections: BackendConnection[] = []
   const waiters: ConnectionWaiter[] = []
   let openingCount = 0
@@ -106,6 +108,7 @@
 
   const onOpen = (opened: BackendSocket): void => {
     openingCount--
+    onOpenResult?.(true)
     const nowMs = clock.nowMs()
     // All fields are set, so all connections have the same object shape, which keeps the selection loop fast.
     const connection: BackendConnection = {
@@ -145,6 +148,7 @@
 
   const onOpenFailed = (message: string): void => {
     openingCount--
+    onOpenResult?.(false)
     waiters.shift()?.fail(message)
     serveWaiters()
   }
--- a/packages/daemon/src/constants.ts
+++ b/packages/daemon/src/constants.ts
@@ -42,6 +42,8 @@
 /** Time for which a target that sent a response for another request gets a new connection for each request. */
 export const FOREIGN_RESPONSE_HOLD_MS = 10_000
 
+/** Name of the node that relays a request to a peer. */
+export const RELAYED_BY_HEADER = 'x-relayed-by'
 export const RETRY_ALLOWANCE_DEFAULT = 3
 export const CALL_DEPTH_MAX = 9
 export const REQUEST_TIMEOUT_MAX_MS = 3_600_000
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -3,7 +3,7 @@
  * and the lifecycle of the process.
  */
 import { countBy, createRandom } from '@wisteriavalve/common'
-import { createCallerLimits, createFleetSize, createProbeAllowance, createServiceTimes, shareRetryLimits, type CallerLimitsOptions, type PolicyName } from '@wisteriavalve/policy'
+import { createCallerLimits, createFleetSize, createProbeAllowance, createReachability, createServiceTimes, shareRetryLimits, type CallerLimitsOptions, type PolicyName } from '@wisteriavalve/policy'
 import type { NodeReport, NodeStatus } from '@wisteriavalve/schema'
 import { createCallerServer } from './adapters/caller-http.js'
 import type { ExplainQuery } from './admin-api.js'
@@ -18,7 +18,9 @@
 import { createMetrics } from './metrics.js'
 import { createNodeEvents } from './node-events.js'
 import { createPauseDetector } from './pause-detector.js'
+import { createPeerTargets } from './peer-targets.js'
 import type { PipelineContext } from './pipeline-context.js'
+import { createReachabilityLog, type Relaying } from './relaying.js'
 import { createRequestIds } from './request-ids.js'
 import { createRequestPipeline } from './request-pipeline.js'
 import { createRequestRecorder } from './request-recorder.js'
@@ -90,6 +92,10 @@
     onHealth: nodeEvents.recordTargetHealth,
     onRequestLimit: nodeEvents.recordRequestLimit,
     onTargetPause: nodeEvents.recordTargetPause,
+    onOpenResult: (targetId, isOpen) => {
+      if (isOpen) relaying.connections.recordSuccess()
+      else relaying.connections.recordFailure(targetId, clock.nowMs())
+    },
     onSilent: (service, targetId, retired) => {
       for (let count = 0; count < retired.length; count++) metrics.increment('retired_connections')
       nodeEvents.recordConnectionsRetired(service, targetId, retired.length)
@@ -97,6 +103,15 @@
     }
   })
 
+  const targetCount = (): number => [...runtimes.all()].reduce((sum, { table }) => sum + table.routing(clock.nowMs()).candidates.length, 0)
+  const relaying: Relaying = {
+    nodeId: settings.nodeId,
+    peers: createPeerTargets({ clock, random: createRandom(random.int(0x7fffffff)), nodeId: settings.nodeId, zone: settings.zone, members: () => fleet.members() }),
+    responses: createReachability(targetCount),
+    connections: createReachability(targetCount)
+  }
+  const reachabilityLog = createReachabilityLog(relaying, nodeEvents.recordReachability)
+
   const onPause = (gapMs: number, nowMs: number): void => {
     metrics.increment('pauses')
     nodeEvents.recordProcessPause(gapMs)
@@ -108,6 +123,7 @@
   const onTick = (nowMs: number, lateMs: number): void => {
     metrics.recordLoopDelay(lateMs)
     runtimes.maintain(nowMs)
+    reachabilityLog.update(nowMs)
     const notes = runtimes.takeNotes(nowMs)
     if (notes.length > 0) fleet.shareNotes(notes)
     if (nowMs - loadPublishedMs < LOAD_INTERVAL_MS) return
@@ -137,6 +153,7 @@
     runtimes,
     recorder,
     requestPermit: fleet.requestPermit,
+    relaying,
     nextRequestId: createRequestIds(),
     isLeaving,
     isTooLateToSend: () => clock.nowMs() >= lastSendMs
@@ -232,6 +249,7 @@
     })
     pauseDetector.stop()
     runtimes.closeIdle()
+    relaying.peers.closeIdle()
     await fleet.stop()
     admin.close()
     admin.closeAllConnections()
--- a/packages/daemon/src/exchange.ts
+++ b/packages/daemon/src/exchange.ts
@@ -36,7 +36,9 @@
   triedTargetIds: Set<string>
   attempts: Attempt[]
   attemptCount: number
-  /** Number of attempts whose request was written. */
+  /** Number of peers that the request was relayed to. */
+  relayCount: number
+  /** Number of attempts whose request was written to a target. */
   sendCount: number
   /** Time at which the first attempt was written; undefined before. */
   firstWrittenMs?: number
@@ -67,6 +69,8 @@
   table: TargetTable
   pool: TargetConnections
   purpose: AttemptPurpose
+  /** Whether the request is sent to a peer instead of a target. */
+  isRelay: boolean
   /** Whether the permit owner of the target permits one request. */
   hasPermit: boolean
   /** Pause epoch in which the target was selected. */
--- a/packages/daemon/src/hedging.ts
+++ b/packages/daemon/src/hedging.ts
@@ -28,9 +28,10 @@
 
 /** Call when the request of an attempt was written. */
 export const scheduleHedge = (context: PipelineContext, attempt: Attempt, nowMs: number, actions: HedgeActions): void => {
-  const { exchange } = attempt
+  const { exchange, isRelay } = attempt
   const { kind, runtime, responder } = exchange
-  if (!kind.idempotent || exchange.isHedged || exchange.attempts.length !== 1 || responder) return
+  // A peer hedges by itself.
+  if (isRelay || !kind.idempotent || exchange.isHedged || exchange.attempts.length !== 1 || responder) return
   if (exchange.sendCount >= (kind.attemptsMax ?? Infinity)) return
   const decision = planHedge({
     idempotent: true,
--- a/packages/daemon/src/load-probes.ts
+++ b/packages/daemon/src/load-probes.ts
@@ -38,12 +38,15 @@
   const fail = (): void => {
     if (isFinished) return
     if (connection) pool.discard(connection)
-    runtime.table.recordLoadProbeFailure(targetId, context.clock.nowMs())
+    const nowMs = context.clock.nowMs()
+    runtime.table.recordLoadProbeFailure(targetId, nowMs)
+    context.relaying.responses.recordFailure(targetId, nowMs)
     finish(false)
   }
 
   const onHead = (status: number, headers: string[]): void => {
     const nowMs = context.clock.nowMs()
+    context.relaying.responses.recordSuccess()
     const report = context.dialect.parseLoadReport(rawHeader(headers, context.dialect.loadReportHeader))
     const answeredBy = context.dialect.answeredByHeader === undefined ? undefined : rawHeader(headers, context.dialect.answeredByHeader)
     // Probes have no request id, so a response with one belongs to an earlier request.
--- a/packages/daemon/src/node-events.ts
+++ b/packages/daemon/src/node-events.ts
@@ -8,6 +8,9 @@
 import type { ExplainQuery } from './admin-api.js'
 import type { Log } from './types.js'
 
+/** What a node gets from its targets. */
+export type ReachabilityKind = 'response' | 'connection'
+
 export type NodeEvents = {
   recordTargetHealth: (service: string, targetId: string, health: TargetHealth, reason: string) => void
   /** @param limitPerS undefined at the end of the limit */
@@ -15,6 +18,7 @@
   recordTargetPause: (service: string, targetId: string, pauseMs: number) => void
   recordConnectionsRetired: (service: string, targetId: string, count: number) => void
   recordProcessPause: (gapMs: number) => void
+  recordReachability: (kind: ReachabilityKind, isLost: boolean) => void
   find: (query: ExplainQuery) => EventEntry[]
 }
 
@@ -72,6 +76,11 @@
       log('process_paused', { gap_ms: Math.round(gapMs) })
       add({ event: 'process_paused', text: `This process did not run for ${Math.round(gapMs)} ms; requests that were routed before and not sent are routed again.` })
     },
+    recordReachability: (kind, isLost) => {
+      const event = isLost ? 'targets_unreachable' : 'targets_reachable'
+      log(event, { kind })
+      add({ event, text: isLost ? `No target gives this node a ${kind}; requests are relayed to peers.` : `Targets give this node a ${kind} again.` })
+    },
     find: query => events.find(matcher(query, clock.nowMs()))
   }
 }
--- /dev/null
+++ b/packages/daemon/src/peer-targets.ts
@@ -0,0 +1,71 @@
+/**
+ * The other nodes as destinations of requests, for a node that is cut off from
+ * the targets. Their state and connections are kept like those of targets.
+ */
+import type { Clock, Random } from '@wisteriavalve/common'
+import { createTargetTable, selectPeer, type TargetTable } from '@wisteriavalve/policy'
+import type { MemberUpdate, Target } from '@wisteriavalve/schema'
+import { createTargetConnections, type TargetConnections } from './backend-connections.js'
+
+export type PeerTargets = {
+  table: TargetTable
+  /** Peer for a request; undefined if no peer is usable. */
+  select: (exclude: ReadonlySet<string>) => Target | undefined
+  connectionsTo: (peer: Target) => TargetConnections
+  closeIdle: () => void
+}
+
+export type PeerTargetsOptions = {
+  clock: Clock
+  random: Random
+  nodeId: string
+  zone: string
+  members: () => readonly MemberUpdate[]
+}
+
+/** A node relays all its requests while it is cut off. */
+const CONNECTIONS_PER_PEER = 64
+const REFRESH_INTERVAL_MS = 250
+
+const toTarget = ({ nodeId, host, callerPort, zone }: MemberUpdate): Target => ({ id: nodeId, host, port: callerPort, zone })
+
+export const createPeerTargets = ({ clock, random, nodeId, zone, members }: PeerTargetsOptions): PeerTargets => {
+  const table = createTargetTable({ service: 'peers', slotsPerTarget: CONNECTIONS_PER_PEER, connectionShare: CONNECTIONS_PER_PEER })
+  const connections = new Map<string, TargetConnections>()
+  let refreshedMs = -Infinity
+  let connectionId = 0
+
+  const dropRemoved = (): void => {
+    for (const [peerId, pool] of connections) {
+      if (table.target(peerId)) continue
+      pool.closeIdle()
+      if (pool.count() === 0) connections.delete(peerId)
+    }
+  }
+
+  const refresh = (nowMs: number): void => {
+    if (nowMs - refreshedMs < REFRESH_INTERVAL_MS) return
+    refreshedMs = nowMs
+    table.setTargets(members().filter(member => member.nodeId !== nodeId && member.state === 'alive').map(toTarget), nowMs)
+    dropRemoved()
+  }
+
+  return {
+    table,
+    select: exclude => {
+      const nowMs = clock.nowMs()
+      refresh(nowMs)
+      const selected = selectPeer(table.routing(nowMs).candidates, { zone, exclude }, nowMs, random)
+      return selected && table.target(selected.target.id)
+    },
+    connectionsTo: peer => {
+      const existing = connections.get(peer.id)
+      if (existing?.target.host === peer.host && existing.target.port === peer.port) return existing
+      existing?.closeIdle()
+      const pool = createTargetConnections({ target: peer, share: () => CONNECTIONS_PER_PEER, isReuseTrusted: () => false, echoesRequestIds: true, clock, nextId: () => ++connectionId })
+      connections.set(peer.id, pool)
+      return pool
+    },
+    closeIdle: () => { for (const pool of connections.values()) pool.closeIdle() }
+  }
+}
--- a/packages/daemon/src/pipeline-context.ts
+++ b/packages/daemon/src/pipeline-context.ts
@@ -9,6 +9,7 @@
 import type { Attempt, Exchange } from './exchange.js'
 import type { HeaderRules } from './headers.js'
 import type { PauseDetector } from './pause-detector.js'
+import type { Relaying } from './relaying.js'
 import type { ServiceRuntimes } from './service-runtimes.js'
 import type { HttpDialect } from './http-dialect.js'
 import type { RequestPermit } from './types.js'
@@ -53,6 +54,7 @@
   runtimes: ServiceRuntimes
   recorder: RequestRecorder
   requestPermit: RequestPermit
+  relaying: Relaying
   nextRequestId: () => string
   isLeaving: () => boolean
   /** Whether a request that is not sent yet comes too late in the shutdown of this node. */
--- /dev/null
+++ b/packages/daemon/src/relaying.ts
@@ -0,0 +1,92 @@
+/**
+ * Relays requests of a node that is cut off from the targets to a peer, which
+ * handles them like requests of its own callers. A request is relayed by one node
+ * at most, so it cannot go in a circle, and one that is not idempotent only while
+ * it cannot have run.
+ */
+import type { Reachability } from '@wisteriavalve/policy'
+import { resultCode, type ResultName, type Target } from '@wisteriavalve/schema'
+import type { Call } from './adapters/caller-http.js'
+import { RELAYED_BY_HEADER } from './constants.js'
+import type { Attempt, Exchange } from './exchange.js'
+import { rawHeader } from './headers.js'
+import { probeLoad } from './load-probes.js'
+import type { NodeEvents, ReachabilityKind } from './node-events.js'
+import type { PeerTargets } from './peer-targets.js'
+import type { PipelineContext } from './pipeline-context.js'
+
+export const RELAY_REASON = 'no target answers this node'
+/** Retry-After of a node that is cut off. It is short because the caller's next try goes to another node. */
+export const CUT_OFF_RETRY_AFTER_MS = 40
+
+/** What a node needs to notice that it is cut off, and to hand its requests to others. */
+export type Relaying = {
+  nodeId: string
+  peers: PeerTargets
+  /** Responses of targets. */
+  responses: Reachability
+  /** New connections to targets. Those that are open can live on while no new one opens. */
+  connections: Reachability
+}
+
+/** Peers that a request is relayed to, one after the other, until one accepts it. */
+const RELAYS_MAX = 3
+/** Time for which a peer is passed over that cannot take requests. */
+const PEER_PAUSE_MS = 1_000
+/** Results of a peer for which another peer, or this node, handles the request. */
+const REFUSALS: readonly ResultName[] = ['targets-unreachable', 'node-leaving', 'node-not-ready', 'caller-limit']
+const REFUSAL_CODES: ReadonlySet<string> = new Set(REFUSALS.map(name => resultCode(name).code))
+
+export const isRelayed = ({ req }: Call): boolean => req.headers[RELAYED_BY_HEADER] !== undefined
+
+export const isCutOff = ({ relaying: { responses }, clock }: PipelineContext): boolean => responses.isLost(clock.nowMs())
+
+const canRelay = ({ call, relayCount, attempts, body, unknownResult, kind }: Exchange): boolean =>
+  !isRelayed(call) && relayCount < RELAYS_MAX && attempts.length === 0 && body.canOpen() && (unknownResult === undefined || kind.idempotent)
+
+/** @param lastResult result of the previous attempt */
+export const selectRelayPeer = (context: PipelineContext, exchange: Exchange, lastResult: ResultName | undefined): Target | undefined => {
+  const { relaying: { connections, peers }, clock } = context
+  const isConnectionRefused = lastResult === 'connect-failed' && connections.isLost(clock.nowMs())
+  return (isCutOff(context) || isConnectionRefused) && canRelay(exchange) ? peers.select(exchange.triedTargetIds) : undefined
+}
+
+/** Probes a target from time to time, because a response ends the state of being cut off. */
+export const tryTargetAgain = (context: PipelineContext, { runtime }: Exchange): void => {
+  const nowMs = context.clock.nowMs()
+  if (!context.relaying.responses.takeTrial(nowMs)) return
+  const { candidates } = runtime.table.routing(nowMs)
+  const state = candidates[context.random.int(Math.max(1, candidates.length))]
+  if (state) probeLoad(context, runtime, state.target.id, () => undefined)
+}
+
+/** Whether the peer has not handled the request, so that it can be sent elsewhere. */
+export const isRefusedByPeer = (headers: readonly string[]): boolean => REFUSAL_CODES.has(rawHeader(headers, 'x-result-code') ?? '')
+
+export const passOverPeer = ({ relaying, clock }: PipelineContext, { targetId }: Attempt): void =>
+  relaying.peers.table.recordPause(targetId, PEER_PAUSE_MS, clock.nowMs())
+
+/** The result of a peer is the result of the request. */
+export const resultHeaders = (headers: readonly string[]): string[] =>
+  ['x-result-code', 'x-result-class'].flatMap(name => {
+    const value = rawHeader(headers, name)
+    return value === undefined ? [] : [name, value]
+  })
+
+/** Reports when this node loses its targets and when it reaches them again. */
+export const createReachabilityLog = ({ responses, connections }: Relaying, report: NodeEvents['recordReachability']): { update: (nowMs: number) => void } => {
+  const lost = { response: false, connection: false }
+
+  const updateKind = (kind: ReachabilityKind, isLost: boolean): void => {
+    if (lost[kind] === isLost) return
+    lost[kind] = isLost
+    report(kind, isLost)
+  }
+
+  return {
+    update: nowMs => {
+      updateKind('response', responses.isLost(nowMs))
+      updateKind('connection', connections.isLost(nowMs))
+    }
+  }
+}
--- a/packages/daemon/src/request-pipeline.ts
+++ b/packages/daemon/src/request-pipeline.ts
@@ -13,6 +13,7 @@
 import type { PipelineContext } from './pipeline-context.js'
 import { createRequestBody } from './request-body.js'
 import type { ServiceRuntime } from './service-runtimes.js'
+import { isRelayed } from './relaying.js'
 import { createStartGate } from './start-gate.js'
 import { failExchange, isolateErrors, onBodyTooLarge, onCallerDisconnected, onDeadline, onNoProgress } from './completion.js'
 
@@ -72,6 +73,7 @@
     triedTargetIds: new Set(),
     attempts: [],
     attemptCount: 0,
+    relayCount: 0,
     sendCount: 0,
     isHedged: false,
     responder: undefined,
@@ -149,7 +151,8 @@
       inFlightCount--
       isolateErrors(context, exchange, () => onCallerDisconnected(context, exchange))
     }
-    runtime.retryBudget.recordRequest(exchange.arrivedMs)
+    // The node that relays a request has counted it.
+    if (!isRelayed(call)) runtime.retryBudget.recordRequest(exchange.arrivedMs)
     isolateErrors(context, exchange, () => {
       scheduleTimers(context, exchange)
       exchange.body.prepare(() => isolateErrors(context, exchange, () => admit(context, exchange)))
--- a/packages/daemon/src/request-recorder.ts
+++ b/packages/daemon/src/request-recorder.ts
@@ -100,7 +100,7 @@
   const logResponse = (exchange: Exchange, attempt: Attempt, nowMs: number): void => {
     const durationMs = nowMs - exchange.arrivedMs
     const objectiveMs = exchange.kind.objectiveMs ?? exchange.kind.deadlineMs
-    const isNotable = durationMs > objectiveMs || exchange.attemptCount > 1 || attempt.status >= 400
+    const isNotable = durationMs > objectiveMs || exchange.attemptCount > 1 || attempt.status >= 400 || attempt.isRelay
     const fields = {
       request_id: exchange.id,
       service: exchange.runtime.configuration.name,
@@ -159,7 +159,8 @@
 
   const probed = (): void => metrics.increment('load_probes')
 
-  const written = ({ table, targetId }: Attempt): void => {
+  const written = ({ table, targetId, isRelay }: Attempt): void => {
+    if (isRelay) metrics.increment('relayed_requests')
     if (table.requestLimitPerS(targetId) !== undefined) metrics.increment('limited_target_requests')
   }
 
--- a/packages/daemon/src/response-relay.ts
+++ b/packages/daemon/src/response-relay.ts
@@ -9,6 +9,7 @@
 import { rawHeader } from './headers.js'
 import type { PipelineContext } from './pipeline-context.js'
 import { completeExchange } from './completion.js'
+import { isRefusedByPeer, passOverPeer, resultHeaders } from './relaying.js'
 import { recordStatedLimit } from './target-permits.js'
 
 /** Above this size, copying the chunk costs more than a second buffer in the write. */
@@ -31,7 +32,8 @@
  */
 const recordResponseSignals = (context: PipelineContext, attempt: Attempt, { status, headers, atMs: nowMs }: ResponseHead): boolean => {
   const { exchange, table, targetId, writtenMs } = attempt
-  const { dialect } = context
+  const { dialect, relaying } = context
+  relaying.responses.recordSuccess()
   const header = (name: string): string | undefined => rawHeader(headers, name)
   // Another server answers at this address, so the intended target is gone.
   if (dialect.isWrongTarget(status)) {
@@ -84,12 +86,13 @@
   const { exchange } = attempt
   const nowMs = head.atMs
   if (recordResponseOwner(context, attempt, head.headers) === 'foreign') return { step: 'failed', message: 'the response belongs to another request' }
-  const isRefused = recordResponseSignals(context, attempt, head)
+  const isRefused = attempt.isRelay ? isRefusedByPeer(head.headers) : recordResponseSignals(context, attempt, head)
   if (exchange.phase === 'settled' || (exchange.responder && exchange.responder !== attempt)) {
     abandonAttempt(attempt, 'cancelled', nowMs)
     return { step: 'late' }
   }
   if (isRefused) {
+    if (attempt.isRelay) passOverPeer(context, attempt)
     dropResponse(context, attempt, 'refused')
     return exchange.attempts.length > 0 ? { step: 'late' } : { step: 'refused' }
   }
@@ -99,7 +102,7 @@
     exchange.unknownResult ??= 'answer-broken'
     return { step: 'late' }
   }
-  if (head.status >= 500 && tryTakeRetryAfterStatus()) {
+  if (head.status >= 500 && !attempt.isRelay && tryTakeRetryAfterStatus()) {
     dropResponse(context, attempt, 'error-status')
     exchange.unknownResult ??= 'answer-broken'
     return { step: 'retry' }
@@ -119,6 +122,7 @@
   if (context.isLeaving() && exchange.call.isLatest()) exchange.call.closeAfter()
   const forwarded = context.headers.response(headers, rawHeader(headers, 'connection'))
   forwarded.push(context.dialect.requestIdHeader, exchange.id)
+  if (attempt.isRelay) forwarded.push(...resultHeaders(headers))
   try {
     res.writeHead(status, statusText, forwarded)
   } catch (error) {
--- a/packages/daemon/src/service-runtimes.ts
+++ b/packages/daemon/src/service-runtimes.ts
@@ -42,6 +42,8 @@
   onRequestLimit: (service: string, targetId: string, limitPerS: number | undefined) => void
   onTargetPause: (service: string, targetId: string, pauseMs: number) => void
   onSilent: (service: string, targetId: string, retired: BackendConnection[]) => void
+  /** Called when a new connection to a target has opened or failed to open. */
+  onOpenResult: (targetId: string, isOpen: boolean) => void
 }
 
 export type ServiceRuntimes = {
@@ -114,7 +116,7 @@
   }
 }
 
-export const createServiceRuntimes = ({ clock, random, retryLimits, probesBeforeAttempt = false, echoesRequestIds = false, onHealth, onRequestLimit, onTargetPause, onSilent }: ServiceRuntimesOptions): ServiceRuntimes => {
+export const createServiceRuntimes = ({ clock, random, retryLimits, probesBeforeAttempt = false, echoesRequestIds = false, onHealth, onRequestLimit, onTargetPause, onSilent, onOpenResult }: ServiceRuntimesOptions): ServiceRuntimes => {
   const runtimes = new Map<string, ServiceRuntime>()
   const targetsByService = new Map<string, ServiceTargets>()
   let index: ServiceIndex | undefined
@@ -188,7 +190,8 @@
       isReuseTrusted: () => runtime.configuration.trustsReuse === true,
       echoesRequestIds,
       clock,
-      nextId: () => ++connectionId
+      nextId: () => ++connectionId,
+      onOpenResult: isOpen => onOpenResult(target.id, isOpen)
     })
     runtime.connections.set(target.id, pool)
     return pool
--- /dev/null
+++ b/packages/policy/test/reachability.test.ts
@@ -0,0 +1,70 @@
+/**
+ * Guards against a node that takes the failure of one target for the loss of all,
+ * that does not notice the loss, or that hands its requests to a peer which is cut
+ * off as well.
+ */
+import test from 'ava'
+import { createRandom } from '@wisteriavalve/common'
+import { createReachability, createTargetTable, selectPeer, type Reachability } from '../src/index.js'
+
+const fail = (reachability: Reachability, targetIds: readonly string[], fromMs: number, stepMs: number): void => {
+  targetIds.forEach((targetId, index) => reachability.recordFailure(targetId, fromMs + index * stepMs))
+}
+
+test('a series of failures at several targets without a success is the loss of the targets, and a success ends it', t => {
+  const reachability = createReachability(() => 12)
+  fail(reachability, ['a', 'b', 'c', 'a', 'b'], 1_000, 60)
+  t.true(reachability.isLost(1_250))
+  reachability.recordSuccess()
+  t.false(reachability.isLost(1_250))
+})
+
+test('one target that fails, a success between failures, and failures within a moment are no loss', t => {
+  const one = createReachability(() => 12)
+  fail(one, ['a', 'a', 'a', 'a', 'a', 'a'], 1_000, 100)
+  t.false(one.isLost(1_600))
+  const mixed = createReachability(() => 12)
+  for (let nowMs = 1_000; nowMs < 3_000; nowMs += 100) {
+    fail(mixed, ['a', 'b', 'c'], nowMs, 20)
+    mixed.recordSuccess()
+    t.false(mixed.isLost(nowMs + 60))
+  }
+  const burst = createReachability(() => 12)
+  fail(burst, ['a', 'b', 'c', 'd', 'e'], 1_000, 1)
+  t.false(burst.isLost(1_005))
+})
+
+test('the loss of the only target is noticed', t => {
+  const reachability = createReachability(() => 1)
+  fail(reachability, ['a', 'a', 'a', 'a'], 1_000, 100)
+  t.true(reachability.isLost(1_300))
+})
+
+test('failures of long ago do not count together with new ones', t => {
+  const reachability = createReachability(() => 12)
+  fail(reachability, ['a', 'b', 'c'], 1_000, 100)
+  fail(reachability, ['a', 'b'], 60_000, 50)
+  t.false(reachability.isLost(60_300))
+})
+
+test('a target is tried at most once in 250 ms while all are lost', t => {
+  const reachability = createReachability(() => 12)
+  const trials = Array.from({ length: 1_000 }, (_, nowMs) => reachability.takeTrial(nowMs)).filter(Boolean).length
+  t.is(trials, 4)
+})
+
+const PEERS = ['a1', 'a2', 'b1', 'b2'].map(id => ({ id, host: '127.0.0.1', port: 1, zone: id[0] as string }))
+
+test('a peer of the own zone is selected, and one of another zone after a peer of the own zone has refused', t => {
+  const table = createTargetTable({ service: 'peers', slotsPerTarget: 64, connectionShare: 64 })
+  table.setTargets(PEERS, 0)
+  const random = createRandom(1)
+  const selectedZones = (nowMs: number, exclude: string[] = []): Set<string> =>
+    new Set(Array.from({ length: 50 }, () => selectPeer(table.routing(nowMs).candidates, { zone: 'a', exclude: new Set(exclude) }, nowMs, random)?.target.zone ?? 'none'))
+  t.deepEqual(selectedZones(10), new Set(['a']))
+  table.recordPause('a1', 1_000, 20)
+  t.deepEqual(selectedZones(30), new Set(['b']))
+  t.deepEqual(selectedZones(30, ['b1', 'b2']), new Set(['a']))
+  t.deepEqual(selectedZones(30, ['a2', 'b1', 'b2']), new Set(['none']))
+  t.deepEqual(selectedZones(1_030), new Set(['a']))
+})
