Refuse a relayed request at a node with an older configuration

What callers would see: a request at a node that is cut off from all targets, relayed to a peer that has not yet adopted the newest configuration, is handled by the older one after the same caller saw the newer one.

Cause: a peer handled a relayed request by the configuration that it had, and knew nothing of the configuration of the node that relayed it.

Neither header is passed on to targets.

Test: daemon/relaying, "a request of a node with a newer configuration is refused as not run": the peer handled such requests before.

--- a/packages/daemon/src/attempts.ts
+++ b/packages/daemon/src/attempts.ts
@@ -9,9 +9,9 @@
 import { abandonAttempt, isWritten, type Attempt, type Exchange } from './exchange.js'
 import type { AttemptPurpose, PipelineContext } from './pipeline-context.js'
 import { permitWaitMaxMs, place, type PlacementOutcome } from './placement.js'
-import { LEAVING_RETRY_AFTER_MS, RELAYED_BY_HEADER } from './constants.js'
+import { LEAVING_RETRY_AFTER_MS } from './constants.js'
 import { scheduleHedge } from './hedging.js'
-import { CUT_OFF_RETRY_AFTER_MS, isCutOff, isRelayed, RELAY_REASON, selectRelayPeer, tryTargetAgain } from './relaying.js'
+import { CUT_OFF_RETRY_AFTER_MS, isCutOff, isRelayed, RELAY_REASON, relayHeaders, selectRelayPeer, tryTargetAgain } from './relaying.js'
 import { isPermitMissing, withPermit } from './target-permits.js'
 import { dropData, endResponse, onResponseHead, relayData } from './response-relay.js'
 import { failExchange, isolateErrors, onDeadline } from './completion.js'
@@ -197,7 +197,7 @@
   const headers: string[] = []
   if (dialect.retryAllowanceHeader !== undefined) headers.push(dialect.retryAllowanceHeader, String(forwardedAllowance))
   if (dialect.callDepthHeader !== undefined) headers.push(dialect.callDepthHeader, String(isRelay ? exchange.callDepth : exchange.callDepth + 1))
-  if (isRelay) headers.push(RELAYED_BY_HEADER, relaying.nodeId)
+  if (isRelay) headers.push(...relayHeaders(relaying))
   if (!isRelay && dialect.targetIdHeader !== undefined) headers.push(dialect.targetIdHeader, targetId)
   if (isDeadlineBounded(exchange)) headers.push(dialect.timeoutHeader, String(Math.max(1, Math.floor(exchange.deadlineMs - nowMs))))
   return headers
--- a/packages/daemon/src/constants.ts
+++ b/packages/daemon/src/constants.ts
@@ -44,6 +44,8 @@
 
 /** Name of the node that relays a request to a peer. */
 export const RELAYED_BY_HEADER = 'x-relayed-by'
+/** Revision of the configuration under which the node received a request that it relays. */
+export const RELAYED_REVISION_HEADER = 'x-relayed-revision'
 export const RETRY_ALLOWANCE_DEFAULT = 3
 export const CALL_DEPTH_MAX = 9
 export const REQUEST_TIMEOUT_MAX_MS = 3_600_000
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -103,9 +103,11 @@
     }
   })
 
+  const configurationRevision = (): number => fleet.configuration()?.order.revision ?? 0
   const targetCount = (): number => [...runtimes.all()].reduce((sum, { table }) => sum + table.routing(clock.nowMs()).candidates.length, 0)
   const relaying: Relaying = {
     nodeId: settings.nodeId,
+    configurationRevision,
     peers: createPeerTargets({ clock, random: createRandom(random.int(0x7fffffff)), nodeId: settings.nodeId, zone: settings.zone, members: () => fleet.members() }),
     responses: createReachability(targetCount),
     connections: createReachability(targetCount)
@@ -133,7 +135,7 @@
 
   const pauseDetector = createPauseDetector({ clock, intervalMs: MAINTENANCE_INTERVAL_MS, thresholdMs: PAUSE_MS_MIN, onPause, onTick })
   const recorder = createRequestRecorder({
-    clock, events, log, metrics, burnBuckets, configurationRevision: () => fleet.configuration()?.order.revision ?? 0
+    clock, events, log, metrics, burnBuckets, configurationRevision
   })
   let lastSendMs = Infinity
   const isLeaving = (): boolean => lifecycle.phase() === 'leaving'
--- a/packages/daemon/src/relaying.ts
+++ b/packages/daemon/src/relaying.ts
@@ -7,7 +7,7 @@
 import type { Reachability } from '@wisteriavalve/policy'
 import { resultCode, type ResultName, type Target } from '@wisteriavalve/schema'
 import type { Call } from './adapters/caller-http.js'
-import { RELAYED_BY_HEADER } from './constants.js'
+import { RELAYED_BY_HEADER, RELAYED_REVISION_HEADER } from './constants.js'
 import type { Attempt, Exchange } from './exchange.js'
 import { rawHeader } from './headers.js'
 import { probeLoad } from './load-probes.js'
@@ -22,6 +22,8 @@
 /** What a node needs to notice that it is cut off, and to hand its requests to others. */
 export type Relaying = {
   nodeId: string
+  /** Revision of the configuration in force; 0 before the first one. */
+  configurationRevision: () => number
   peers: PeerTargets
   /** Responses of targets. */
   responses: Reachability
@@ -37,7 +39,17 @@
 const REFUSALS: readonly ResultName[] = ['targets-unreachable', 'node-leaving', 'node-not-ready', 'caller-limit']
 const REFUSAL_CODES: ReadonlySet<string> = new Set(REFUSALS.map(name => resultCode(name).code))
 
-export const isRelayed = ({ req }: Call): boolean => req.headers[RELAYED_BY_HEADER] !== undefined
+export const isRelayed = ({ req }: Pick<Call, 'req'>): boolean => req.headers[RELAYED_BY_HEADER] !== undefined
+
+export const relayHeaders = ({ nodeId, configurationRevision }: Relaying): string[] =>
+  [RELAYED_BY_HEADER, nodeId, RELAYED_REVISION_HEADER, String(configurationRevision())]
+
+/**
+ * Whether the node that relays a request has a newer configuration than this one.
+ * Handled here, the request would show its caller a configuration that goes back.
+ */
+export const isBehindRelay = ({ relaying: { configurationRevision } }: PipelineContext, { req }: Call): boolean =>
+  isRelayed({ req }) && Number(req.headers[RELAYED_REVISION_HEADER] ?? 0) > configurationRevision()
 
 export const isCutOff = ({ relaying: { responses }, clock }: PipelineContext): boolean => responses.isLost(clock.nowMs())
 
--- a/packages/daemon/src/request-pipeline.ts
+++ b/packages/daemon/src/request-pipeline.ts
@@ -13,7 +13,7 @@
 import type { PipelineContext } from './pipeline-context.js'
 import { createRequestBody } from './request-body.js'
 import type { ServiceRuntime } from './service-runtimes.js'
-import { isRelayed } from './relaying.js'
+import { isBehindRelay, isRelayed } from './relaying.js'
 import { createStartGate } from './start-gate.js'
 import { failExchange, isolateErrors, onBodyTooLarge, onCallerDisconnected, onDeadline, onNoProgress } from './completion.js'
 
@@ -185,6 +185,10 @@
       refuse(call, 'node-leaving', undefined, LEAVING_RETRY_AFTER_MS)
       return
     }
+    if (isBehindRelay(context, call)) {
+      refuse(call, 'node-not-ready', 'the node that relays the request has a newer configuration')
+      return
+    }
     const limit = callerLimits.tryRequest(call.address, context.clock.nowMs())
     if (!limit.ok) {
       refuse(call, 'caller-limit', undefined, limit.retryAfterMs)
--- a/packages/daemon/test/relaying.test.ts
+++ b/packages/daemon/test/relaying.test.ts
@@ -50,7 +50,7 @@
     const response = await call(port, { method, headers: { 'x-request-id': 'r-1', 'x-request-timeout-ms': '800' } })
     t.like(response, { status: 200, body: 'done by a peer' })
     t.is(peer.received.length, 1)
-    t.like(peer.received[0]?.headers, { 'x-request-id': 'r-1', 'x-relayed-by': 'entry-1' })
+    t.like(peer.received[0]?.headers, { 'x-request-id': 'r-1', 'x-relayed-by': 'entry-1', 'x-relayed-revision': '1' })
     t.true(Number(peer.received[0]?.headers['x-request-timeout-ms']) <= 800)
   })
 
@@ -115,13 +115,28 @@
   await t.throwsAsync(call(port, { method: 'POST' }))
 })
 
-test('the header of a relay is not passed on to targets', async t => {
-  let relayedBy: unknown = 'not called'
+test('a request of a node with a newer configuration is refused as not run, so its caller sees no older one', async t => {
+  let ranCount = 0
+  const port = await startBackend((_req, res) => {
+    ranCount++
+    res.end('done')
+  })
+  const daemon = await startDaemon([createService([port])])
+  const relay = (revision: string) => call(daemon.port, { headers: { 'x-relayed-by': 'entry-9', 'x-relayed-revision': revision } })
+  const response = await relay('2')
+  t.is(response.status, 503)
+  t.is(response.headers['x-result-code'], 'WV-1011')
+  t.is(ranCount, 0)
+  t.is((await relay('1')).status, 200)
+})
+
+test('the headers of a relay are not passed on to targets', async t => {
+  let received: string[] = ['not called']
   const port = await startBackend((req, res) => {
-    relayedBy = req.headers['x-relayed-by']
+    received = Object.keys(req.headers).filter(name => name.startsWith('x-relayed'))
     res.end('done')
   })
   const daemon = await startDaemon([createService([port])])
-  t.is((await call(daemon.port, { headers: { 'x-relayed-by': 'entry-9' } })).status, 200)
-  t.is(relayedBy, undefined)
+  t.is((await call(daemon.port, { headers: { 'x-relayed-by': 'entry-9', 'x-relayed-revision': '1' } })).status, 200)
+  t.deepEqual(received, [])
 })
