Hold requests while the listening socket of a stopping node is closed

What callers saw: in a planned stop, a request on a connection that had just been opened was reset without an answer.

Cause: closing the socket resets the connections in its queue. The socket was to be closed at the end of a short turn of the event loop without a connection, or after 250 ms. With such callers no turn is without one.

Change: requests are held first. A caller that waits for a response opens no connection, so the queue runs empty; when none has arrived for 50 ms (300 ms at most) the socket is closed behind an empty turn, and the held requests are handled. The time of arrival is now a field of the call, so the held time counts for deadlines.

--- a/packages/daemon/src/adapters/caller-http.ts
+++ b/packages/daemon/src/adapters/caller-http.ts
@@ -6,7 +6,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Duplex } from 'node:stream'
 import type { Socket } from 'node:net'
-import { resetSocket } from '@wisteriavalve/common'
+import { resetSocket, type Clock } from '@wisteriavalve/common'
 import type { CallerBounds } from '@wisteriavalve/fleet'
 import { resultCode, type FailureBody, type ResultName } from '@wisteriavalve/schema'
 import { CALLER_IDLE_MS, HEADER_BYTES_MAX, HEAD_TIMEOUT_MS, LINGER_BYTES_MAX, LINGER_MS } from '../constants.js'
@@ -18,6 +18,8 @@
   res: ServerResponse
   /** IP address of the caller. */
   address: string
+  /** Time at which the head of the request was read. */
+  arrivedMs: number
   expectsContinue: boolean
   dialect: HttpDialect
   /** Whether no later request was read on the same connection. */
@@ -29,6 +31,7 @@
 }
 
 export type CallerServerOptions = {
+  clock: Clock
   dialect: HttpDialect
   onCall: (call: Call) => void
   /** Reports an unexpected error of onCall; the caller receives a failure response. */
@@ -47,6 +50,9 @@
   connectionCount: () => number
   /** Number of connections that were accepted since the start. */
   acceptedCount: () => number
+  /** Connections go on being accepted, and requests read, but none is handled until `releaseCalls`. */
+  holdCalls: () => void
+  releaseCalls: () => void
 }
 
 export const hasBody = (req: IncomingMessage): boolean =>
@@ -174,12 +180,13 @@
  * half-closed connection cannot be distinguished from a closed one, so waiting
  * for it would also keep the requests of all disconnected callers running.
  */
-export const createCallerServer = ({ dialect, onCall, onUnexpectedError, acceptConnection, onConnectionClosed, onMalformed }: CallerServerOptions): CallerServer => {
+export const createCallerServer = ({ clock, dialect, onCall, onUnexpectedError, acceptConnection, onConnectionClosed, onMalformed }: CallerServerOptions): CallerServer => {
   const openCalls = new WeakMap<Duplex, Set<Call>>()
   const latestCalls = new WeakMap<Duplex, Call>()
   const closingSockets: ClosingSockets = new WeakSet()
   let connectionCount = 0
   let acceptedCount = 0
+  let held: Set<Call> | undefined
   const server = createServer({
     maxHeaderSize: HEADER_BYTES_MAX,
     headersTimeout: HEAD_TIMEOUT_MS,
@@ -194,6 +201,7 @@
       req,
       res,
       address: req.socket.remoteAddress ?? '',
+      arrivedMs: clock.nowMs(),
       expectsContinue,
       dialect,
       isLatest: () => latestCalls.get(req.socket) === call,
@@ -206,9 +214,19 @@
   }
 
   const close = (call: Call): void => {
+    held?.delete(call)
     if (openCalls.get(call.req.socket)?.delete(call)) call.onClosed?.()
   }
 
+  const handle = (call: Call): void => {
+    try {
+      onCall(call)
+    } catch (error) {
+      onUnexpectedError(error)
+      sendFailureResponse(call, 'node-fault', {})
+    }
+  }
+
   const accept = (req: IncomingMessage, res: ServerResponse, expectsContinue: boolean): void => {
     const { socket } = req
     // The caller resends a request that follows a closing response to another node, so it must not run here.
@@ -220,12 +238,14 @@
     openCalls.get(socket)?.add(call)
     latestCalls.set(socket, call)
     res.once('close', () => close(call)).on('error', ignoreError)
-    try {
-      onCall(call)
-    } catch (error) {
-      onUnexpectedError(error)
-      sendFailureResponse(call, 'node-fault', {})
-    }
+    if (held) held.add(call)
+    else handle(call)
+  }
+
+  const releaseCalls = (): void => {
+    const calls = held ?? []
+    held = undefined
+    for (const call of calls) handle(call)
   }
 
   server.on('request', (req, res) => accept(req, res, false))
@@ -256,5 +276,12 @@
     server.keepAliveTimeout = idleTimeoutMs
   }
 
-  return { server, setBounds, connectionCount: () => connectionCount, acceptedCount: () => acceptedCount }
+  return {
+    server,
+    setBounds,
+    connectionCount: () => connectionCount,
+    acceptedCount: () => acceptedCount,
+    holdCalls: () => { held ??= new Set() },
+    releaseCalls
+  }
 }
--- a/packages/daemon/src/close-listener.ts
+++ b/packages/daemon/src/close-listener.ts
@@ -3,26 +3,28 @@
  * accepted on its behalf.
  *
  * Closing the socket resets every connection in its queue, also when a request
- * has already been written on it. The queue is empty right after the event loop
- * has polled the socket, so the socket is closed at the end of a turn of the
- * loop that was short and brought no connection. A connection that the kernel
- * accepts within that turn, which takes some microseconds, can still be lost.
+ * has already been written on it. Callers that open a connection for each request
+ * keep the queue from ever being empty, so requests are held first: a caller that
+ * waits for a response opens no other connection. When no connection has arrived
+ * for a while, the socket is closed at the end of a turn of the event loop that
+ * was short and brought none, right after the loop has polled the socket. Then the
+ * held requests are handled. A connection of a caller that does not wait for
+ * responses can still be lost if it arrives within that turn.
  */
 import type { Server } from 'node:http'
 import { createServer, Server as NetServer } from 'node:net'
 import type { Clock } from '@wisteriavalve/common'
+import type { CallerServer } from './adapters/caller-http.js'
 
+const CHECK_INTERVAL_MS = 5
+/** Longer than most callers wait between a response and their next connection. */
+const QUIET_MS = 50
+/** Longest time for which requests are held until no connection arrives. */
+const HOLD_MS_MAX = 300
 /** A turn of the event loop that takes longer has done other work since the queue was emptied. */
-const SHORT_TURN_MS = 0.01
-/** The socket is closed after this time also if no turn was short. */
-const DRAIN_TIMEOUT_MS = 250
-
-export type ListenerOptions = {
-  clock: Clock
-  server: Server
-  /** Number of connections that were accepted since the start. */
-  acceptedCount: () => number
-}
+const SHORT_TURN_MS = 0.02
+/** The socket is closed after this time also if no turn was short and without a connection. */
+const LAST_TURN_TIMEOUT_MS = 50
 
 const closeSocketOf = (server: Server | NetServer): void => { NetServer.prototype.close.call(server) }
 
@@ -35,8 +37,23 @@
   })
 })
 
-const closeAfterEmptyTurn = ({ clock, server, acceptedCount }: ListenerOptions): Promise<void> => new Promise(resolve => {
-  const endMs = clock.nowMs() + DRAIN_TIMEOUT_MS
+/** Resolves when no connection has arrived for a while. */
+const waitForQuiet = (clock: Clock, acceptedCount: () => number): Promise<void> => new Promise(resolve => {
+  const endMs = clock.nowMs() + HOLD_MS_MAX
+  let acceptedBefore = acceptedCount()
+  let quietSinceMs = clock.nowMs()
+  const check = (): void => {
+    const nowMs = clock.nowMs()
+    if (acceptedCount() !== acceptedBefore) quietSinceMs = nowMs
+    acceptedBefore = acceptedCount()
+    if (nowMs - quietSinceMs >= QUIET_MS || nowMs >= endMs) resolve()
+    else clock.after(CHECK_INTERVAL_MS, check)
+  }
+  check()
+})
+
+const closeAfterEmptyTurn = (clock: Clock, { server, acceptedCount }: CallerServer): Promise<void> => new Promise(resolve => {
+  const endMs = clock.nowMs() + LAST_TURN_TIMEOUT_MS
   let turnStartMs = -Infinity
   let acceptedBefore = acceptedCount()
   const onTurnEnd = (): void => {
@@ -56,7 +73,13 @@
   setImmediate(onTurnEnd)
 })
 
-export const closeListener = async (options: ListenerOptions): Promise<void> => {
+export const closeListener = async (clock: Clock, callerServer: CallerServer): Promise<void> => {
   await rehearseClose()
-  await closeAfterEmptyTurn(options)
+  callerServer.holdCalls()
+  try {
+    await waitForQuiet(clock, callerServer.acceptedCount)
+    await closeAfterEmptyTurn(clock, callerServer)
+  } finally {
+    callerServer.releaseCalls()
+  }
 }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -166,6 +166,7 @@
     entryAnswer: fleet.entryAnswer
   }
   const callerServer = createCallerServer({
+    clock,
     dialect,
     onCall: call => {
       if (!dialect.servesWellKnown || !serveWellKnown(call, wellKnown)) pipeline.handle(call)
@@ -242,9 +243,7 @@
     log('daemon_leaving', { in_flight: pipeline.inFlightCount() })
     await shutDownGracefully({
       clock,
-      server: callerServer.server,
-      connectionCount: callerServer.connectionCount,
-      acceptedCount: callerServer.acceptedCount,
+      callerServer,
       inFlightCount: pipeline.inFlightCount,
       entryLifetimeMs: fleet.configuration()?.settings.entryLifetimeMs ?? ENTRY_LIFETIME_DEFAULT_MS,
       stopTimeoutMs: settings.stopTimeoutMs
--- a/packages/daemon/src/graceful-shutdown.ts
+++ b/packages/daemon/src/graceful-shutdown.ts
@@ -4,8 +4,8 @@
  * answer expires. Then no new connections are accepted, and the requests on
  * those that were accepted before are finished.
  */
-import type { Server } from 'node:http'
 import type { Clock } from '@wisteriavalve/common'
+import type { CallerServer } from './adapters/caller-http.js'
 import { closeListener } from './close-listener.js'
 import { LEAVE_QUIET_MS } from './constants.js'
 
@@ -30,10 +30,7 @@
 
 export type GracefulShutdownOptions = {
   clock: Clock
-  server: Server
-  connectionCount: () => number
-  /** Number of connections that were accepted since the start. */
-  acceptedCount: () => number
+  callerServer: CallerServer
   inFlightCount: () => number
   entryLifetimeMs: number
   /** Maximum time for the whole shutdown; 0 waits for the last request. */
@@ -53,13 +50,14 @@
   check()
 })
 
-export const shutDownGracefully = async ({ clock, server, connectionCount, acceptedCount, inFlightCount, entryLifetimeMs, stopTimeoutMs }: GracefulShutdownOptions): Promise<void> => {
+export const shutDownGracefully = async ({ clock, callerServer, inFlightCount, entryLifetimeMs, stopTimeoutMs }: GracefulShutdownOptions): Promise<void> => {
+  const { server, connectionCount } = callerServer
   const startMs = clock.nowMs()
   const endMs = stopTimeoutMs === 0 ? Infinity : startMs + stopTimeoutMs
   const acceptMs = stopTimeoutMs === 0 ? Infinity : ACCEPT_SHARE * stopTimeoutMs
   const acceptUntilMs = startMs + Math.min(acceptMs, entryLifetimeMs * ENTRY_LIFETIME_FACTOR)
   await waitUntil(clock, () => connectionCount() === 0, LEAVE_QUIET_MS, acceptUntilMs)
-  await closeListener({ clock, server, acceptedCount })
+  await closeListener(clock, callerServer)
   // A connection without a request in flight may still bring its first one.
   const closedMs = clock.nowMs()
   const isDone = (): boolean => connectionCount() === 0 || (inFlightCount() === 0 && clock.nowMs() - closedMs >= LEAVE_QUIET_MS)
--- a/packages/daemon/src/request-pipeline.ts
+++ b/packages/daemon/src/request-pipeline.ts
@@ -42,8 +42,9 @@
 const deadlineOf = ({ kind, control: { timeoutMs = Infinity } }: Accepted, nowMs: number): number =>
   nowMs + (kind.boundedBy === 'progress' ? timeoutMs : Math.min(timeoutMs, kind.deadlineMs))
 
-const createExchange = (context: PipelineContext, call: Call, accepted: Accepted, runtime: ServiceRuntime, arrivedMs: number): Exchange => {
+const createExchange = (context: PipelineContext, call: Call, accepted: Accepted, runtime: ServiceRuntime): Exchange => {
   const { kind, control, path } = accepted
+  const { arrivedMs } = call
   const nowMs = context.clock.nowMs()
   const givenId = call.req.headers[context.dialect.requestIdHeader.toLowerCase()]
   const id = isRequestId(givenId) ? givenId : context.nextRequestId()
@@ -144,8 +145,8 @@
     context.recorder.refused(call, result, detail)
   }
 
-  const startExchange = (call: Call, accepted: Accepted, runtime: ServiceRuntime, arrivedMs: number): void => {
-    const exchange = createExchange(context, call, accepted, runtime, arrivedMs)
+  const startExchange = (call: Call, accepted: Accepted, runtime: ServiceRuntime): void => {
+    const exchange = createExchange(context, call, accepted, runtime)
     inFlightCount++
     call.onClosed = () => {
       inFlightCount--
@@ -159,23 +160,23 @@
     })
   }
 
-  const validateAndStart = (call: Call, arrivedMs: number): void => {
+  const validateAndStart = (call: Call): void => {
     const validation = validateCall(call, context.runtimes.index(), context.dialect)
     if (!validation.ok) {
       refuse(call, validation.result, validation.detail, validation.result === 'node-not-ready' ? NOT_READY_RETRY_AFTER_MS : undefined)
       return
     }
     const runtime = context.runtimes.get(validation.service.name)
-    if (runtime) startExchange(call, validation, runtime, arrivedMs)
+    if (runtime) startExchange(call, validation, runtime)
     else refuse(call, 'service-unknown')
   }
 
-  const waitForConfiguration = (call: Call, arrivedMs: number): void => {
+  const waitForConfiguration = (call: Call): void => {
     let isDisconnected = false
     call.onClosed = () => { isDisconnected = true }
     const resume = (): void => {
       call.onClosed = undefined
-      if (!isDisconnected) validateAndStart(call, arrivedMs)
+      if (!isDisconnected) validateAndStart(call)
     }
     if (!gate.tryWait(resume, resume)) resume()
   }
@@ -194,8 +195,8 @@
       refuse(call, 'caller-limit', undefined, limit.retryAfterMs)
       return
     }
-    if (context.runtimes.index()) validateAndStart(call, context.clock.nowMs())
-    else waitForConfiguration(call, context.clock.nowMs())
+    if (context.runtimes.index()) validateAndStart(call)
+    else waitForConfiguration(call)
   }
 
   return { handle, callerLimits, inFlightCount: () => inFlightCount, onConfigured: gate.open }
