Notice sooner that the nodes which a node follows have lost the store

Change: - A node that loses its source answers the nodes that wait at it at once. - While its source has failed and no other one has answered, a node is followed only until its last contact is 2 s old. - A node that is behind a peer for 450 ms pulls the state from that peer.

--- a/packages/daemon/src/fleet/store-fleet.ts
+++ b/packages/daemon/src/fleet/store-fleet.ts
@@ -18,6 +18,7 @@
 import { openPeerAddresses } from './open-peer-addresses.js'
 import { createPermits } from './permits.js'
 import { toActiveConfiguration } from './published-configuration.js'
+import { createCatchUp } from './catch-up.js'
 import { createChangeWaiters } from './change-waiters.js'
 import { createPeerWatch, type ChangesQuery, type PeerChanges, type PublishedUpdate } from './peer-watch.js'
 import { createStoreFollower, type PlatformStore, type FollowedPeer, type StoreChanges } from './store-follower.js'
@@ -63,6 +64,8 @@
   let lastPullMs = -Infinity
   let isStopped = false
 
+  /** -1 before the first configuration. */
+  const configurationVersion = (): number => state.configuration()?.version ?? -1
   const members = (): MemberUpdate[] => gossip.membership()?.members() ?? []
   const peers = (): MemberUpdate[] => members().filter(({ nodeId }) => nodeId !== settings.nodeId)
   const permits = createPermits({ context, members, clients })
@@ -118,11 +121,12 @@
       reportFailure: ({ kind, message }) => {
         excludedUntilMs.set(peer.nodeId, clock.nowMs() + (kind === 'behind' ? BEHIND_PEER_EXCLUSION_MS : UNREACHABLE_PEER_EXCLUSION_MS))
         log('peer_unreachable', { member: peer.nodeId, message })
+        waiters.notify()
       }
     }
   }
 
-  /** Responds to the long poll of a peer that follows this node, without waiting if changes are pending for it. */
+  /** Responds to the long poll of a peer that follows this node, without waiting if changes are pending for it, or if it needs another source. */
   const handleChangesQuery = async ({ afterRevision, waitMs }: ChangesQuery): Promise<PeerChanges> => {
     if (!follower.canBeFollowed()) return { state: 'behind' }
     if (state.revision() <= afterRevision) await waiters.wait(waitMs)
@@ -138,15 +142,20 @@
     source: nextSource,
     onSnapshot: applySnapshot,
     onChanges: applyChanges,
-    onDisconnected: state.recordStoreUnreachable,
+    onDisconnected: () => {
+      state.recordStoreUnreachable()
+      waiters.notify()
+    },
     onReconnected: () => state.recordStoreReachable(clock.nowMs())
   })
 
   const gossip = createGossipDriver(context, {
     onMember: createMemberReporter(context),
     onNotes: notes => onNotes.emit(notes),
-    onConfigurationSeen: (_from, order) => {
-      if (order.revision > (state.configuration()?.version ?? -1) && follower.isDisconnected()) pull()
+    onConfigurationSeen: (from, order) => {
+      if (order.revision <= configurationVersion()) return
+      if (follower.isDisconnected()) pull()
+      else catchUp.recordSeen(from, order.revision)
     }
   })
 
@@ -167,6 +176,15 @@
     }
   }
 
+  const catchUp = createCatchUp({
+    clock,
+    revision: configurationVersion,
+    pullFrom: peerId => {
+      const peer = peers().find(({ nodeId }) => nodeId === peerId)
+      if (peer) pullFrom(peer).catch(error => { throw error })
+    }
+  })
+
   let pullCount = 0
 
   /** Pulls the published state from a random peer at a limited rate. Most pulls stay in the own zone, because traffic between zones costs money. */
@@ -247,6 +265,7 @@
     stop: async () => {
       isStopped = true
       cancelMaintenance()
+      catchUp.stop()
       follower.stop()
       await Promise.all([gossip.stop(), peerServer?.close(), clients.close(), store.close()])
     }
--- a/packages/daemon/src/fleet/store-follower.ts
+++ b/packages/daemon/src/fleet/store-follower.ts
@@ -76,6 +76,11 @@
 const NO_SOURCE_RETRY_MS = 300
 /** Maximum age at which a node may be followed; covers a watch at the store and one watch at each of four nodes in between. */
 const FOLLOWABLE_AGE_MAX_MS = 4_500
+/**
+ * The same while the source of this node has failed and no other one has answered yet.
+ * Its next source can be as silent, and the nodes that follow it would wait with it.
+ */
+const UNCERTAIN_AGE_MAX_MS = 2_000
 /** Delay after a change, which lets one call read all changes that follow shortly. */
 const CHANGE_BATCHING_MS = 400
 /** Time after the start within which peers are discovered; most nodes then follow a peer instead of the store. */
@@ -96,9 +101,12 @@
   let lastContactMs = -Infinity
   let isDisconnected = true
   let isFirstFailure = true
+  /** Whether the last read failed. */
+  let isUncertain = false
 
   const recordContact = (ageMs: number): void => {
     lastContactMs = Math.max(lastContactMs, clock.nowMs() - ageMs)
+    isUncertain = false
     backoff.reset()
     if (!isDisconnected) return
     isDisconnected = false
@@ -141,8 +149,12 @@
   const watchPeer = async (afterRevision: number, followed: FollowedPeer): Promise<number> => {
     const read = await followed.watch(afterRevision, PEER_WATCH_MS, stopController.signal)
     if (stopController.signal.aborted) return 0
-    if (read.ok) applyRead(read.value, afterRevision, followed.nodeId)
-    else followed.reportFailure(read.error)
+    if (read.ok) {
+      applyRead(read.value, afterRevision, followed.nodeId)
+    } else {
+      isUncertain = true
+      followed.reportFailure(read.error)
+    }
     return 0
   }
 
@@ -181,7 +193,7 @@
     start: () => { run().catch(error => { setImmediate(() => { throw error }) }) },
     isDisconnected: () => isDisconnected,
     ageMs: () => clock.nowMs() - lastContactMs,
-    canBeFollowed: () => !isDisconnected && clock.nowMs() - lastContactMs <= FOLLOWABLE_AGE_MAX_MS,
+    canBeFollowed: () => !isDisconnected && clock.nowMs() - lastContactMs <= (isUncertain ? UNCERTAIN_AGE_MAX_MS : FOLLOWABLE_AGE_MAX_MS),
     stop: () => stopController.abort()
   }
 }
--- a/packages/daemon/test/store-follower.test.ts
+++ b/packages/daemon/test/store-follower.test.ts
@@ -79,3 +79,21 @@
   t.false(follower.canBeFollowed())
   stop()
 })
+
+test('a node whose source has failed is followed no longer than 2 s after its last contact with the store', async t => {
+  const clock = createManualClock()
+  const silentPeer: FollowedPeer = { nodeId: 'a-2', watch: () => new Promise(() => {}), reportFailure: () => {} }
+  let hasFailed = false
+  const failingPeer: FollowedPeer = {
+    nodeId: 'a-1',
+    watch: () => new Promise(resolve => { clock.after(700, () => resolve({ ok: false, error: { kind: 'behind', message: '' } })) }),
+    reportFailure: () => { hasFailed = true }
+  }
+  const { advance, follower, stop } = startFollower(() => hasFailed ? silentPeer : failingPeer, clock)
+  await advance(1_900)
+  t.true(follower.canBeFollowed())
+  await advance(200)
+  t.false(follower.canBeFollowed())
+  t.false(follower.isDisconnected())
+  stop()
+})
