Leave nodes that reach no target out of entry answers

Callers were still sent to nodes that are cut off from all targets and relay each request. This works, but costs time and traffic between zones. Such a node now announces the highest load, and entry answers leave it out while most other nodes reach the targets. If it is the larger part of the fleet that is cut off, it stays, because the rest could not carry the requests of all callers.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -3,6 +3,7 @@
  * and the lifecycle of the process.
  */
 import { countBy, createRandom } from '@wisteriavalve/common'
+import { UNREACHABLE_LOAD_PERCENT } from '@wisteriavalve/fleet'
 import { createCallerLimits, createFleetSize, createProbeAllowance, createReachability, createServiceTimes, shareRetryLimits, type CallerLimitsOptions, type PolicyName } from '@wisteriavalve/policy'
 import type { NodeReport, NodeStatus } from '@wisteriavalve/schema'
 import { createCallerServer } from './adapters/caller-http.js'
@@ -130,7 +131,7 @@
     if (notes.length > 0) fleet.shareNotes(notes)
     if (nowMs - loadPublishedMs < LOAD_INTERVAL_MS) return
     loadPublishedMs = nowMs
-    fleet.setLoadPercent(runtimes.loadPercent(nowMs))
+    fleet.setLoadPercent(relaying.responses.isLost(nowMs) ? UNREACHABLE_LOAD_PERCENT : Math.min(runtimes.loadPercent(nowMs), UNREACHABLE_LOAD_PERCENT - 1))
   }
 
   const pauseDetector = createPauseDetector({ clock, intervalMs: MAINTENANCE_INTERVAL_MS, thresholdMs: PAUSE_MS_MIN, onPause, onTick })
--- a/packages/fleet/src/constants.ts
+++ b/packages/fleet/src/constants.ts
@@ -37,6 +37,8 @@
 export const LOAD_STEP_PERCENT = 25
 export const LOAD_ANNOUNCE_INTERVAL_MS = 5000
 export const OVERLOAD_PERCENT = 100
+/** Load of a node that reaches no target and so has no capacity. */
+export const UNREACHABLE_LOAD_PERCENT = 1000
 
 /** Older observations of targets are neither applied nor forwarded. */
 export const NOTE_AGE_MAX_MS = 30_000
--- a/packages/fleet/src/self-state.ts
+++ b/packages/fleet/src/self-state.ts
@@ -6,7 +6,7 @@
  * node then sets a higher one, so its wall clock does not matter.
  */
 import type { MemberState, MemberUpdate } from '@wisteriavalve/schema'
-import { LOAD_ANNOUNCE_INTERVAL_MS, LOAD_STEP_PERCENT, OVERLOAD_PERCENT } from './constants.js'
+import { LOAD_ANNOUNCE_INTERVAL_MS, LOAD_STEP_PERCENT, OVERLOAD_PERCENT, UNREACHABLE_LOAD_PERCENT } from './constants.js'
 import { rankOf } from './member-lifecycle.js'
 
 export type SelfState = {
@@ -50,7 +50,7 @@
     get: () => self,
     refute,
     raiseIncarnation: state => { self = { ...self, state: state ?? self.state, incarnation: self.incarnation + 1 } },
-    setLoadPercent: loadPercent => { self = { ...self, loadPercent: Math.max(0, Math.min(1000, Math.round(loadPercent))) } },
+    setLoadPercent: loadPercent => { self = { ...self, loadPercent: Math.max(0, Math.min(UNREACHABLE_LOAD_PERCENT, Math.round(loadPercent))) } },
     announceLoad
   }
 }
--- a/packages/fleet/src/zone-entry.ts
+++ b/packages/fleet/src/zone-entry.ts
@@ -2,10 +2,12 @@
  * Entry answers for callers that connect to a randomly chosen address of the
  * answer. The answer lists all usable nodes of the caller's zone, and those of
  * other zones only when the caller's zone has too few or all of its nodes are
- * overloaded.
+ * overloaded. Nodes that reach no target, and relay what they get to peers, are
+ * left out while they are the smaller part of the fleet: the rest can carry the
+ * requests of their callers, and relaying costs time and traffic between zones.
  */
 import type { EntryAnswer, MemberUpdate } from '@wisteriavalve/schema'
-import { OVERLOAD_PERCENT } from './constants.js'
+import { OVERLOAD_PERCENT, UNREACHABLE_LOAD_PERCENT } from './constants.js'
 
 export type ZoneEntryRequest = {
   zone?: string
@@ -20,10 +22,14 @@
 
 const isOverloaded = ({ loadPercent = 0 }: MemberUpdate): boolean => loadPercent >= OVERLOAD_PERCENT
 
+const reachesTargets = ({ loadPercent = 0 }: MemberUpdate): boolean => loadPercent < UNREACHABLE_LOAD_PERCENT
+
 /** Returns leaving and suspected nodes only when no other is left; they may still serve. */
 const usableMembers = (members: readonly MemberUpdate[]): readonly MemberUpdate[] => {
   const usable = members.filter(isUsable)
-  return usable.length > 0 ? usable : members
+  if (usable.length === 0) return members
+  const reaching = usable.filter(reachesTargets)
+  return 2 * reaching.length > usable.length ? reaching : usable
 }
 
 export const buildZoneEntryAnswer = (members: readonly MemberUpdate[], { zone, addressesMax, lifetimeMs }: ZoneEntryRequest): EntryAnswer => {
--- a/packages/fleet/test/published-state.test.ts
+++ b/packages/fleet/test/published-state.test.ts
@@ -4,7 +4,7 @@
  * expired while the store was unreachable, and peers that miss changes.
  */
 import test from 'ava'
-import { buildZoneEntryAnswer, createChangeLog, createPublishedState, RELISTING_GRACE_MS, type PublishedConfiguration, type PublishedTarget } from '../src/index.js'
+import { buildZoneEntryAnswer, createChangeLog, createPublishedState, RELISTING_GRACE_MS, UNREACHABLE_LOAD_PERCENT, type PublishedConfiguration, type PublishedTarget } from '../src/index.js'
 import type { MemberUpdate } from '@wisteriavalve/schema'
 
 const configuration = (version: number): PublishedConfiguration => ({
@@ -102,3 +102,14 @@
   t.deepEqual(hosts(members, 'b'), ['a1', 'a2', 'b1'])
   t.deepEqual(hosts([member('a1', 'a', { state: 'leaving' })], 'a'), ['a1'])
 })
+
+test('nodes that reach no target are left out of entry answers while most others reach them', t => {
+  const hosts = (members: MemberUpdate[]) =>
+    buildZoneEntryAnswer(members, { zone: 'a', addressesMax: 64, lifetimeMs: 1000 }).addresses.map(({ host }) => host)
+  const cutOff = { loadPercent: UNREACHABLE_LOAD_PERCENT }
+  const [a3, b1, b2] = [member('a3', 'a'), member('b1', 'b'), member('b2', 'b')]
+  t.deepEqual(hosts([member('a1', 'a', cutOff), member('a2', 'a'), a3, b1]), ['a2', 'a3'])
+  t.deepEqual(hosts([member('a1', 'a', cutOff), member('a2', 'a', cutOff), a3, b1, b2]), ['a3', 'b1', 'b2'])
+  t.deepEqual(hosts([member('a1', 'a', cutOff), member('a2', 'a', cutOff), a3, b1]), ['a1', 'a2', 'a3'])
+  t.deepEqual(hosts([member('a1', 'a', cutOff), member('a2', 'a', cutOff)]), ['a1', 'a2'])
+})
--- a/packages/policy/test/reachability.test.ts
+++ b/packages/policy/test/reachability.test.ts
@@ -68,3 +68,13 @@
   t.deepEqual(selectedZones(30, ['a2', 'b1', 'b2']), new Set(['none']))
   t.deepEqual(selectedZones(1_030), new Set(['a']))
 })
+
+test('a service that is down everywhere, or a zone of targets, is no loss while other targets answer', t => {
+  const down = ['a1', 'a2', 'a3', 'a4', 'a5', 'a6']
+  const reachability = createReachability(() => 12)
+  for (let nowMs = 1_000; nowMs < 10_000; nowMs += 200) {
+    fail(reachability, down, nowMs, 20)
+    reachability.recordSuccess()
+    t.false(reachability.isLost(nowMs + 199))
+  }
+})
