Show pauses, and nodes that reach no target, in status and metrics

An operator could see limits of targets in `status`, but neither pauses nor nodes that relay their requests, apart from log lines. `status` now shows both, and the metrics gain paused_targets, targets_unreachable and new_connections_unreachable.

--- a/packages/cli/src/status/merge-targets.ts
+++ b/packages/cli/src/status/merge-targets.ts
@@ -21,6 +21,8 @@
   trustsReuse: boolean
   /** Requests per second that the target accepts from all nodes together; the smallest value of all nodes. */
   requestLimitPerS?: number
+  /** Time for which the target has asked to be left alone; the largest value of all nodes. */
+  pausedMs?: number
   /** Largest value of all nodes; undefined when no node has measured it. */
   firstByteP99Ms?: number
 }
@@ -51,6 +53,7 @@
     entry.connections += target.connections
     entry.trustsReuse ||= target.trustsReuse === true
     if (target.requestLimitPerS !== undefined) entry.requestLimitPerS = Math.min(entry.requestLimitPerS ?? Infinity, target.requestLimitPerS)
+    entry.pausedMs = maxOf(entry.pausedMs, target.pausedMs)
     entry.firstByteP99Ms = maxOf(entry.firstByteP99Ms, target.firstByteP99Ms)
   }
   for (const { views } of merged.values()) views.sort((a, b) => b.nodeCount - a.nodeCount || HEALTH_ORDER.indexOf(a.health) - HEALTH_ORDER.indexOf(b.health))
--- a/packages/cli/src/status/status-text.ts
+++ b/packages/cli/src/status/status-text.ts
@@ -21,6 +21,10 @@
   .flatMap(({ nodeId, configurationState, configurationReason }) =>
     wrapText(`  ${nodeId}: ${configurationState}: ${configurationReason}`, TERMINAL_COLUMNS, '    '))
 
+const describeUnreachable = (nodes: readonly NodeStatus[]): string[] => nodes
+  .filter(({ reachesNoTarget }) => reachesNoTarget)
+  .map(({ nodeId }) => `PROBLEM: no target answers ${nodeId}, which relays requests to other nodes`)
+
 /** Different configurations are normal for a few seconds after a publication. */
 const describeConfigurationDifferences = (nodes: readonly NodeStatus[]): string[] => {
   const counts = new Map<string, number>()
@@ -75,17 +79,22 @@
   .filter(({ requestLimitPerS }) => requestLimitPerS !== undefined)
   .map(({ targetId, requestLimitPerS }) => `  ${targetId} accepts ${requestLimitPerS} requests/s from all nodes together`)
 
+const describePauses = (targets: readonly MergedTarget[]): string[] => targets
+  .flatMap(({ targetId, pausedMs }) => pausedMs === undefined ? [] : `  ${targetId} asked to be left alone for another ${formatDuration(pausedMs)}`)
+
 const describeService = (service: string, targets: readonly MergedTarget[], showAll: boolean): string[] => {
   const unready = targets.filter(target => !isReadyEverywhere(target))
   return [
     `service ${service}: ${formatCount(targets.length, 'target')}, ${targets.length - unready.length} ready for every node${describeReuse(targets)}`,
     ...formatTargetTable(showAll ? targets : unready).map(line => `  ${line}`.slice(0, TERMINAL_COLUMNS)),
     ...unready.flatMap(describeUnreadyViews),
-    ...describeLimits(targets)
+    ...describeLimits(targets),
+    ...describePauses(targets)
   ]
 }
 
-const isUnremarkable = (target: MergedTarget): boolean => isReadyEverywhere(target) && target.requestLimitPerS === undefined
+const isUnremarkable = (target: MergedTarget): boolean =>
+  isReadyEverywhere(target) && target.requestLimitPerS === undefined && target.pausedMs === undefined
 
 /** Above this number of services, those with all targets ready are only counted. */
 const SERVICES_MAX = 20
@@ -117,6 +126,7 @@
     ...describeMissing(data),
     '',
     ...formatNodeTable(nodes),
+    ...describeUnreachable(nodes),
     ...describeConfigurationReasons(nodes),
     ...describeConfigurationDifferences(nodes),
     '',
--- a/packages/cli/test/admin-commands.test.ts
+++ b/packages/cli/test/admin-commands.test.ts
@@ -42,6 +42,17 @@
   t.regex((await runBinary(['status', '--all', '--admin', await serveFleet(t, FLEET)])).stdout, /stock-1 .* ready/)
 })
 
+test('status shows what targets state about limits and pauses, and which nodes reach no target', async t => {
+  const targets = [createTarget({ requestLimitPerS: 5.3 }), createTarget({ targetId: 'stock-2', pausedMs: 4_000 })]
+  const statuses = [createStatus('entry-1', { targets, reachesNoTarget: true }), createStatus('entry-2', { targets: [createTarget({ requestLimitPerS: 2.1 })] })]
+  const { stdout } = await runBinary(['status', '--admin', await serveFleet(t, { statuses })])
+  t.true(stdout.split('\n').every(line => line.length <= 80))
+  t.regex(stdout, /no target answers entry-1, which relays requests/)
+  t.notRegex(stdout, /no target answers entry-2/)
+  t.regex(stdout, /stock-1 accepts 2\.1 requests\/s from all nodes together/)
+  t.regex(stdout, /stock-2 asked to be left alone for another 4s/)
+})
+
 test('with many services, status shows those with targets that are not ready and counts the rest', async t => {
   const targets = Array.from({ length: 2200 }, (_, index) => createTarget({ service: `s-${index}`, ...(index === 7 ? { health: 'cold' as const } : {}) }))
   const { stdout } = await runBinary(['status', '--admin', await serveFleet(t, { statuses: [createStatus('entry-1', { targets })] })])
--- a/packages/daemon/src/attempts.ts
+++ b/packages/daemon/src/attempts.ts
@@ -5,14 +5,16 @@
 import { canTakeRetry, planRetry, selectTarget, splitRetryAllowance, type AttemptFailure } from '@wisteriavalve/policy'
 import type { ResultName, Target } from '@wisteriavalve/schema'
 import { sendRequest, type SendFailure, type SendHandler } from './adapters/backend-http.js'
+import { canWrite, controlHeaders, isTargetClosed } from './attempt-writes.js'
 import type { BackendConnection } from './backend-connections.js'
+import { relayDestination, targetDestination, type Destination } from './destination.js'
 import { abandonAttempt, isWritten, type Attempt, type Exchange } from './exchange.js'
 import type { AttemptPurpose, PipelineContext } from './pipeline-context.js'
 import { permitWaitMaxMs, place, type PlacementOutcome } from './placement.js'
 import { LEAVING_RETRY_AFTER_MS } from './constants.js'
 import { scheduleHedge } from './hedging.js'
-import { CUT_OFF_RETRY_AFTER_MS, isCutOff, isRelayed, RELAY_REASON, relayHeaders, selectRelayPeer, tryTargetAgain } from './relaying.js'
-import { isPermitMissing, withPermit } from './target-permits.js'
+import { CUT_OFF_RETRY_AFTER_MS, isCutOff, isRelayed, selectRelayPeer, tryTargetAgain } from './relaying.js'
+import { withPermit } from './target-permits.js'
 import { dropData, endResponse, onResponseHead, relayData } from './response-relay.js'
 import { failExchange, isolateErrors, onDeadline } from './completion.js'
 
@@ -25,8 +27,6 @@
 /** Maximum number of further connections per attempt after one was lost before the write. */
 const REACQUIRE_MAX = 2
 
-const isDeadlineBounded = ({ deadlineMs }: Exchange): boolean => deadlineMs !== Infinity
-
 /** Waits until another request of the service ends. The deadline still applies. */
 const waitForTarget = (context: PipelineContext, exchange: Exchange, purpose: AttemptPurpose, lastResult: ResultName | undefined): void => {
   exchange.targetWaiter = () => {
@@ -135,19 +135,6 @@
   }
 })
 
-type Destination = Pick<Attempt, 'targetId' | 'reason' | 'slowdown' | 'table' | 'pool' | 'purpose' | 'hasPermit' | 'isRelay'>
-
-const targetDestination = (context: PipelineContext, { runtime }: Exchange, target: Target): Omit<Destination, 'purpose' | 'reason' | 'hasPermit'> => ({
-  targetId: target.id,
-  slowdown: runtime.table.slowdown(target.id),
-  table: runtime.table,
-  pool: context.runtimes.connectionsTo(runtime, target),
-  isRelay: false
-})
-
-const relayDestination = ({ relaying: { peers } }: PipelineContext, peer: Target): Omit<Destination, 'purpose'> =>
-  ({ targetId: peer.id, reason: RELAY_REASON, slowdown: 1, table: peers.table, pool: peers.connectionsTo(peer), isRelay: true, hasPermit: false })
-
 const startAt = (context: PipelineContext, exchange: Exchange, destination: Destination, lastResult: ResultName | undefined): void => {
   const { targetId, purpose } = destination
   const nowMs = context.clock.nowMs()
@@ -193,16 +180,6 @@
   attempt.pool.acquire(attempt.waiter)
 }
 
-const controlHeaders = ({ dialect, relaying }: PipelineContext, { exchange, forwardedAllowance, targetId, isRelay }: Attempt, nowMs: number): string[] => {
-  const headers: string[] = []
-  if (dialect.retryAllowanceHeader !== undefined) headers.push(dialect.retryAllowanceHeader, String(forwardedAllowance))
-  if (dialect.callDepthHeader !== undefined) headers.push(dialect.callDepthHeader, String(isRelay ? exchange.callDepth : exchange.callDepth + 1))
-  if (isRelay) headers.push(...relayHeaders(relaying))
-  if (!isRelay && dialect.targetIdHeader !== undefined) headers.push(dialect.targetIdHeader, targetId)
-  if (isDeadlineBounded(exchange)) headers.push(dialect.timeoutHeader, String(Math.max(1, Math.floor(exchange.deadlineMs - nowMs))))
-  return headers
-}
-
 const send = (context: PipelineContext, attempt: Attempt, connection: BackendConnection): void => {
   const { exchange } = attempt
   attempt.connection = connection
@@ -217,18 +194,6 @@
   }, createSendHandler(context, attempt))
 }
 
-/** Whether the target stated since it was chosen that it does not want this request. */
-const isTargetClosed = (attempt: Attempt, nowMs: number): boolean =>
-  attempt.exchange.runtime.draining.has(attempt.targetId) || attempt.table.isPaused(attempt.targetId, nowMs) || isPermitMissing(attempt)
-
-/** The only check before the first byte of the request is written. */
-const canWrite = (context: PipelineContext, attempt: Attempt): boolean => {
-  const { exchange } = attempt
-  const nowMs = context.clock.nowMs()
-  return context.pauseDetector.epoch(nowMs) === attempt.pauseEpoch && !attempt.isFinished && exchange.phase === 'running' &&
-    nowMs < exchange.deadlineMs && !isTargetClosed(attempt, nowMs)
-}
-
 const createSendHandler = (context: PipelineContext, attempt: Attempt): SendHandler => {
   const { exchange } = attempt
   const recordProgress = (): number => {
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -78,6 +78,8 @@
       caller_connections: callerServer.connectionCount(),
       in_flight: pipeline.inFlightCount(),
       load_percent: runtimes.loadPercent(clock.nowMs()),
+      targets_unreachable: Number(relaying.responses.isLost(clock.nowMs())),
+      new_connections_unreachable: Number(relaying.connections.isLost(clock.nowMs())),
       ...fleet.gauges()
     }),
     services: () => runtimes.gaugeValues(clock.nowMs()),
@@ -198,6 +200,7 @@
       ...(order ? { configuration: order } : {}),
       configurationState: state,
       configurationReason: reason,
+      ...(relaying.responses.isLost(nowMs) ? { reachesNoTarget: true } : {}),
       members: fleet.members(),
       targets: runtimes.status(nowMs),
       counters: metrics.counters()
--- a/packages/daemon/src/metrics-gauges.ts
+++ b/packages/daemon/src/metrics-gauges.ts
@@ -16,6 +16,8 @@
   capacity: number
   /** Targets that state a request limit. */
   limitedTargets: number
+  /** Targets that asked to be left alone for a time. */
+  pausedTargets: number
   /** Number of targets by state. */
   targetsByState: Record<string, number>
 }
@@ -40,6 +42,7 @@
   { name: 'capacity_requests', help: 'Estimated number of requests that the usable targets can process at the same time.', read: ({ capacity }) => capacity },
   { name: 'retries_left', help: 'Retries that the budget currently allows.', read: ({ retriesLeft }) => retriesLeft },
   { name: 'limited_targets', help: 'Targets that limit the requests of all nodes together.', read: ({ limitedTargets }) => limitedTargets },
+  { name: 'paused_targets', help: 'Targets that asked to be left alone for a time.', read: ({ pausedTargets }) => pausedTargets },
   { name: 'hedges_left', help: 'Hedges that the budget currently allows.', read: ({ hedgesLeft }) => hedgesLeft }
 ]
 
--- a/packages/daemon/src/service-runtimes.ts
+++ b/packages/daemon/src/service-runtimes.ts
@@ -77,16 +77,21 @@
   return configuration.trustsReuse === true ? targets.map(target => ({ ...target, trustsReuse: true })) : targets
 }
 
-const gaugeValuesOf = (runtime: ServiceRuntime, nowMs: number): ServiceGaugeValues => ({
-  service: runtime.configuration.name,
-  runningCount: runtime.admission.runningCount() - runtime.targetWaiters.size,
-  queuedCount: runtime.admission.queuedCount() + runtime.targetWaiters.size,
-  retriesLeft: runtime.retryBudget.remaining('retry', nowMs),
-  hedgesLeft: runtime.retryBudget.remaining('hedge', nowMs),
-  capacity: runtime.table.capacity(nowMs),
-  limitedTargets: statusOf(runtime, nowMs).filter(({ requestLimitPerS }) => requestLimitPerS !== undefined).length,
-  targetsByState: countBy(statusOf(runtime, nowMs), ({ health }) => health)
-})
+const gaugeValuesOf = (runtime: ServiceRuntime, nowMs: number): ServiceGaugeValues => {
+  const { configuration, admission, targetWaiters, retryBudget, table } = runtime
+  const targets = statusOf(runtime, nowMs)
+  return {
+    service: configuration.name,
+    runningCount: admission.runningCount() - targetWaiters.size,
+    queuedCount: admission.queuedCount() + targetWaiters.size,
+    retriesLeft: retryBudget.remaining('retry', nowMs),
+    hedgesLeft: retryBudget.remaining('hedge', nowMs),
+    capacity: table.capacity(nowMs),
+    limitedTargets: targets.filter(({ requestLimitPerS }) => requestLimitPerS !== undefined).length,
+    pausedTargets: targets.filter(({ pausedMs }) => pausedMs !== undefined).length,
+    targetsByState: countBy(targets, ({ health }) => health)
+  }
+}
 
 /** Lets each request that waits for a target try again. A request that still finds none registers again. */
 export const retryTargetWaiters = (runtime: ServiceRuntime): void => {
--- a/packages/policy/src/target-table.ts
+++ b/packages/policy/src/target-table.ts
@@ -8,7 +8,7 @@
 import { applyTargetList } from './target-list.js'
 import { collectNotes, applyPeerNote } from './target-notes.js'
 import { applyDraining, applyFirstByte, applyOutcome, applyProbe } from './target-outcomes.js'
-import { applyPause } from './target-pause.js'
+import { applyPause, isPaused } from './target-pause.js'
 import { addStartTime, removeStartTime, slowStartShare } from './target-state.js'
 import type { TargetState, TargetTable, TargetTableOptions } from './types.js'
 import type { TargetStatus } from '@wisteriavalve/schema'
@@ -38,6 +38,7 @@
     status.reportAgeMs = Math.max(0, Math.round(nowMs - state.lastReportMs))
   }
   if (state.requestLimitPerS !== undefined) status.requestLimitPerS = state.requestLimitPerS
+  if (isPaused(state, nowMs)) status.pausedMs = Math.round(state.pausedUntilMs - nowMs)
   const p50 = firstBytes.quantile(0.5)
   const p99 = firstBytes.quantile(0.99)
   if (p50 !== undefined) status.firstByteP50Ms = p50
