--- a/packages/daemon/test/relaying.test.ts
+++ b/packages/daemon/test/relaying.test.ts
@@ -64,7 +64,8 @@
     t.true(first.received.length <= 1 && second.received.length <= 1)
   })
 
-  test(`${method}: a request that was relayed is refused at once as not run by a node that is cut off, and goes to no peer`, async t => {
+  // Serial, because the time is checked and the daemons of the other tests run in this process.
+  test.serial(`${method}: a request that was relayed is refused at once as not run by a node that is cut off, and goes to no peer`, async t => {
     const peer = await startPeer(t, 'peer-1', (_req, res) => { res.end('done') })
     const { port } = await startCutOff([peer])
     const startMs = performance.now()
