Spread the queries for permits by the number of nodes that compete

What callers would see in a large fleet: requests at the node that issues the permits of a limited target get slow, and permits come late.

Cause: a node that was denied a permit asked again after 0.5 s on average, and after 1 s at most, whatever the number of nodes.

Change: the owner spreads the next queries so that about three come for each permit, over 2.5 s at most, and tells after which time a node may ask before its turn, so that the end of a limit is known within 3.5 s. Older nodes ignore the new field, and their answers are read as before.

--- a/packages/daemon/src/target-permits.ts
+++ b/packages/daemon/src/target-permits.ts
@@ -37,8 +37,8 @@
   const { table, configuration } = exchange.runtime
   const resume = (run: () => void): void => isolateErrors(context, exchange, () => { if (exchange.phase === 'running') run() })
 
-  const deny = (retryAfterMs: number): void => {
-    table.recordPermitDenied(targetId, retryAfterMs, clock.nowMs())
+  const deny = (retryAfterMs: number, askAgainMs?: number): void => {
+    table.recordPermitDenied(targetId, retryAfterMs, clock.nowMs(), askAgainMs)
     exchange.isPermitDenied = true
     resume(onDenied)
   }
@@ -46,7 +46,7 @@
   const onAnswer = (answer: PermitAnswer): void => {
     const nowMs = clock.nowMs()
     table.recordLimitStatement(targetId, answer.statement, nowMs)
-    if (answer.decision === 'denied') deny(answer.retryAfterMs)
+    if (answer.decision === 'denied') deny(answer.retryAfterMs, answer.askAgainMs)
     else if (answer.decision === 'granted' && answer.delayMs >= 1) exchange.placementTimer = wheel.schedule(nowMs + answer.delayMs, () => resume(() => onPermitted(true)))
     else resume(() => onPermitted(true))
   }
--- a/packages/fleet/src/permit-issuer.ts
+++ b/packages/fleet/src/permit-issuer.ts
@@ -24,7 +24,14 @@
 /** The newest statement of the limit that the owner knows comes with each answer. */
 export type PermitAnswer =
   | { decision: 'granted', delayMs: number, statement: LimitStatement }
-  | { decision: 'denied', retryAfterMs: number, statement: LimitStatement }
+  | {
+    decision: 'denied'
+    /** Time until the turn of the asker. */
+    retryAfterMs: number
+    /** Time after which the asker asks before its turn, to learn whether the limit has ended; absent in answers of older nodes. */
+    askAgainMs?: number
+    statement: LimitStatement
+  }
   /** The target has no limit any more. */
   | { decision: 'unlimited', statement: LimitStatement }
 
@@ -52,8 +59,13 @@
 const TRIAL_INTERVAL_MS = 2_500
 /** Nodes that asked within this time compete for the next permit. */
 const COMPETITION_MS = 3_000
+/** Queries that competing nodes should send for each permit. With fewer, permits would wait for a query. */
+const QUERIES_PER_PERMIT = 3
 /** Upper bound of the time by which the next queries of competing nodes are spread. */
-const SPREAD_MAX_MS = 1_000
+const SPREAD_MAX_MS = 2_500
+/** Time within which all nodes must learn that a limit has ended, from a permitted request and their next query. */
+const END_KNOWN_MS = 3_500
+const ASK_AGAIN_MIN_MS = 1_000
 /** For a node that may not issue permits yet. */
 const SHARELESS_RETRY_AFTER_MS = 250
 
@@ -83,9 +95,23 @@
     return ledger
   }
 
-  /** Askers that come back at the same moment would all be denied but one. */
-  const retryAfterMs = (ledger: Ledger, delayMs: number, permitIntervalMs: number, nowMs: number): number =>
-    Math.max(1, delayMs) + random.next() * Math.min(SPREAD_MAX_MS, countCompetitors(ledger, nowMs) * permitIntervalMs / 2)
+  /**
+   * The more nodes compete, the later each of them asks again, so the load of the
+   * owner grows more slowly than the fleet. Askers that come back at the same
+   * moment would all be denied but one.
+   */
+  const retryAfterMs = (ledger: Ledger, delayMs: number, permitIntervalMs: number, nowMs: number): number => {
+    const meanMs = countCompetitors(ledger, nowMs) * permitIntervalMs / QUERIES_PER_PERMIT
+    const spreadMs = Math.min(SPREAD_MAX_MS, 1.5 * meanMs)
+    return Math.max(1, delayMs) + spreadMs * (1 + 2 * random.next()) / 3
+  }
+
+  const deny = (ledger: Ledger, delayMs: number, permitIntervalMs: number, statement: LimitStatement, nowMs: number): PermitAnswer => ({
+    decision: 'denied',
+    retryAfterMs: retryAfterMs(ledger, delayMs, permitIntervalMs, nowMs),
+    askAgainMs: Math.max(ASK_AGAIN_MIN_MS, END_KNOWN_MS - permitIntervalMs),
+    statement
+  })
 
   return {
     issue: (query, share, nowMs) => {
@@ -98,7 +124,7 @@
       ledger.askedMs.set(query.nodeId, nowMs)
       const permitIntervalMs = intervalMs(limitPerS, share)
       const delayMs = Math.max(0, ledger.nextPermitMs - Math.max(0, BURST_MS - permitIntervalMs) - nowMs)
-      if (delayMs > query.waitMaxMs) return { decision: 'denied', retryAfterMs: retryAfterMs(ledger, delayMs, permitIntervalMs, nowMs), statement }
+      if (delayMs > query.waitMaxMs) return deny(ledger, delayMs, permitIntervalMs, statement, nowMs)
       ledger.nextPermitMs = Math.max(ledger.nextPermitMs, nowMs) + permitIntervalMs
       return { decision: 'granted', delayMs, statement }
     }
--- a/packages/policy/src/request-limit.ts
+++ b/packages/policy/src/request-limit.ts
@@ -53,14 +53,14 @@
 export const hasLimit = ({ requestLimitPerS }: TargetState): boolean => requestLimitPerS !== undefined
 
 /**
- * Time for which a denial is believed. The next request asks again, because only
- * the owner tells that a limit has ended or was raised.
+ * Time after a denial after which the next request asks again before a permit is
+ * due, because only the owner tells that a limit has ended or was raised.
  */
-const DENIAL_MS = 1_000
+export const ASK_AGAIN_DEFAULT_MS = 1_000
 
 /** Whether a permit for the target may be available after the given wait. */
 export const isPermitPossible = (state: TargetState, waitMaxMs: number, nowMs: number): boolean =>
-  !hasLimit(state) || state.nextPermitMs - nowMs <= waitMaxMs || nowMs - state.permitDeniedMs >= DENIAL_MS
+  !hasLimit(state) || state.nextPermitMs - nowMs <= waitMaxMs || nowMs >= state.askAgainMs
 
 /** Wait that is told to callers at least, since a permit that is due now is taken by requests that are here. */
 const RETRY_AFTER_MIN_MS = 100
--- a/packages/policy/src/target-state.ts
+++ b/packages/policy/src/target-state.ts
@@ -46,7 +46,7 @@
     pausedUntilMs: -Infinity,
     isPauseUnshared: false,
     nextPermitMs: -Infinity,
-    permitDeniedMs: -Infinity,
+    askAgainMs: -Infinity,
     isLimitUnshared: false,
     lastDrainObservedMs: -Infinity,
     hasStatedDraining: false,
--- a/packages/policy/src/target-table.ts
+++ b/packages/policy/src/target-table.ts
@@ -4,7 +4,7 @@
 import { avoidTarget, effectiveLimit, isCongested } from './concurrency-limit.js'
 import { applyReport } from './load-estimate.js'
 import { createTableCore, currentRouting, type TableCore } from './table-core.js'
-import { applyLimitStatement, applyStatedLimit, limitStatementOf } from './request-limit.js'
+import { applyLimitStatement, applyStatedLimit, ASK_AGAIN_DEFAULT_MS, limitStatementOf } from './request-limit.js'
 import { applyTargetList } from './target-list.js'
 import { collectNotes, applyPeerNote } from './target-notes.js'
 import { applyDraining, applyFirstByte, applyOutcome, applyProbe } from './target-outcomes.js'
@@ -121,9 +121,9 @@
     recordLimitStatement: (targetId, statement, nowMs) => withState(targetId, state => {
       if (applyLimitStatement(state, statement, nowMs)) options.onRequestLimit?.(targetId, state.requestLimitPerS)
     }),
-    recordPermitDenied: (targetId, retryAfterMs, nowMs) => withState(targetId, state => {
+    recordPermitDenied: (targetId, retryAfterMs, nowMs, askAgainMs = ASK_AGAIN_DEFAULT_MS) => withState(targetId, state => {
       state.nextPermitMs = nowMs + retryAfterMs
-      state.permitDeniedMs = nowMs
+      state.askAgainMs = nowMs + askAgainMs
     }),
     nextPermitMs: targetId => states.get(targetId)?.nextPermitMs ?? -Infinity,
     recordHealthProbe: (targetId, result, nowMs) => withState(targetId, state => applyProbe(core, state, result, nowMs)),
--- a/packages/policy/src/types.ts
+++ b/packages/policy/src/types.ts
@@ -92,8 +92,11 @@
   limitStatement: (targetId: string, nowMs: number) => LimitStatement
   /** Applies what the permit owner knows of the limit. */
   recordLimitStatement: (targetId: string, statement: LimitStatement, nowMs: number) => void
-  /** Records that no permit for a request to the target is issued before the given time has passed. */
-  recordPermitDenied: (targetId: string, retryAfterMs: number, nowMs: number) => void
+  /**
+   * Records that no permit for a request to the target is issued before the given time has passed.
+   * @param askAgainMs time after which a request may ask nevertheless
+   */
+  recordPermitDenied: (targetId: string, retryAfterMs: number, nowMs: number, askAgainMs?: number) => void
   /** Time before which no permit is expected; -Infinity if nothing is known. */
   nextPermitMs: (targetId: string) => number
   /** Whether load probes are useful; the targets of some services never report their load. */
@@ -170,8 +173,8 @@
   isPauseUnshared: boolean
   /** Before this time, the permit owner issues no permit for a request to the target. */
   nextPermitMs: number
-  /** Time of the last denial of a permit. */
-  permitDeniedMs: number
+  /** From this time on, a request may ask the permit owner although no permit is due yet. */
+  askAgainMs: number
   /** The limit was stated for the first time, and peers are to be told. */
   isLimitUnshared: boolean
   lastResponseMs?: number
