--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -124,6 +124,9 @@
     fleet.resumeAfterPause(gapMs)
   }
 
+  const announcedLoadPercent = (nowMs: number): number =>
+    relaying.responses.isLost(nowMs) ? UNREACHABLE_LOAD_PERCENT : Math.min(runtimes.loadPercent(nowMs), UNREACHABLE_LOAD_PERCENT - 1)
+
   let loadPublishedMs = -Infinity
   const onTick = (nowMs: number, lateMs: number): void => {
     metrics.recordLoopDelay(lateMs)
@@ -133,7 +136,7 @@
     if (notes.length > 0) fleet.shareNotes(notes)
     if (nowMs - loadPublishedMs < LOAD_INTERVAL_MS) return
     loadPublishedMs = nowMs
-    fleet.setLoadPercent(relaying.responses.isLost(nowMs) ? UNREACHABLE_LOAD_PERCENT : Math.min(runtimes.loadPercent(nowMs), UNREACHABLE_LOAD_PERCENT - 1))
+    fleet.setLoadPercent(announcedLoadPercent(nowMs))
   }
 
   const pauseDetector = createPauseDetector({ clock, intervalMs: MAINTENANCE_INTERVAL_MS, thresholdMs: PAUSE_MS_MIN, onPause, onTick })
--- a/packages/daemon/test/fleet-gossip.test.ts
+++ b/packages/daemon/test/fleet-gossip.test.ts
@@ -2,7 +2,7 @@
  * Guards the gossip and peer sockets against invalid datagrams and calls:
  * garbage, altered, replayed, too large, from another fleet or with another key.
  */
-import test from 'ava'
+import test, { type ExecutionContext } from 'ava'
 import { createSocket } from 'node:dgram'
 import { encode } from '@msgpack/msgpack'
 import fc from 'fast-check'
@@ -13,7 +13,7 @@
 import { createPeerAuth } from '../src/adapters/peer-auth.js'
 import { createPeerClients } from '../src/adapters/peer-client.js'
 import { createDatagramCodec, type CodecOptions } from '../src/fleet/datagram-codec.js'
-import { createNodeSettings, startTestNode, waitUntil } from './fleet-nodes.js'
+import { createNodeSettings, startTestNode, waitUntil, type TestNode } from './fleet-nodes.js'
 import { openPlatformDouble } from './platform-double.js'
 
 const FLEET: CodecOptions = { fleet: 'okonkwo', fleetKey: 'a-test-key-of-the-fleet', nodeId: 'entry-77', bootId: 5 }
@@ -66,17 +66,23 @@
   fc.assert(fc.property(fc.uint8Array({ maxLength: 1300 }), garbage => rejectionReason(garbage) !== 'taken'), { seed, numRuns: 2000 })
 })
 
-test.serial('foreign, replayed and garbage datagrams to a running node change nothing, are counted, and give one log line', async t => {
+/** A running node, and a socket that sends datagrams to it. */
+const startNodeWithSocket = async (t: ExecutionContext): Promise<{ node: TestNode, send: (bytes: Uint8Array) => void }> => {
   const platform = await openPlatformDouble()
   platform.publish(sampleConfiguration())
   const node = await startTestNode(createNodeSettings(0, platform.url))
   const socket = createSocket('udp4')
   t.teardown(async () => { socket.close(); await node.runtime.stop(); await platform.close() })
   const { port, host } = node.settings.gossipListen
+  return { node, send: bytes => socket.send(bytes, port, host) }
+}
+
+test.serial('foreign, replayed and garbage datagrams to a running node change nothing, are counted, and give one log line', async t => {
+  const { node, send } = await startNodeWithSocket(t)
   const codec = createDatagramCodec(FLEET)
   const own = codec.encode(createMessage(), 4)
   const foreign = createDatagramCodec({ ...FLEET, fleet: 'authority' }).encode(createMessage(), 1)
-  for (const bytes of [own, own, own, foreign, Buffer.from('garbage'), new Uint8Array(1400)]) socket.send(bytes, port, host)
+  for (const bytes of [own, own, own, foreign, Buffer.from('garbage'), new Uint8Array(1400)]) send(bytes)
   const count = (name: string): number => node.runtime.counters()[name] ?? 0
   await waitUntil('all are counted', () => count('gossip_received') === 6)
   t.is(count('gossip_rejected_replayed'), 2)
@@ -89,12 +95,7 @@
 })
 
 test.serial('signed messages with unusual contents do not end a running node', async t => {
-  const platform = await openPlatformDouble()
-  platform.publish(sampleConfiguration())
-  const node = await startTestNode(createNodeSettings(0, platform.url))
-  const socket = createSocket('udp4')
-  t.teardown(async () => { socket.close(); await node.runtime.stop(); await platform.close() })
-  const { port, host } = node.settings.gossipListen
+  const { node, send } = await startNodeWithSocket(t)
   const codec = createDatagramCodec(FLEET)
   const text = fc.oneof(fc.constantFrom('entry-0', 'entry-77', '127.0.0.1', '256.1.1.1', '::1', 'not a host', '__proto__'), fc.string({ minLength: 1, maxLength: 20 }))
   const integer = fc.oneof({ weight: 300, arbitrary: fc.integer({ min: 1, max: 999 }) }, { weight: 1, arbitrary: fc.constantFrom(0, 65_536, Number.MAX_SAFE_INTEGER, -1, 0.5, NaN) })
@@ -116,7 +117,7 @@
   const messages = fc.sample(message, { seed, numRuns: 3_000 })
   let sequence = 1
   for (const each of messages) {
-    socket.send(codec.encode(each, sequence++), port, host)
+    send(codec.encode(each, sequence++))
     // Lets the node, which runs in this process, read the datagram.
     await new Promise(setImmediate)
   }
--- a/packages/policy/test/placement.test.ts
+++ b/packages/policy/test/placement.test.ts
@@ -7,6 +7,7 @@
 import test from 'ava'
 import { createRandom, type Random } from '@wisteriavalve/common'
 import { createTargetTable, createServiceTimes, planPlacement, type LoadReport, type PlacementRequest, type TargetTable } from '../src/index.js'
+import { createPlacementRequest } from './placement-request.js'
 
 const NOW_MS = 10_000
 const RANDOM: Random = createRandom(5)
@@ -17,29 +18,13 @@
   return targetTable
 }
 
-const request = (fields: Partial<PlacementRequest> = {}): PlacementRequest => ({
-  zone: 'a',
-  exclude: new Set(),
-  idempotent: true,
-  bodyBytes: 0,
-  serviceTimeMs: 100,
-  objectiveEndMs: NOW_MS + 400,
-  deadlineMs: NOW_MS + 1000,
-  probed: new Set(),
-  canProbe: () => true,
-  canWait: true,
-  canRefuse: true,
-  requiresFreeAndFast: false,
-  ...fields
-})
-
 const IDLE: LoadReport = { inFlight: 0, slots: 4, slowdown: 1 }
 const SLOWED: LoadReport = { inFlight: 0, slots: 4, slowdown: 5 }
 const FULL: LoadReport = { inFlight: 4, slots: 4, slowdown: 1 }
 const BACKLOGGED: LoadReport = { inFlight: 12, slots: 4, slowdown: 1 }
 
 const plan = (targetTable: TargetTable, fields: Partial<PlacementRequest> = {}) =>
-  planPlacement(targetTable.routing(NOW_MS), request(fields), NOW_MS, RANDOM)
+  planPlacement(targetTable.routing(NOW_MS), createPlacementRequest(NOW_MS, fields), NOW_MS, RANDOM)
 
 const reportAll = (targetTable: TargetTable, reports: readonly LoadReport[], atMs = NOW_MS): void =>
   reports.forEach((report, index) => targetTable.recordLoadReport(`t${index}`, report, atMs))
--- a/packages/policy/test/request-limit.test.ts
+++ b/packages/policy/test/request-limit.test.ts
@@ -6,6 +6,7 @@
 import test from 'ava'
 import { createRandom } from '@wisteriavalve/common'
 import { createTargetTable, parseRequestLimit, planPlacement, selectTarget, type PlacementRequest, type TargetTable } from '../src/index.js'
+import { createPlacementRequest } from './placement-request.js'
 
 const NOW_MS = 10_000
 
@@ -15,22 +16,8 @@
   return table
 }
 
-const place = (table: TargetTable, fields: Partial<PlacementRequest> = {}) => planPlacement(table.routing(NOW_MS), {
-  zone: 'a',
-  exclude: new Set(),
-  idempotent: true,
-  bodyBytes: 0,
-  serviceTimeMs: 100,
-  objectiveEndMs: NOW_MS + 400,
-  deadlineMs: NOW_MS + 1_000,
-  permitWaitMaxMs: 300,
-  probed: new Set(),
-  canProbe: () => true,
-  canWait: true,
-  canRefuse: true,
-  requiresFreeAndFast: false,
-  ...fields
-}, NOW_MS, createRandom(1))
+const place = (table: TargetTable, fields: Partial<PlacementRequest> = {}) =>
+  planPlacement(table.routing(NOW_MS), createPlacementRequest(NOW_MS, { permitWaitMaxMs: 300, ...fields }), NOW_MS, createRandom(1))
 
 for (const [text, expected] of [
   ['5.3', 5.3], ['0', 0], ['0.05', 0.05], ['12', 12], [' 7 ', 7], [undefined, 'none'],
