Log what is read of the store and ignored

Cause: a read that is not newer than the state of a node was dropped without a line, so a change that never came into force could not be told from one that did not arrive.

Change: store_read_ignored, with both revisions and the source.

--- a/packages/daemon/src/fleet/store-fleet.ts
+++ b/packages/daemon/src/fleet/store-fleet.ts
@@ -83,7 +83,10 @@
     for (const [service, targets] of changes.targets) onTargets.emit(service, targets)
   }
 
+  const logIgnored = (revision: number, source: string): void => log('store_read_ignored', { revision, store_revision: state.revision(), source })
+
   const applySnapshot = (view: PublishedStateView, source: string): void => {
+    if (view.revision < state.revision()) logIgnored(view.revision, source)
     state.applyAll(view, clock.nowMs())
     changeLog.restart(state.revision())
     publish(source)
@@ -92,7 +95,10 @@
 
   /** Ignores changes up to the current revision, because several sources deliver the same changes. */
   const applyChanges = ({ revision, changes }: StoreChanges, source: string): void => {
-    if (revision <= state.revision()) return
+    if (revision <= state.revision()) {
+      logIgnored(revision, source)
+      return
+    }
     for (const change of changes) {
       if (change.type === 'target') log('target_listed', { service: change.target.service, target: change.target.id, state: change.target.state, store_revision: revision, source })
       else if (change.type === 'target-removed') log('target_unlisted', { target: change.targetId, store_revision: revision, source })
