Compare positions in the store only within one era of it

What callers saw: after the platform's store had been restored from an older copy, changes of the configuration were not in force: requests went to the old service, and added routes got 404 (CONFIG, DENIED).

Cause: the store gives revisions out again after a restore, and nodes took whatever was not above their own revision as old. The class of the fault is the comparison of numbers of two histories.

Change: what is read of the store, and what nodes tell each other of it, bears the restore count besides the revision (fleet/store-position). A higher count leads to a read of the whole state, a lower one is late and changes nothing. A configuration is never replaced by a lower version, a version that is given out again with other content replaces the lost one, and peers hand on a newer configuration whatever their position. A target that is known to have left is not used because a copy lists it.

--- a/packages/daemon/src/adapters/peer-rpc.ts
+++ b/packages/daemon/src/adapters/peer-rpc.ts
@@ -11,7 +11,7 @@
 import type { PermitAnswer, PermitQuery } from '@wisteriavalve/fleet'
 import type { EventEntry, NodeReport, NodeStatus, VmEntry } from '@wisteriavalve/schema'
 import { parseExplainQuery, type ExplainQuery } from '../admin-api.js'
-import type { ChangesQuery, PeerChanges, PublishedUpdate } from '../fleet/peer-watch.js'
+import type { ChangesQuery, PeerChanges, PublishedQuery, PublishedUpdate } from '../fleet/peer-watch.js'
 import type { ListenAddress } from '../types.js'
 import { AUTHENTICATION_HEADER, isSameMac, REQUEST_NONCE_HEADER, type PeerAuth } from './peer-auth.js'
 
@@ -26,8 +26,8 @@
   head: () => PeerHead | null
   values: (hashes: readonly string[]) => PeerValue[]
   vmList: () => PeerVmList | null
-  /** Published state of the platform's store; null unless this node has a later revision than the given one. */
-  published: (revision: number) => PublishedUpdate | null
+  /** Published state of the platform's store; null unless this node has a later position or a newer configuration. */
+  published: (query: PublishedQuery) => PublishedUpdate | null
   /** Changes of the published state, for peers that follow this node. */
   changes: (query: ChangesQuery) => Promise<PeerChanges>
   /** Permit for a request to a target that limits the requests of all nodes together. */
@@ -57,21 +57,25 @@
   return { ageMs, hash }
 }
 
-const parsePublishedQuery = (input: unknown): { revision: number } => {
-  const { revision } = (input ?? {}) as { revision?: unknown }
-  if (typeof revision !== 'number') throw new Error('revision must be a number')
-  return { revision }
+const isOptionalNumber = (value: unknown): value is number | undefined => value === undefined || typeof value === 'number'
+
+const parsePublishedQuery = (input: unknown): PublishedQuery => {
+  const { restoreCount, revision, configurationVersion } = (input ?? {}) as Partial<Record<keyof PublishedQuery, unknown>>
+  if (typeof revision !== 'number' || !isOptionalNumber(restoreCount) || !isOptionalNumber(configurationVersion)) {
+    throw new Error('revision, restoreCount and configurationVersion must be numbers')
+  }
+  return { revision, restoreCount, configurationVersion }
 }
 
 /** Limits the wait of a long poll, because a wrong query must not hold a call for long. */
 const CHANGES_WAIT_MAX_MS = 5_000
 
 const parseChangesQuery = (input: unknown): ChangesQuery => {
-  const { afterRevision, waitMs } = (input ?? {}) as Partial<Record<keyof ChangesQuery, unknown>>
-  if (typeof afterRevision !== 'number' || typeof waitMs !== 'number' || !(waitMs >= 0 && waitMs <= CHANGES_WAIT_MAX_MS)) {
-    throw new Error('afterRevision and waitMs must be numbers')
+  const { restoreCount, afterRevision, waitMs } = (input ?? {}) as Partial<Record<keyof ChangesQuery, unknown>>
+  if (typeof afterRevision !== 'number' || !isOptionalNumber(restoreCount) || typeof waitMs !== 'number' || !(waitMs >= 0 && waitMs <= CHANGES_WAIT_MAX_MS)) {
+    throw new Error('afterRevision, restoreCount and waitMs must be numbers')
   }
-  return { afterRevision, waitMs }
+  return { restoreCount, afterRevision, waitMs }
 }
 
 /** Longest time for which a permit is issued ahead; requests do not wait longer for a target. */
@@ -101,7 +105,7 @@
     values: procedure.input(parseHashes).query(({ input }) => source.values(input)),
     /** Null unless this node's list is newer than the given age. */
     vmList: procedure.input(parseVmListQuery).query(({ input }) => newerVmList(source.vmList(), input)),
-    published: procedure.input(parsePublishedQuery).query(({ input }) => source.published(input.revision)),
+    published: procedure.input(parsePublishedQuery).query(({ input }) => source.published(input)),
     changes: procedure.input(parseChangesQuery).query(({ input }) => source.changes(input)),
     permit: procedure.input(parsePermitQuery).mutation(({ input }) => source.permit(input)),
     status: procedure.query(() => source.status()),
--- a/packages/daemon/src/fleet/peer-watch.ts
+++ b/packages/daemon/src/fleet/peer-watch.ts
@@ -4,35 +4,53 @@
  * Therefore one node of each availability zone polls the store, and the others
  * poll nodes.
  */
-import type { PublishedChange, PublishedStateView } from '@wisteriavalve/fleet'
+import type { PublishedChange, PublishedConfiguration, PublishedStateView, StorePosition } from '@wisteriavalve/fleet'
 import type { PeerAddress, PeerClients } from '../adapters/peer-client.js'
 import { describeError } from '../adapters/http-json.js'
 import type { WatchChanges } from './store-follower.js'
 
 /** Response of a node to a peer that follows it. ageMs is the time since the store responded, including all nodes in between. */
 export type PeerChanges =
-  | { state: 'current', revision: number, changes: PublishedChange[], ageMs: number }
-  /** The changes after the requested revision are no longer kept. */
+  | StorePosition & { state: 'current', changes: PublishedChange[], ageMs: number }
+  /** The changes after the requested position are no longer kept, or the store was restored since. */
   | { state: 'restart', view: PublishedStateView, ageMs: number }
-  /** The node's last contact with the store is too long ago. */
+  /** The node's last contact with the store is too long ago, or before the restore that the peer knows of. */
   | { state: 'behind' }
 
-/** Published state that a node has beyond the revision of the requesting peer. */
+/** Published state that a node has beyond what the requesting peer has. */
 export type PublishedUpdate =
-  | { state: 'changes', revision: number, changes: PublishedChange[] }
-  /** The changes after the requested revision are no longer kept. */
+  | StorePosition & { state: 'changes', changes: PublishedChange[] }
+  /** The changes after the requested position are no longer kept, or the store was restored since. */
   | { state: 'whole', view: PublishedStateView }
+  /** Only the configuration is newer: the store of the peer was restored from a copy with an older one. */
+  | { state: 'configuration', configuration: PublishedConfiguration }
 
-export type ChangesQuery = { afterRevision: number, waitMs: number }
+/** Nodes of earlier releases state no restore count. It is then taken to be that of the other side. */
+export type ChangesQuery = { restoreCount?: number, afterRevision: number, waitMs: number }
+
+/** What the requesting peer has. */
+export type PublishedQuery = {
+  restoreCount?: number
+  revision: number
+  /** -1 before the first configuration; absent at nodes of earlier releases. */
+  configurationVersion?: number
+}
+
+/** Completes a response of a node of an earlier release, which states no restore count. */
+export const withRestoreCount = <T extends object>(response: T, restoreCount: number): T => ({ restoreCount, ...response })
 
 /** Time beyond the long poll's wait after which the call to the peer is aborted. */
 const RESPONSE_MARGIN_MS = 500
 
-export const createPeerWatch = (clients: PeerClients, peer: PeerAddress): WatchChanges => async (afterRevision, waitMs, signal) => {
+export const createPeerWatch = (clients: PeerClients, peer: PeerAddress): WatchChanges => async (after, waitMs, signal) => {
+  const { restoreCount } = after
   try {
-    const response = await clients.to(peer).changes.query({ afterRevision, waitMs }, { signal: AbortSignal.any([signal, AbortSignal.timeout(waitMs + RESPONSE_MARGIN_MS)]) })
-    if (response.state === 'current') return { ok: true, value: { revision: response.revision, changes: response.changes, ageMs: response.ageMs } }
-    if (response.state === 'restart') return { ok: true, value: { revision: response.view.revision, changes: [], view: response.view, ageMs: response.ageMs } }
+    const response = await clients.to(peer).changes.query({ restoreCount, afterRevision: after.revision, waitMs }, { signal: AbortSignal.any([signal, AbortSignal.timeout(waitMs + RESPONSE_MARGIN_MS)]) })
+    if (response.state === 'current') return { ok: true, value: withRestoreCount(response, restoreCount) }
+    if (response.state === 'restart') {
+      const view = withRestoreCount(response.view, restoreCount)
+      return { ok: true, value: { restoreCount: view.restoreCount, revision: view.revision, changes: [], view, ageMs: response.ageMs } }
+    }
     return { ok: false, error: { kind: 'behind', message: 'the peer has no contact with the store' } }
   } catch (error) {
     return { ok: false, error: { kind: 'unreachable', message: describeError(error) } }
--- a/packages/daemon/src/fleet/store-fleet.ts
+++ b/packages/daemon/src/fleet/store-fleet.ts
@@ -4,7 +4,7 @@
  * follow nodes. A node without contact to the store pulls the state from a
  * random peer. Nodes discover each other through seeds and then by gossip.
  */
-import { buildZoneEntryAnswer, chooseStoreSource, createChangeLog, createPublishedState, type PublishedStateView } from '@wisteriavalve/fleet'
+import { buildZoneEntryAnswer, chooseStoreSource, compareStorePositions, createChangeLog, createPublishedState, type PublishedStateView, type StorePosition } from '@wisteriavalve/fleet'
 import type { ProbeResult } from '@wisteriavalve/policy'
 import type { EntryAnswer, MemberUpdate, TargetNote, VmEntry } from '@wisteriavalve/schema'
 import { createPeerAuth } from '../adapters/peer-auth.js'
@@ -20,11 +20,13 @@
 import { toActiveConfiguration } from './published-configuration.js'
 import { createCatchUp } from './catch-up.js'
 import { createChangeWaiters } from './change-waiters.js'
-import { createPeerWatch, type ChangesQuery, type PeerChanges, type PublishedUpdate } from './peer-watch.js'
+import { createPeerWatch, withRestoreCount, type ChangesQuery, type PeerChanges, type PublishedQuery, type PublishedUpdate } from './peer-watch.js'
 import { createStoreFollower, type PlatformStore, type FollowedPeer, type StoreChanges } from './store-follower.js'
 
 export type StoreFleetOptions = {
   store: PlatformStore
+  /** Time after which the store removes the entry of a target that has stopped renewing it. */
+  targetLeaseMs: number
   /** First nodes to contact; read repeatedly, because seeds may become available late and may change. */
   seeds: () => readonly VmEntry[]
 }
@@ -44,11 +46,11 @@
 /** Time for which a peer is not followed after it reported no contact with the store. */
 const BEHIND_PEER_EXCLUSION_MS = 1_000
 
-export const createStoreFleet = (context: DaemonContext, { store, seeds }: StoreFleetOptions): FleetRuntime => {
+export const createStoreFleet = (context: DaemonContext, { store, targetLeaseMs, seeds }: StoreFleetOptions): FleetRuntime => {
   const { clock, random, settings, log } = context
   const auth = createPeerAuth(settings.fleet, settings.fleetKey)
   const clients = createPeerClients(auth)
-  const state = createPublishedState()
+  const state = createPublishedState({ targetLeaseMs })
   const changeLog = createChangeLog(CHANGE_LOG_ENTRIES)
   const waiters = createChangeWaiters(clock)
   const excludedUntilMs = new Map<string, number>()
@@ -76,35 +78,44 @@
     if (changes.configuration) {
       activeConfiguration = toActiveConfiguration(changes.configuration, settings)
       adoptedMs = clock.nowMs()
-      log('configuration_adopted', { revision: changes.configuration.version, store_revision: state.revision(), source, routes: changes.configuration.routes.length })
+      log('configuration_adopted', { revision: changes.configuration.version, store_revision: state.position().revision, restore_count: state.position().restoreCount, source, routes: changes.configuration.routes.length })
       onConfiguration.emit(activeConfiguration)
       gossip.membership()?.setConfiguration(activeConfiguration.order)
     }
     for (const [service, targets] of changes.targets) onTargets.emit(service, targets)
   }
 
-  const logIgnored = (revision: number, source: string): void => log('store_read_ignored', { revision, store_revision: state.revision(), source })
+  const logIgnored = ({ restoreCount, revision }: StorePosition, source: string): void => {
+    const current = state.position()
+    log('store_read_ignored', { revision, restore_count: restoreCount, store_revision: current.revision, store_restore_count: current.restoreCount, source })
+  }
+
+  const logRestore = (previous: StorePosition, { restoreCount, revision }: StorePosition, source: string): void =>
+    log('store_restored', { revision, restore_count: restoreCount, previous_revision: previous.revision, previous_restore_count: previous.restoreCount, source })
 
   const applySnapshot = (view: PublishedStateView, source: string): void => {
-    if (view.revision < state.revision()) logIgnored(view.revision, source)
+    const previous = state.position()
+    if (compareStorePositions(view, previous) < 0) logIgnored(view, source)
+    if (view.restoreCount > previous.restoreCount && previous.revision > 0) logRestore(previous, view, source)
     state.applyAll(view, clock.nowMs())
-    changeLog.restart(state.revision())
+    changeLog.restart(state.position())
     publish(source)
     waiters.notify()
   }
 
-  /** Ignores changes up to the current revision, because several sources deliver the same changes. */
-  const applyChanges = ({ revision, changes }: StoreChanges, source: string): void => {
-    if (revision <= state.revision()) {
-      logIgnored(revision, source)
+  /** Ignores changes up to the current position, because several sources deliver the same changes. */
+  const applyChanges = ({ restoreCount, revision, changes }: StoreChanges, source: string): void => {
+    const position = { restoreCount, revision }
+    if (compareStorePositions(position, state.position()) <= 0) {
+      logIgnored(position, source)
       return
     }
     for (const change of changes) {
       if (change.type === 'target') log('target_listed', { service: change.target.service, target: change.target.id, state: change.target.state, store_revision: revision, source })
       else if (change.type === 'target-removed') log('target_unlisted', { target: change.targetId, store_revision: revision, source })
     }
-    state.applyChanges(revision, changes, clock.nowMs())
-    changeLog.add(revision, changes)
+    state.applyChanges(position, changes, clock.nowMs())
+    changeLog.add(position, changes)
     publish(source)
     waiters.notify()
   }
@@ -133,19 +144,22 @@
   }
 
   /** Responds to the long poll of a peer that follows this node, without waiting if changes are pending for it, or if it needs another source. */
-  const handleChangesQuery = async ({ afterRevision, waitMs }: ChangesQuery): Promise<PeerChanges> => {
-    if (!follower.canBeFollowed()) return { state: 'behind' }
-    if (state.revision() <= afterRevision) await waiters.wait(waitMs)
-    if (!follower.canBeFollowed()) return { state: 'behind' }
-    const changes = changeLog.since(afterRevision)
+  const handleChangesQuery = async ({ restoreCount = state.position().restoreCount, afterRevision, waitMs }: ChangesQuery): Promise<PeerChanges> => {
+    const after = { restoreCount, revision: afterRevision }
+    const canAnswer = (): boolean => follower.canBeFollowed() && state.position().restoreCount >= after.restoreCount
+    if (!canAnswer()) return { state: 'behind' }
+    if (compareStorePositions(state.position(), after) <= 0) await waiters.wait(waitMs)
+    if (!canAnswer()) return { state: 'behind' }
+    const changes = changeLog.since(after)
     const ageMs = follower.ageMs()
-    return changes ? { state: 'current', revision: state.revision(), changes, ageMs } : { state: 'restart', view: state.view(), ageMs }
+    return changes ? { state: 'current', ...state.position(), changes, ageMs } : { state: 'restart', view: state.view(), ageMs }
   }
 
   const follower = createStoreFollower({
     context,
     store,
     source: nextSource,
+    knownPosition: state.position,
     onSnapshot: applySnapshot,
     onChanges: applyChanges,
     onDisconnected: () => {
@@ -165,18 +179,29 @@
     }
   })
 
-  const updateAfter = (revision: number): PublishedUpdate | null => {
-    if (!state.configuration() || state.revision() <= revision) return null
-    const changes = changeLog.since(revision)
-    return changes ? { state: 'changes', revision: state.revision(), changes } : { state: 'whole', view: state.view() }
+  const updateFor = ({ restoreCount = state.position().restoreCount, revision, configurationVersion: peerVersion = Infinity }: PublishedQuery): PublishedUpdate | null => {
+    const configuration = state.configuration()
+    if (!configuration) return null
+    const position = { restoreCount, revision }
+    if (compareStorePositions(state.position(), position) <= 0) return configuration.version > peerVersion ? { state: 'configuration', configuration } : null
+    const changes = changeLog.since(position)
+    return changes ? { state: 'changes', ...state.position(), changes } : { state: 'whole', view: state.view() }
+  }
+
+  const applyUpdate = (update: PublishedUpdate, source: string): void => {
+    const { restoreCount } = state.position()
+    if (update.state === 'changes') applyChanges(withRestoreCount(update, restoreCount), source)
+    else if (update.state === 'whole') applySnapshot(withRestoreCount(update.view, restoreCount), source)
+    else {
+      state.offerConfiguration(update.configuration)
+      publish(source)
+    }
   }
 
   const pullFrom = async (peer: MemberUpdate): Promise<void> => {
     try {
-      const update = await clients.to(peer).published.query({ revision: state.revision() })
-      if (!update || isStopped) return
-      if (update.state === 'changes') applyChanges(update, peer.nodeId)
-      else applySnapshot(update.view, peer.nodeId)
+      const update = await clients.to(peer).published.query({ ...state.position(), configurationVersion: configurationVersion() })
+      if (update && !isStopped) applyUpdate(update, peer.nodeId)
     } catch (error) {
       log('peer_unreachable', { member: peer.nodeId, message: describeError(error) })
     }
@@ -221,7 +246,7 @@
       head: () => null,
       values: () => [],
       vmList: () => null,
-      published: updateAfter,
+      published: updateFor,
       changes: handleChangesQuery,
       permit: permits.issue,
       ...source
@@ -264,7 +289,8 @@
     }),
     gauges: () => ({
       ...(Number.isFinite(follower.ageMs()) && { store_age_ms: Math.round(follower.ageMs()) }),
-      store_revision: state.revision(),
+      store_revision: state.position().revision,
+      store_restore_count: state.position().restoreCount,
       configuration_version: state.configuration()?.version ?? 0,
       ...(adoptedMs !== undefined && { configuration_age_ms: Math.round(clock.nowMs() - adoptedMs) })
     }),
--- a/packages/daemon/src/fleet/store-follower.ts
+++ b/packages/daemon/src/fleet/store-follower.ts
@@ -2,10 +2,11 @@
  * Follows the platform's store: reads the whole state once and then watches for
  * changes after the latest revision, at the store or at a peer that follows it.
  * Failed reads of the store are retried with backoff. When the store no longer
- * has the changes after the latest revision, the whole state is read again.
+ * has the changes after the latest revision, or was restored from an older copy,
+ * the whole state is read again.
  */
 import type { Result } from '@wisteriavalve/common'
-import type { PublishedChange, PublishedStateView } from '@wisteriavalve/fleet'
+import { laterStorePosition, NO_STORE_POSITION, type PublishedChange, type PublishedStateView, type StorePosition } from '@wisteriavalve/fleet'
 import type { DaemonContext } from '../types.js'
 import { createBackoff } from './backoff.js'
 import { wait } from './wait.js'
@@ -19,8 +20,7 @@
   message: string
 }
 
-export type StoreChanges = {
-  revision: number
+export type StoreChanges = StorePosition & {
   changes: PublishedChange[]
   /** The whole state, given when the single changes are not available. */
   view?: PublishedStateView
@@ -29,7 +29,7 @@
 }
 
 /** Resolves at the next change, or without changes after waitMs. */
-export type WatchChanges = (afterRevision: number, waitMs: number, signal: AbortSignal) => Promise<Result<StoreChanges, StoreError>>
+export type WatchChanges = (after: StorePosition, waitMs: number, signal: AbortSignal) => Promise<Result<StoreChanges, StoreError>>
 
 /** Read-only client of the platform's store that returns decoded state. */
 export type PlatformStore = {
@@ -47,6 +47,8 @@
   store: PlatformStore
   /** Source of the next read: the store, a peer, or none for now. */
   source: () => 'store' | 'none' | FollowedPeer
+  /** Latest position of the store that this node knows, from any source. */
+  knownPosition: () => StorePosition
   /** @param source 'store', or the id of the peer that was read */
   onSnapshot: (view: PublishedStateView, source: string) => void
   onChanges: (changes: StoreChanges, source: string) => void
@@ -90,12 +92,17 @@
 const START_JITTER_MS = 50
 /** Value of the log field `source` for state that was read from the store. */
 const STORE_SOURCE = 'store'
+const BEFORE_RESTORE_MESSAGE = 'the response is from before the last restore of the store'
 
-export const createStoreFollower = ({ context, store, source, onSnapshot, onChanges, onDisconnected, onReconnected }: StoreFollowerOptions): StoreFollower => {
+const logFields = ({ restoreCount, revision }: StorePosition = NO_STORE_POSITION): { revision: number, restore_count: number } =>
+  ({ revision, restore_count: restoreCount })
+
+export const createStoreFollower = ({ context, store, source, knownPosition, onSnapshot, onChanges, onDisconnected, onReconnected }: StoreFollowerOptions): StoreFollower => {
   const { clock, random, log } = context
   const backoff = createBackoff({ firstMs: BACKOFF_FIRST_MS, maxMs: BACKOFF_MAX_MS, random })
   const stopController = new AbortController()
-  let revision: number | undefined
+  /** Position from which the next watch starts; undefined when the whole state has to be read. */
+  let position: StorePosition | undefined
   let isFirstSnapshot = true
   /** Time of the last response of the store, to this node or through a peer. */
   let lastContactMs = -Infinity
@@ -110,7 +117,7 @@
     backoff.reset()
     if (!isDisconnected) return
     isDisconnected = false
-    log('store_reachable', { revision: revision ?? 0 })
+    log('store_reachable', logFields(position))
     onReconnected()
   }
 
@@ -118,39 +125,46 @@
     if (isDisconnected && !isFirstFailure) return
     isDisconnected = true
     isFirstFailure = false
-    log('store_unreachable', { message, revision: revision ?? 0, age_ms: Number.isFinite(lastContactMs) ? Math.round(clock.nowMs() - lastContactMs) : -1 })
+    log('store_unreachable', { message, ...logFields(position), age_ms: Number.isFinite(lastContactMs) ? Math.round(clock.nowMs() - lastContactMs) : -1 })
     onDisconnected()
   }
 
+  /** @returns delay until the next read */
+  const fail = (message: string): number => {
+    recordFailure(message)
+    return backoff.next()
+  }
+
+  /** Whether the store has answered before its last restore that this node knows of. */
+  const isBeforeRestore = ({ restoreCount }: StorePosition): boolean => restoreCount < knownPosition().restoreCount
+
   const readSnapshot = async (): Promise<number> => {
     const read = await store.readSnapshot(stopController.signal)
     if (stopController.signal.aborted) return 0
-    if (!read.ok) {
-      recordFailure(read.error.message)
-      return backoff.next()
-    }
+    if (!read.ok) return fail(read.error.message)
+    if (isBeforeRestore(read.value)) return fail(BEFORE_RESTORE_MESSAGE)
     const delayMs = isFirstSnapshot ? MEMBER_DISCOVERY_MS : 0
     isFirstSnapshot = false
-    revision = read.value.revision
+    position = { restoreCount: read.value.restoreCount, revision: read.value.revision }
     recordContact(0)
     onSnapshot(read.value, STORE_SOURCE)
     return delayMs
   }
 
   /** @returns whether the read contained changes */
-  const applyRead = ({ view, ageMs = 0, ...changes }: StoreChanges, afterRevision: number, from: string): boolean => {
-    revision = Math.max(afterRevision, changes.revision)
+  const applyRead = ({ view, ageMs = 0, ...changes }: StoreChanges, after: StorePosition, from: string): boolean => {
+    position = laterStorePosition(after, { restoreCount: changes.restoreCount, revision: changes.revision })
     recordContact(ageMs)
     if (view) onSnapshot(view, from)
     else if (changes.changes.length > 0) onChanges(changes, from)
     return changes.changes.length > 0
   }
 
-  const watchPeer = async (afterRevision: number, followed: FollowedPeer): Promise<number> => {
-    const read = await followed.watch(afterRevision, PEER_WATCH_MS, stopController.signal)
+  const watchPeer = async (after: StorePosition, followed: FollowedPeer): Promise<number> => {
+    const read = await followed.watch(after, PEER_WATCH_MS, stopController.signal)
     if (stopController.signal.aborted) return 0
     if (read.ok) {
-      applyRead(read.value, afterRevision, followed.nodeId)
+      applyRead(read.value, after, followed.nodeId)
     } else {
       isUncertain = true
       followed.reportFailure(read.error)
@@ -158,25 +172,27 @@
     return 0
   }
 
-  const watch = async (afterRevision: number): Promise<number> => {
-    const read = await store.watch(afterRevision, STORE_WATCH_MS, stopController.signal)
+  const readAllNext = (message: string): number => {
+    log('store_read_again', { ...logFields(position), message })
+    position = undefined
+    return 0
+  }
+
+  const watch = async (after: StorePosition): Promise<number> => {
+    const read = await store.watch(after, STORE_WATCH_MS, stopController.signal)
     if (stopController.signal.aborted) return 0
-    if (read.ok) return applyRead(read.value, afterRevision, STORE_SOURCE) ? CHANGE_BATCHING_MS : 0
-    if (read.error.kind === 'history-lost') {
-      log('store_read_again', { revision: afterRevision, message: read.error.message })
-      revision = undefined
-      return 0
-    }
-    recordFailure(read.error.message)
-    return backoff.next()
+    if (!read.ok) return read.error.kind === 'history-lost' ? readAllNext(read.error.message) : fail(read.error.message)
+    if (isBeforeRestore(read.value)) return fail(BEFORE_RESTORE_MESSAGE)
+    if (read.value.restoreCount !== after.restoreCount) return readAllNext('the store was restored from an older copy')
+    return applyRead(read.value, after, STORE_SOURCE) ? CHANGE_BATCHING_MS : 0
   }
 
   /** @returns delay until the next read */
   const readNext = async (): Promise<number> => {
-    if (revision === undefined) return readSnapshot()
+    if (position === undefined) return readSnapshot()
     const next = source()
-    if (next === 'store') return watch(revision)
-    if (next !== 'none') return watchPeer(revision, next)
+    if (next === 'store') return watch(position)
+    if (next !== 'none') return watchPeer(position, next)
     recordFailure('no available peer has contact with the store')
     return NO_SOURCE_RETRY_MS
   }
--- a/packages/daemon/test/store-follower.test.ts
+++ b/packages/daemon/test/store-follower.test.ts
@@ -2,9 +2,11 @@
  * Guards against redundant calls to the store, whose data a peer provides too:
  * when a whole fleet starts and each node watches the store before it has
  * discovered its peers, and when the store is down. Also guards against
- * following a node whose data is old.
+ * following a node whose data is old, and against mixing what the store says
+ * before and after it was restored from an older copy.
  */
 import { createManualClock, createRandom } from '@wisteriavalve/common'
+import type { StorePosition } from '@wisteriavalve/fleet'
 import test from 'ava'
 import { createStoreFollower, type PlatformStore, type FollowedPeer, type StoreFollowerOptions } from '../src/fleet/store-follower.js'
 import type { DaemonContext } from '../src/types.js'
@@ -16,7 +18,7 @@
   const store: PlatformStore = {
     readSnapshot: async () => {
       calls.push('read')
-      return { ok: true, value: { revision: 5, targets: [] } }
+      return { ok: true, value: { restoreCount: 0, revision: 5, targets: [] } }
     },
     watch: () => {
       calls.push('watch')
@@ -26,7 +28,7 @@
     close: async () => {}
   }
   const context = { clock, random: createRandom(1), log: () => {} } as unknown as DaemonContext
-  const follower = createStoreFollower({ context, store, source, onSnapshot: () => {}, onChanges: () => {}, onDisconnected: () => {}, onReconnected: () => {} })
+  const follower = createStoreFollower({ context, store, source, knownPosition: () => ({ restoreCount: 0, revision: 0 }), onSnapshot: () => {}, onChanges: () => {}, onDisconnected: () => {}, onReconnected: () => {} })
   follower.start()
   const advance = async (durationMs: number): Promise<void> => {
     for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += 10) {
@@ -68,7 +70,7 @@
   const start = clock.nowMs()
   // The last update of the followed node from the store was at the start of the test. It responds after 100 ms.
   const watch: FollowedPeer['watch'] = () => new Promise(resolve => {
-    clock.after(100, () => resolve({ ok: true, value: { revision: 5, changes: [], ageMs: clock.nowMs() - start } }))
+    clock.after(100, () => resolve({ ok: true, value: { restoreCount: 0, revision: 5, changes: [], ageMs: clock.nowMs() - start } }))
   })
   const { advance, follower, stop } = startFollower(() => ({ nodeId: 'a-2', watch, reportFailure: () => {} }), clock)
   await advance(2000)
@@ -97,3 +99,68 @@
   t.false(follower.isDisconnected())
   stop()
 })
+
+type RestoredStoreOptions = {
+  snapshots: StorePosition[]
+  watched: StorePosition
+  known: StorePosition
+}
+
+/** A store whose snapshots have the given positions in turn, and whose watches respond once, after 100 ms. */
+const startRestoredFollower = ({ snapshots, watched, known }: RestoredStoreOptions) => {
+  const clock = createManualClock()
+  const watchedFrom: StorePosition[] = []
+  const applied: StorePosition[] = []
+  const events: string[] = []
+  let snapshotCount = 0
+  const store: PlatformStore = {
+    readSnapshot: async () => ({ ok: true, value: { ...snapshots[Math.min(snapshotCount++, snapshots.length - 1)] as StorePosition, targets: [] } }),
+    watch: after => {
+      watchedFrom.push(after)
+      return new Promise(resolve => {
+        if (watchedFrom.length === 1) clock.after(100, () => resolve({ ok: true, value: { ...watched, changes: [{ type: 'target-removed', targetId: 'a' }] } }))
+      })
+    },
+    callCount: () => 0,
+    close: async () => {}
+  }
+  const context = { clock, random: createRandom(1), log: (event: string) => events.push(event) } as unknown as DaemonContext
+  const follower = createStoreFollower({
+    context,
+    store,
+    source: () => 'store',
+    knownPosition: () => known,
+    onSnapshot: ({ restoreCount, revision }) => applied.push({ restoreCount, revision }),
+    onChanges: ({ restoreCount, revision }) => applied.push({ restoreCount, revision }),
+    onDisconnected: () => {},
+    onReconnected: () => {}
+  })
+  follower.start()
+  const advance = async (durationMs: number): Promise<void> => {
+    for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += 10) {
+      clock.advance(10)
+      await nextEventLoopTurn()
+    }
+  }
+  return { applied, watchedFrom, events, advance, stop: follower.stop }
+}
+
+test('a watch that shows that the store was restored is followed by a read of the whole state, and its changes are dropped', async t => {
+  const before = { restoreCount: 1, revision: 40 }
+  const restored = { restoreCount: 2, revision: 42 }
+  const { applied, watchedFrom, events, advance, stop } = startRestoredFollower({ snapshots: [before, restored], watched: restored, known: before })
+  await advance(1_000)
+  t.deepEqual(applied, [before, restored])
+  t.deepEqual(watchedFrom, [before, restored])
+  t.true(events.includes('store_read_again'))
+  stop()
+})
+
+test('what the store answered before a restore that a peer has told of is not used', async t => {
+  const before = { restoreCount: 1, revision: 40 }
+  const restored = { restoreCount: 2, revision: 30 }
+  const { applied, advance, stop } = startRestoredFollower({ snapshots: [before, restored], watched: { restoreCount: 1, revision: 44 }, known: restored })
+  await advance(2_000)
+  t.deepEqual(applied, [restored])
+  stop()
+})
--- a/packages/fleet/src/change-log.ts
+++ b/packages/fleet/src/change-log.ts
@@ -1,41 +1,42 @@
 /**
  * The latest published changes, kept for peers that read changes from this node
  * instead of the store. A peer that requests changes from before the start of the
- * log receives the full state.
+ * log, or from before the last restore of the store, receives the full state.
  */
-import type { PublishedChange } from './types.js'
+import { compareStorePositions, NO_STORE_POSITION } from './store-position.js'
+import type { PublishedChange, StorePosition } from './types.js'
 
 export type ChangeLog = {
-  /** Adds the changes up to a revision. Revisions already received from another source are ignored, because they would undo newer changes. */
-  add: (revision: number, changes: readonly PublishedChange[]) => void
-  /** Clears the log and starts it at a revision, after the full state was read. */
-  restart: (revision: number) => void
-  /** Returns the changes after a revision, or undefined when the log starts later. */
-  since: (revision: number) => PublishedChange[] | undefined
+  /** Adds the changes up to a position. Positions already received from another source are ignored, because they would undo newer changes. */
+  add: (position: StorePosition, changes: readonly PublishedChange[]) => void
+  /** Clears the log and starts it at a position, after the full state was read. */
+  restart: (position: StorePosition) => void
+  /** Returns the changes after a position, or undefined when the log starts later or belongs to another restore count. */
+  since: (position: StorePosition) => PublishedChange[] | undefined
 }
 
-type Entry = { revision: number, changes: readonly PublishedChange[] }
+type Entry = { position: StorePosition, changes: readonly PublishedChange[] }
 
 /** @param entriesMax maximum number of reads whose changes are kept */
 export const createChangeLog = (entriesMax: number): ChangeLog => {
   let entries: Entry[] = []
-  let startRevision = Infinity
-  let newestRevision = -Infinity
+  let startPosition: StorePosition | undefined
+  let newestPosition = NO_STORE_POSITION
   return {
-    add: (revision, changes) => {
-      if (revision <= newestRevision) return
-      newestRevision = revision
-      entries.push({ revision, changes })
+    add: (position, changes) => {
+      if (compareStorePositions(position, newestPosition) <= 0) return
+      newestPosition = position
+      entries.push({ position, changes })
       const dropped = entries.length > entriesMax ? entries.shift() : undefined
-      if (dropped) startRevision = dropped.revision
+      if (dropped) startPosition = dropped.position
     },
-    restart: revision => {
+    restart: position => {
       entries = []
-      startRevision = revision
-      newestRevision = revision
+      startPosition = position
+      newestPosition = position
     },
-    since: revision => revision < startRevision
+    since: position => startPosition?.restoreCount !== position.restoreCount || compareStorePositions(position, startPosition) < 0
       ? undefined
-      : entries.filter(entry => entry.revision > revision).flatMap(entry => entry.changes)
+      : entries.filter(entry => compareStorePositions(entry.position, position) > 0).flatMap(entry => entry.changes)
   }
 }
--- a/packages/fleet/src/constants.ts
+++ b/packages/fleet/src/constants.ts
@@ -69,8 +69,10 @@
 export const SEQUENCE_WINDOW = 256
 export const UNVERIFIED_WINDOWS_MAX = 256
 
-/** Target entries that expired while the store was unreachable are listed again within this time after it answers again. */
+/** Target entries that expired while the store was unreachable, or that a restored store lost, are listed again within this time after it answers again. */
 export const RELISTING_GRACE_MS = 2000
+/** Time after which the store removes the entry of a target that has stopped renewing it, when the platform does not state it. */
+export const TARGET_LEASE_DEFAULT_MS = 4500
 
 /** Time for which a VM stays marked as leaving, because a stale VM list can show it as live again. */
 export const LEAVING_RETENTION_MS = 60_000
--- a/packages/fleet/src/published-state.ts
+++ b/packages/fleet/src/published-state.ts
@@ -2,97 +2,122 @@
  * The state that the platform publishes in its store, as read by this node: the
  * newest configuration and the list of targets. A configuration is never replaced
  * by an older one. A target that is removed from the list gets no new requests.
- * The exception is the time right after the store was unreachable: entries expire
- * during the outage and are listed again soon after, so a missing target is kept
+ * The exception is the time right after the store was unreachable or restored:
+ * entries that were lost are listed again soon after, so a missing target is kept
  * for a grace period.
  */
+import { isDeepStrictEqual } from 'node:util'
 import type { ListedTarget } from '@wisteriavalve/common'
-import type { PublishedChange, PublishedConfiguration, PublishedState, PublishedStateView, PublishedTarget } from './types.js'
+import { createTargetRecord, isDoubtful, isForgettable, isLeaving, isListingConfirmed, isRemoved, listedEntry, type PublishedTargetRecord } from './published-target.js'
+import { compareStorePositions, NO_STORE_POSITION } from './store-position.js'
 import type { TargetSet } from './target-union.js'
-import { LEAVING_RETENTION_MS, RELISTING_GRACE_MS } from './constants.js'
-
-type TargetRecord = {
-  entry: PublishedTarget
-  /** When the target was removed from the list; undefined while it is listed. */
-  removedMs?: number
-  /** A removed target receives requests until this time. */
-  keptUntilMs: number
+import type { PublishedChange, PublishedConfiguration, PublishedState, PublishedStateView, PublishedTarget } from './types.js'
+import { RELISTING_GRACE_MS, TARGET_LEASE_DEFAULT_MS } from './constants.js'
+
+export type PublishedStateOptions = {
+  /** Time after which the store removes the entry of a target that has stopped renewing it. */
+  targetLeaseMs: number
 }
 
 const toTarget = ({ service: _service, state: _state, ...target }: PublishedTarget): ListedTarget => target
 
-export const createPublishedState = (): PublishedState => {
-  const records = new Map<string, TargetRecord>()
+const isSameContent = ({ restoreCount: _a, ...a }: PublishedConfiguration, { restoreCount: _b, ...b }: PublishedConfiguration): boolean =>
+  isDeepStrictEqual(a, b)
+
+export const createPublishedState = ({ targetLeaseMs }: PublishedStateOptions = { targetLeaseMs: TARGET_LEASE_DEFAULT_MS }): PublishedState => {
+  const records = new Map<string, PublishedTargetRecord>()
   const changedServices = new Set<string>()
   let configuration: PublishedConfiguration | undefined
   let isConfigurationNew = false
-  let revision = 0
+  let position = NO_STORE_POSITION
   let reachableSinceMs = -Infinity
   let isStoreUnreachable = false
 
   const upsertTarget = (entry: PublishedTarget): void => {
     const previous = records.get(entry.id)
     if (previous && previous.entry.service !== entry.service) changedServices.add(previous.entry.service)
-    records.set(entry.id, { entry, keptUntilMs: -Infinity })
+    records.set(entry.id, createTargetRecord(entry))
     changedServices.add(entry.service)
   }
 
   const removeTarget = (targetId: string, nowMs: number): void => {
     const target = records.get(targetId)
-    if (!target || target.removedMs !== undefined) return
+    if (!target) return
+    delete target.doubtfulListing
+    if (target.removedMs !== undefined) return
     target.removedMs = nowMs
     target.keptUntilMs = isStoreUnreachable ? Infinity : reachableSinceMs + RELISTING_GRACE_MS
     changedServices.add(target.entry.service)
   }
 
-  const adoptIfNewer = (candidate: PublishedConfiguration): boolean => {
-    if (configuration && candidate.version <= configuration.version) return false
-    configuration = candidate
+  const adopt = (adopted: PublishedConfiguration): void => {
+    configuration = adopted
     isConfigurationNew = true
-    for (const { name } of candidate.services) changedServices.add(name)
-    return true
+    for (const { name } of adopted.services) changedServices.add(name)
+  }
+
+  /** A restored store can give a version out again. Of two contents of one version, that of the later restore is in force. */
+  const offerConfiguration = (candidate: PublishedConfiguration): void => {
+    if (!configuration || candidate.version > configuration.version) {
+      adopt(candidate)
+      return
+    }
+    if (candidate.version < configuration.version || candidate.restoreCount <= configuration.restoreCount) return
+    if (isSameContent(candidate, configuration)) configuration = candidate
+    else adopt(candidate)
+  }
+
+  const applyListing = (entry: PublishedTarget, isRestored: boolean, nowMs: number): void => {
+    const record = records.get(entry.id)
+    const mayBeOutdated = isRestored || record?.doubtfulListing !== undefined
+    if (record && mayBeOutdated && isDoubtful(record, entry, nowMs)) record.doubtfulListing = { entry, sinceMs: record.doubtfulListing?.sinceMs ?? nowMs }
+    else upsertTarget(entry)
   }
 
   const applyAll: PublishedState['applyAll'] = (view, nowMs) => {
-    if (view.revision < revision) return
-    revision = view.revision
-    if (view.configuration) adoptIfNewer(view.configuration)
+    if (view.configuration) offerConfiguration(view.configuration)
+    if (compareStorePositions(view, position) < 0) return
+    const isRestored = view.restoreCount > position.restoreCount && position !== NO_STORE_POSITION
+    if (isRestored) reachableSinceMs = nowMs
+    position = { restoreCount: view.restoreCount, revision: view.revision }
     const listed = new Set(view.targets.map(({ id }) => id))
-    for (const entry of view.targets) upsertTarget(entry)
+    for (const entry of view.targets) applyListing(entry, isRestored, nowMs)
     for (const targetId of records.keys()) if (!listed.has(targetId)) removeTarget(targetId, nowMs)
   }
 
   const applyChange = (change: PublishedChange, nowMs: number): void => {
     if (change.type === 'target') upsertTarget(change.target)
     else if (change.type === 'target-removed') removeTarget(change.targetId, nowMs)
-    else adoptIfNewer(change.configuration)
+    else offerConfiguration(change.configuration)
   }
 
-  const applyChanges: PublishedState['applyChanges'] = (newRevision, changes, nowMs) => {
-    if (newRevision < revision) return
+  const applyChanges: PublishedState['applyChanges'] = ({ restoreCount, revision }, changes, nowMs) => {
+    if (restoreCount !== position.restoreCount || revision < position.revision) return
     for (const change of changes) applyChange(change, nowMs)
-    revision = newRevision
+    position = { restoreCount, revision }
+  }
+
+  const endGracePeriod = (record: PublishedTargetRecord, nowMs: number): void => {
+    if (record.keptUntilMs === -Infinity || nowMs < record.keptUntilMs) return
+    record.keptUntilMs = -Infinity
+    changedServices.add(record.entry.service)
   }
 
-  /** Ends expired grace periods and deletes targets removed long ago. */
+  /** Ends expired grace periods, believes confirmed listings and deletes targets removed long ago. */
   const expireRecords = (nowMs: number): void => {
-    for (const [targetId, target] of records) {
-      if (target.removedMs === undefined) continue
-      if (target.keptUntilMs !== -Infinity && nowMs >= target.keptUntilMs) {
-        target.keptUntilMs = -Infinity
-        changedServices.add(target.entry.service)
-      }
-      if (nowMs - target.removedMs >= LEAVING_RETENTION_MS && target.keptUntilMs === -Infinity) records.delete(targetId)
+    for (const [targetId, record] of records) {
+      endGracePeriod(record, nowMs)
+      if (record.doubtfulListing && isListingConfirmed(record, targetLeaseMs, nowMs)) upsertTarget(record.doubtfulListing.entry)
+      else if (isForgettable(record, nowMs)) records.delete(targetId)
     }
   }
 
   const buildTargetSet = (service: string, nowMs: number): TargetSet => {
     const set: TargetSet = { targets: [], leavingIds: [] }
-    for (const { entry, removedMs, keptUntilMs } of records.values()) {
-      if (entry.service !== service) continue
-      const isRemoved = removedMs !== undefined && nowMs >= keptUntilMs
-      if (!isRemoved) set.targets.push(toTarget(entry))
-      if (isRemoved || entry.state === 'draining') set.leavingIds.push(entry.id)
+    for (const record of records.values()) {
+      if (record.entry.service !== service) continue
+      if (!isRemoved(record, nowMs)) set.targets.push(toTarget(record.entry))
+      if (isLeaving(record, nowMs)) set.leavingIds.push(record.entry.id)
     }
     return set
   }
@@ -107,14 +132,15 @@
   }
 
   const view = (): PublishedStateView => ({
-    revision,
+    ...position,
     configuration,
-    targets: [...records.values()].filter(({ removedMs }) => removedMs === undefined).map(({ entry }) => entry)
+    targets: [...records.values()].flatMap(record => listedEntry(record) ?? [])
   })
 
   return {
     applyAll,
     applyChanges,
+    offerConfiguration,
     recordStoreUnreachable: () => { isStoreUnreachable = true },
     recordStoreReachable: nowMs => {
       if (!isStoreUnreachable) return
@@ -124,7 +150,7 @@
     },
     takeChanges,
     view,
-    revision: () => revision,
+    position: () => position,
     configuration: () => configuration
   }
 }
--- a/packages/fleet/src/types.ts
+++ b/packages/fleet/src/types.ts
@@ -145,9 +145,25 @@
 
 export type PublishedService = { name: string, healthPath: string, connectionsPerTarget: number }
 
-/** Configuration published by a platform as one document; a higher version replaces a lower one. */
+/**
+ * Position in the history of the platform's store. The store gives revisions out
+ * again after it was restored from an older copy, so only revisions of the same
+ * restore count can be compared.
+ */
+export type StorePosition = {
+  /** Number of restores of the store, as stated by the store. */
+  restoreCount: number
+  revision: number
+}
+
+/**
+ * Configuration published by a platform as one document; a higher version
+ * replaces a lower one, whatever the position in the store.
+ */
 export type PublishedConfiguration = {
   version: number
+  /** Restore count of the store in which the document was read. */
+  restoreCount: number
   routes: readonly Route[]
   services: readonly PublishedService[]
   callerBounds: CallerBounds
@@ -160,17 +176,19 @@
   | { type: 'target-removed', targetId: string }
   | { type: 'configuration', configuration: PublishedConfiguration }
 
-/** The full published state at one revision of the store. */
-export type PublishedStateView = {
-  revision: number
+/** The full published state at one position of the store. */
+export type PublishedStateView = StorePosition & {
   configuration?: PublishedConfiguration
   targets: readonly PublishedTarget[]
 }
 
 export type PublishedState = {
-  /** Applies the full state; a revision older than the current one has no effect. */
+  /** Applies the full state. Of a state before the current position, only the configuration is used. */
   applyAll: (view: PublishedStateView, nowMs: number) => void
-  applyChanges: (revision: number, changes: readonly PublishedChange[], nowMs: number) => void
+  /** Applies changes up to a position with the current restore count; others have no effect. */
+  applyChanges: (position: StorePosition, changes: readonly PublishedChange[], nowMs: number) => void
+  /** Adopts a configuration that is newer than the current one, whatever the position of its source. */
+  offerConfiguration: (configuration: PublishedConfiguration) => void
   /** Records that the store does not answer this node. */
   recordStoreUnreachable: () => void
   /** Records that the store answers again. */
@@ -178,7 +196,7 @@
   /** Returns the configuration if it changed since the last call, and the targets of the services that may have changed. */
   takeChanges: (nowMs: number) => { configuration?: PublishedConfiguration, targets: Map<string, TargetSet> }
   view: () => PublishedStateView
-  revision: () => number
+  position: () => StorePosition
   configuration: () => PublishedConfiguration | undefined
 }
 
