Log the requests under which a target ended, with an identity

Cause: a target that ends showed only as lost connections, as a reset does, and no line told whether one request or several were behind it.

Change: when the connection of a request breaks without a response, the target is checked with a new connection. If it refuses, request_suspect names the requests that this node had at it, with a hash of method, host, path, credentials and body. What a node knows of such requests is kept in policy/suspect-requests, bounded; nothing is decided with it yet.

Ruled out: the caller's address as part of the identity.

--- a/packages/daemon/src/attempts.ts
+++ b/packages/daemon/src/attempts.ts
@@ -283,6 +283,7 @@
   const { exchange } = attempt
   const nowMs = context.clock.nowMs()
   if (!attempt.isRelay && exchange.responder !== attempt) context.relaying.responses.recordFailure(attempt.targetId, nowMs)
+  if (failure === 'reset' && isWritten(attempt) && !attempt.isRelay) context.crashWatch.recordLost(attempt)
   abandonAttempt(attempt, failure, nowMs)
   if (exchange.phase === 'settled') return
   if (isWritten(attempt)) exchange.unknownResult ??= result
--- a/packages/daemon/src/completion.ts
+++ b/packages/daemon/src/completion.ts
@@ -68,6 +68,7 @@
 export const completeExchange = (context: PipelineContext, attempt: Attempt): void => {
   const { exchange } = attempt
   const nowMs = context.clock.nowMs()
+  exchange.isAnswered = true
   finishAttempt(attempt, attempt.status >= 500 ? 'error-status' : 'ok', nowMs)
   const wasAdmitted = detach(context, exchange, 'cancelled')
   try {
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -11,6 +11,7 @@
 import { createAdminServer } from './admin-server.js'
 import { createBurnBuckets } from './burn-buckets.js'
 import { MAINTENANCE_INTERVAL_MS, CALLER_LIMITS, PAUSE_MS_MIN, REPLAY_BYTES_MAX, WHEEL_TICK_MS } from './constants.js'
+import { createCrashWatch } from './crash-watch.js'
 import { createDeadlineWheel } from './deadline-wheel.js'
 import { sendEndMs, shutDownGracefully } from './graceful-shutdown.js'
 import { createHeaderRules } from './headers.js'
@@ -26,6 +27,7 @@
 import { createRequestPipeline } from './request-pipeline.js'
 import { createRequestRecorder } from './request-recorder.js'
 import { createServiceRuntimes } from './service-runtimes.js'
+import { createTargetCheck } from './target-check.js'
 import type { ActiveConfiguration, DaemonContext, FleetRuntime, PeerSource } from './types.js'
 import { serveWellKnown } from './well-known.js'
 import { DEFAULT_DIALECT, type HttpDialect } from './http-dialect.js'
@@ -115,6 +117,12 @@
     responses: createReachability(targetCount),
     connections: createReachability(targetCount)
   }
+  const crashWatch = createCrashWatch({
+    clock,
+    checkTarget: createTargetCheck(clock),
+    isCutOff: () => relaying.responses.isLost(clock.nowMs()) || relaying.connections.isLost(clock.nowMs()),
+    onSuspect: nodeEvents.recordSuspect
+  })
   const reachabilityLog = createReachabilityLog(relaying, nodeEvents.recordReachability)
 
   const onPause = (gapMs: number, nowMs: number): void => {
@@ -162,6 +170,7 @@
     recorder,
     requestPermit: fleet.requestPermit,
     relaying,
+    crashWatch,
     nextRequestId: createRequestIds(),
     isLeaving,
     isTooLateToSend: () => clock.nowMs() >= lastSendMs
--- a/packages/daemon/src/exchange.ts
+++ b/packages/daemon/src/exchange.ts
@@ -18,6 +18,8 @@
   call: Call
   method: string
   path: string
+  /** Identity of the request without its body; see request-identity.ts. */
+  head: () => string
   runtime: ServiceRuntime
   kind: Kind
   body: RequestBody
@@ -33,6 +35,8 @@
   /** Id in the admission queue. Request ids are set by callers and need not be unique. */
   queueId: string
   phase: 'collecting' | 'queued' | 'running' | 'settled'
+  /** Whether the response of a target was relayed completely. */
+  isAnswered: boolean
   triedTargetIds: Set<string>
   attempts: Attempt[]
   attemptCount: number
--- a/packages/daemon/src/node-events.ts
+++ b/packages/daemon/src/node-events.ts
@@ -6,6 +6,7 @@
 import type { TargetHealth } from '@wisteriavalve/policy'
 import type { EventEntry } from '@wisteriavalve/schema'
 import type { ExplainQuery } from './admin-api.js'
+import type { SuspectEvent } from './crash-watch.js'
 import type { Log } from './types.js'
 
 /** What a node gets from its targets. */
@@ -19,6 +20,7 @@
   recordConnectionsRetired: (service: string, targetId: string, count: number) => void
   recordProcessPause: (gapMs: number) => void
   recordReachability: (kind: ReachabilityKind, isLost: boolean) => void
+  recordSuspect: (event: SuspectEvent) => void
   find: (query: ExplainQuery) => EventEntry[]
 }
 
@@ -81,6 +83,10 @@
       log(event, { kind })
       add({ event, text: isLost ? `No target gives this node a ${kind}; requests are relayed to peers.` : `Targets give this node a ${kind} again.` })
     },
+    recordSuspect: ({ identity, service, targetId, requestId, caller, crashCount }) => {
+      log('request_suspect', { request_id: requestId, identity, caller, service, target: targetId, crashes: crashCount })
+      add({ event: 'request_suspect', requestId, service, targetId, text: `Target ${targetId} of ${service} ended while it ran a request of ${caller} (identity ${identity}), the ${crashCount}. target that ended under it.` })
+    },
     find: query => events.find(matcher(query, clock.nowMs()))
   }
 }
--- a/packages/daemon/src/pipeline-context.ts
+++ b/packages/daemon/src/pipeline-context.ts
@@ -5,6 +5,7 @@
 import type { PolicyName, ProbeAllowance, RepeatPurpose, ServiceTimes } from '@wisteriavalve/policy'
 import type { Call } from './adapters/caller-http.js'
 import type { ResultName } from '@wisteriavalve/schema'
+import type { CrashWatch } from './crash-watch.js'
 import type { DeadlineWheel } from './deadline-wheel.js'
 import type { Attempt, Exchange } from './exchange.js'
 import type { HeaderRules } from './headers.js'
@@ -55,6 +56,7 @@
   recorder: RequestRecorder
   requestPermit: RequestPermit
   relaying: Relaying
+  crashWatch: CrashWatch
   nextRequestId: () => string
   isLeaving: () => boolean
   /** Whether a request that is not sent yet comes too late in the shutdown of this node. */
--- a/packages/daemon/src/request-body.ts
+++ b/packages/daemon/src/request-body.ts
@@ -6,6 +6,7 @@
  */
 import { Readable } from 'node:stream'
 import { hasBody, type Call } from './adapters/caller-http.js'
+import { createBodyHash, hashBytes, type BodyHash } from './body-hash.js'
 
 export type RequestBody = {
   /** Calls onReady when the body may be sent; immediately if there is nothing to collect. */
@@ -18,6 +19,8 @@
   sizeBytes: () => number
   /** True while all bytes received from the caller are consumed and more are expected. */
   isWaitingForCaller: () => boolean
+  /** Hash of the body, or of as much of it as would be collected; undefined while less has arrived. */
+  hash: () => string | undefined
   /** Stops reading; called when the request is settled. */
   close: () => void
 }
@@ -33,6 +36,8 @@
   onProgress: () => void
 }
 
+const EMPTY_HASH = hashBytes('')
+
 const NO_BODY: RequestBody = {
   prepare: onReady => onReady(),
   open: () => null,
@@ -40,6 +45,7 @@
   isComplete: () => true,
   sizeBytes: () => 0,
   isWaitingForCaller: () => false,
+  hash: () => EMPTY_HASH,
   close: () => undefined
 }
 
@@ -64,6 +70,7 @@
   let isEnded = false
   let collectedBody: Buffer | undefined
   let stream: Readable | undefined
+  let bodyHash: BodyHash | undefined
   let onReady: () => void = () => undefined
 
   const stopCollecting = (): void => {
@@ -75,6 +82,7 @@
   const onData = (chunk: Buffer): void => {
     receivedBytes += chunk.length
     onProgress()
+    bodyHash?.add(chunk)
     if (receivedBytes > bytesMax) onTooLarge()
     else if (stream) { if (!stream.push(chunk)) req.pause() } else {
       chunks.push(chunk)
@@ -99,7 +107,15 @@
     req.on('data', onData).on('end', onEnd)
   }
 
+  /** Hashes what has arrived, and from now on what arrives. */
+  const startHash = (): BodyHash => {
+    const started = createBodyHash(collectBytesMax)
+    for (const chunk of chunks) started.add(chunk)
+    return started
+  }
+
   const openStream = (): Readable => {
+    bodyHash ??= startHash()
     stream = new Readable({ read: () => { req.resume() } })
     // The request is informed of errors through its connection. Without a listener they would crash the process.
     stream.on('error', () => undefined)
@@ -119,6 +135,10 @@
     canOpen: () => collectedBody !== undefined || stream === undefined,
     isComplete: () => isEnded,
     sizeBytes: () => Math.max(receivedBytes, Number(req.headers['content-length'] ?? 0)),
+    hash: () => {
+      bodyHash ??= collectedBody ? undefined : startHash()
+      return collectedBody ? hashBytes(collectedBody.subarray(0, collectBytesMax)) : bodyHash?.value(isEnded)
+    },
     isWaitingForCaller: () => !isEnded && (isCollecting || (stream !== undefined && stream.readableLength === 0)),
     close: () => {
       req.off('data', onData).off('end', onEnd)
--- a/packages/daemon/src/request-pipeline.ts
+++ b/packages/daemon/src/request-pipeline.ts
@@ -12,6 +12,7 @@
 import { validateCall, type CallValidation } from './request-validation.js'
 import type { PipelineContext } from './pipeline-context.js'
 import { createRequestBody } from './request-body.js'
+import { headIdentity } from './request-identity.js'
 import type { ServiceRuntime } from './service-runtimes.js'
 import { isBehindRelay, isRelayed } from './relaying.js'
 import { createStartGate } from './start-gate.js'
@@ -48,11 +49,13 @@
   const nowMs = context.clock.nowMs()
   const givenId = call.req.headers[context.dialect.requestIdHeader.toLowerCase()]
   const id = isRequestId(givenId) ? givenId : context.nextRequestId()
+  let head: string | undefined
   const exchange: Exchange = {
     id,
     call,
     method: call.req.method ?? 'GET',
     path,
+    head: () => (head ??= headIdentity(call, path)),
     runtime,
     kind,
     body: createRequestBody({
@@ -71,6 +74,7 @@
     deadlineMs: deadlineOf(accepted, arrivedMs),
     queueId: '',
     phase: 'collecting',
+    isAnswered: false,
     triedTargetIds: new Set(),
     attempts: [],
     attemptCount: 0,
--- a/packages/policy/src/types.ts
+++ b/packages/policy/src/types.ts
@@ -390,6 +390,34 @@
   /** The connection share is used up. When `closeFirstId` is set, that idle connection must be closed first. */
   | { choice: 'wait', closeFirstId?: number }
 
+/** A target has ended while it ran a request. */
+export type CrashReport = {
+  /** Identity of the request: the same for the same method, path, credentials of the caller and body. */
+  identity: string
+  service: string
+  targetId: string
+  /** Monotonic time at which the connection broke. */
+  crashedMs: number
+}
+
+export type SuspectRequests = {
+  /** @returns whether the crash is new to this node */
+  recordCrash: (report: CrashReport, nowMs: number) => boolean
+  /** Clears a request that a target has run and answered. */
+  recordAnswered: (identity: string) => void
+  /** Number of targets that ended under the request. */
+  crashCount: (identity: string, nowMs: number) => number
+  /** Whether the request must not reach a target. */
+  isBanned: (identity: string, nowMs: number) => boolean
+  /** Whether the request may be sent to a further target. */
+  mayRepeat: (identity: string, nowMs: number) => boolean
+  /** Whether the identity of a suspect matches. */
+  isKnown: (isMatch: (identity: string) => boolean) => boolean
+  reports: (nowMs: number) => CrashReport[]
+  /** Number of suspects. */
+  count: () => number
+}
+
 export type CallerLimitsOptions = {
   connectionsMax: number
   requestsPerS: number
