Refuse a request under which three targets ended, at all nodes

Cause: a node knew nothing of a request once it was over. The class of the fault: what a request does to its targets was no state, of the node or of the fleet, so each arrival began anew.

Change: a request under which a target ended is a suspect, by a hash of method, host, path, credentials and body (policy/suspect-requests, daemon/crash-watch). Crashes go to the other nodes by gossip; a node that starts, was paused or was cut off asks its peers.

Every way to a target was looked at: first attempt, repeat, hedge, queue, wait for a connection, relay, streamed body.

Unit tests of the state and of the watch.

--- a/packages/daemon/src/adapters/caller-http.ts
+++ b/packages/daemon/src/adapters/caller-http.ts
@@ -102,6 +102,9 @@
 export const sendJsonResponse = (call: Call, status: number, value: unknown, headers: string[] = []): void =>
   sendResponse(call, status, ['content-type', 'application/json', 'cache-control', 'no-store', ...headers], JSON.stringify(value))
 
+/** Results of requests that should not come again. */
+const FINAL_RESULTS: ReadonlySet<ResultName> = new Set(['request-crashes-targets'])
+
 export type FailureOptions = { requestId?: string, retryAfterMs?: number, detail?: string }
 
 /** Sends a failure response with a result code, or resets the connection when a response has begun. */
@@ -113,7 +116,7 @@
   const { code, class: resultClass, status = 500 } = resultCode(name)
   const headers = ['content-type', 'application/json', 'x-result-code', code, 'x-result-class', resultClass]
   if (requestId !== undefined) headers.push(call.dialect.requestIdHeader, requestId)
-  if (status === 429 || status === 503) headers.push('retry-after', call.dialect.formatRetryAfter(retryAfterMs ?? DEFAULT_RETRY_AFTER_MS))
+  if ((status === 429 || status === 503) && !FINAL_RESULTS.has(name)) headers.push('retry-after', call.dialect.formatRetryAfter(retryAfterMs ?? DEFAULT_RETRY_AFTER_MS))
   sendResponse(call, status, headers, failureBody(name, detail))
 }
 
--- a/packages/daemon/src/adapters/peer-rpc.ts
+++ b/packages/daemon/src/adapters/peer-rpc.ts
@@ -9,7 +9,7 @@
 import { fetchRequestHandler } from '@trpc/server/adapters/fetch'
 import type { LimitStatement } from '@wisteriavalve/common'
 import type { PermitAnswer, PermitQuery } from '@wisteriavalve/fleet'
-import type { EventEntry, NodeReport, NodeStatus, VmEntry } from '@wisteriavalve/schema'
+import type { EventEntry, NodeReport, NodeStatus, TargetNote, VmEntry } from '@wisteriavalve/schema'
 import { parseExplainQuery, type ExplainQuery } from '../admin-api.js'
 import type { ChangesQuery, PeerChanges, PublishedQuery, PublishedUpdate } from '../fleet/peer-watch.js'
 import type { ListenAddress } from '../types.js'
@@ -35,6 +35,8 @@
   status: () => NodeStatus
   explain: (query: ExplainQuery) => EventEntry[]
   report: () => NodeReport
+  /** Requests under which targets ended, for a node that has started or was cut off. */
+  crashNotes: () => TargetNote[]
 }
 
 export const VALUES_PER_CALL_MAX = 64
@@ -110,7 +112,8 @@
     permit: procedure.input(parsePermitQuery).mutation(({ input }) => source.permit(input)),
     status: procedure.query(() => source.status()),
     explain: procedure.input(parseExplainQuery).query(({ input }) => source.explain(input)),
-    report: procedure.query(() => source.report())
+    report: procedure.query(() => source.report()),
+    crashNotes: procedure.query(() => source.crashNotes())
   })
 }
 
--- a/packages/daemon/src/attempt-writes.ts
+++ b/packages/daemon/src/attempt-writes.ts
@@ -28,5 +28,5 @@
   const { exchange } = attempt
   const nowMs = context.clock.nowMs()
   return context.pauseDetector.epoch(nowMs) === attempt.pauseEpoch && !attempt.isFinished && exchange.phase === 'running' &&
-    nowMs < exchange.deadlineMs && !isTargetClosed(attempt, nowMs)
+    nowMs < exchange.deadlineMs && !isTargetClosed(attempt, nowMs) && !context.crashWatch.isRefused(exchange, attempt.purpose)
 }
--- a/packages/daemon/src/attempts.ts
+++ b/packages/daemon/src/attempts.ts
@@ -14,6 +14,7 @@
 import { LEAVING_RETRY_AFTER_MS } from './constants.js'
 import { scheduleHedge } from './hedging.js'
 import { CUT_OFF_RETRY_AFTER_MS, isCutOff, isRelayed, selectRelayPeer, tryTargetAgain } from './relaying.js'
+import { excludedTargets, isTaken, reserveTarget } from './suspect-isolation.js'
 import { withPermit } from './target-permits.js'
 import { dropData, endResponse, onResponseHead, relayData } from './response-relay.js'
 import { failExchange, isolateErrors, onDeadline } from './completion.js'
@@ -41,7 +42,17 @@
   return forwarded
 }
 
+/** Keeps a request under which targets ended from the next target. An attempt that is running goes on. */
+const refuseSuspect = (context: PipelineContext, exchange: Exchange): void => {
+  exchange.isHedged = true
+  if (exchange.attempts.length === 0) failExchange(context, exchange, exchange.unknownResult ?? 'request-crashes-targets', { detail: context.crashWatch.describe(exchange) })
+}
+
 export const startAttempt = (context: PipelineContext, exchange: Exchange, purpose: AttemptPurpose, lastResult?: ResultName): void => {
+  if (context.crashWatch.isRefused(exchange, purpose)) {
+    refuseSuspect(context, exchange)
+    return
+  }
   if (purpose === 'first' && context.isTooLateToSend()) {
     failExchange(context, exchange, exchange.unknownResult ?? 'node-leaving', { retryAfterMs: LEAVING_RETRY_AFTER_MS })
     return
@@ -99,11 +110,11 @@
 }
 
 const selectAndStart = (context: PipelineContext, exchange: Exchange, purpose: AttemptPurpose, lastResult?: ResultName): void => {
-  const { runtime, kind, triedTargetIds } = exchange
+  const { runtime, kind } = exchange
   const nowMs = context.clock.nowMs()
   const selection = selectTarget(context.policy, runtime.table, {
     zone: context.zone,
-    exclude: triedTargetIds,
+    exclude: excludedTargets(context, exchange),
     idempotent: kind.idempotent,
     permitWaitMaxMs: purpose === 'hedge' ? 0 : permitWaitMaxMs(context, exchange)
   }, nowMs, context.random)
@@ -126,7 +137,8 @@
 ): void => withPermit(context, exchange, target.id, waitMaxMs, {
   onPermitted: hasPermit => {
     if (exchange.responder) return
-    if (canAttempt(exchange)) startAt(context, exchange, { ...targetDestination(context, exchange, target), purpose, reason, hasPermit }, lastResult)
+    if (isTaken(context, exchange, target.id)) startAttempt(context, exchange, purpose, lastResult)
+    else if (canAttempt(exchange)) startAt(context, exchange, { ...targetDestination(context, exchange, target), purpose, reason, hasPermit }, lastResult)
     else failWithoutAttempt(context, exchange, lastResult)
   },
   onDenied: () => {
@@ -153,11 +165,13 @@
     isFlushed: false,
     status: 0,
     forwardedAllowance: takeForwardedAllowance(exchange),
-    reacquireCount: 0
+    reacquireCount: 0,
+    releaseTarget: undefined
   }
   exchange.triedTargetIds.add(targetId)
   exchange.attempts.push(attempt)
   exchange.attemptCount++
+  attempt.releaseTarget = reserveTarget(context, attempt)
   attempt.table.recordStart(targetId, nowMs)
   context.recorder.routed(attempt, purpose, lastResult)
   acquire(context, attempt)
@@ -262,7 +276,10 @@
   attempt.connection = undefined
   attempt.outgoingRequest = undefined
   const isPaused = context.pauseDetector.epoch(nowMs) !== attempt.pauseEpoch
-  if (nowMs >= exchange.deadlineMs) onDeadline(context, exchange)
+  if (context.crashWatch.isRefused(exchange, attempt.purpose)) {
+    abandonAttempt(attempt, 'cancelled', nowMs)
+    refuseSuspect(context, exchange)
+  } else if (nowMs >= exchange.deadlineMs) onDeadline(context, exchange)
   else if (!exchange.body.canOpen()) failExchange(context, exchange, exchange.unknownResult ?? (isPaused ? 'process-paused' : 'connect-failed'), { detail: message })
   else if (isPaused || isTargetClosed(attempt, nowMs)) reroute(context, attempt, nowMs)
   else if (attempt.reacquireCount++ < REACQUIRE_MAX) acquire(context, attempt)
@@ -283,7 +300,10 @@
   const { exchange } = attempt
   const nowMs = context.clock.nowMs()
   if (!attempt.isRelay && exchange.responder !== attempt) context.relaying.responses.recordFailure(attempt.targetId, nowMs)
-  if (failure === 'reset' && isWritten(attempt) && !attempt.isRelay) context.crashWatch.recordLost(attempt)
+  if (failure === 'reset' && isWritten(attempt) && !attempt.isRelay) {
+    exchange.hasLostTarget = true
+    context.crashWatch.recordLost(attempt)
+  }
   abandonAttempt(attempt, failure, nowMs)
   if (exchange.phase === 'settled') return
   if (isWritten(attempt)) exchange.unknownResult ??= result
--- a/packages/daemon/src/completion.ts
+++ b/packages/daemon/src/completion.ts
@@ -53,6 +53,7 @@
     if (context.isLeaving() && exchange.call.isLatest()) exchange.call.closeAfter()
     sendFailureResponse(exchange.call, result, { requestId: exchange.id, retryAfterMs })
     context.recorder.failed(exchange, result, targetId, { detail, retryAfterMs })
+    context.crashWatch.recordFailed(exchange)
   } finally {
     if (wasAdmitted) releaseAdmission(context, exchange)
   }
@@ -68,7 +69,10 @@
 export const completeExchange = (context: PipelineContext, attempt: Attempt): void => {
   const { exchange } = attempt
   const nowMs = context.clock.nowMs()
-  exchange.isAnswered = true
+  if (!attempt.isRelay) {
+    exchange.isAnswered = true
+    context.crashWatch.recordAnswered(exchange)
+  }
   finishAttempt(attempt, attempt.status >= 500 ? 'error-status' : 'ok', nowMs)
   const wasAdmitted = detach(context, exchange, 'cancelled')
   try {
--- a/packages/daemon/src/crash-watch.ts
+++ b/packages/daemon/src/crash-watch.ts
@@ -1,13 +1,16 @@
 /**
- * Watches for requests under which targets end. When the connection of a request
- * that was sent breaks without a response, the target is checked; if it has ended,
- * the requests that this node had at it are suspects (policy/suspect-requests).
+ * Keeps requests under which targets end away from further targets. When the
+ * connection of a request that was sent breaks without a response, the target is
+ * checked; if it has ended, the requests that this node had at it are suspects
+ * (policy/suspect-requests). Nodes tell each other of suspects, but not of one
+ * whose repeat is still running, because most of them are answered then.
  */
 import type { Clock } from '@wisteriavalve/common'
-import { createSuspectRequests, type CrashReport, type SuspectRequests } from '@wisteriavalve/policy'
-import type { Target } from '@wisteriavalve/schema'
+import { createSuspectRequests, type CrashReport } from '@wisteriavalve/policy'
+import type { Target, TargetNote } from '@wisteriavalve/schema'
 import type { Attempt, Exchange } from './exchange.js'
-import { requestIdentity } from './request-identity.js'
+import type { AttemptPurpose } from './pipeline-context.js'
+import { hasHead, requestIdentity } from './request-identity.js'
 import type { CheckTarget } from './target-check.js'
 
 export type SuspectEvent = CrashReport & {
@@ -18,9 +21,24 @@
 }
 
 export type CrashWatch = {
-  suspects: SuspectRequests
   /** To be called when the connection of a request broke that was sent to a target and got no complete response. */
   recordLost: (attempt: Attempt) => void
+  /** To be called when a target has run and answered a request. */
+  recordAnswered: (exchange: Exchange) => void
+  /** To be called when a request ended without the answer of a target. */
+  recordFailed: (exchange: Exchange) => void
+  /** Whether a target ended under the request, as far as any node knows. */
+  isSuspect: (exchange: Exchange) => boolean
+  /** Whether the request must not be sent to a target, or not once more. */
+  isRefused: (exchange: Exchange, purpose: AttemptPurpose) => boolean
+  /** What this node knows of a suspect, for the log. */
+  describe: (exchange: Exchange) => string
+  /** Whether the request may be a suspect, which its body decides. */
+  hasSuspectHead: (head: () => string) => boolean
+  applyNotes: (notes: readonly TargetNote[]) => void
+  /** All that this node knows, for a node that has started. */
+  notes: () => TargetNote[]
+  suspectCount: () => number
 }
 
 export type CrashWatchOptions = {
@@ -29,21 +47,40 @@
   /** Whether the targets seem to have ended because this node does not reach them. */
   isCutOff: () => boolean
   onSuspect: (event: SuspectEvent) => void
+  share: (notes: TargetNote[]) => void
 }
 
 type LostRequest = { exchange: Exchange, identity: string }
 
-/** Further requests of one target whose end is being checked. */
+/** Maximum number of requests of one target whose end is being checked. */
 const LOST_REQUESTS_MAX = 256
+/** Crashes after which a suspect is told to the other nodes while it is still running. */
+const CRASHES_BEFORE_SHARING = 2
 
-export const createCrashWatch = ({ clock, checkTarget, isCutOff, onSuspect }: CrashWatchOptions): CrashWatch => {
+export const isCrashNote = (note: TargetNote): boolean => note.crashedRequest !== undefined
+
+export const createCrashWatch = ({ clock, checkTarget, isCutOff, onSuspect, share }: CrashWatchOptions): CrashWatch => {
   const suspects = createSuspectRequests()
   /** Requests that were at a target whose end is being checked, by service and target. */
   const pending = new Map<string, LostRequest[]>()
+  /** Crashes that the other nodes do not know yet, by identity. */
+  const unshared = new Map<string, CrashReport[]>()
+
+  const toNote = ({ identity, service, targetId, crashedMs }: CrashReport): TargetNote =>
+    ({ service, targetId, observation: 'dead', ageMs: Math.max(0, Math.round(clock.nowMs() - crashedMs)), crashedRequest: identity })
+
+  const shareCrashes = (identity: string): void => {
+    const reports = unshared.get(identity)
+    unshared.delete(identity)
+    if (reports) share(reports.map(toNote))
+  }
 
   const recordCrash = ({ exchange, identity }: LostRequest, report: CrashReport): void => {
     if (exchange.isAnswered || !suspects.recordCrash(report, clock.nowMs())) return
-    onSuspect({ ...report, requestId: exchange.id, caller: exchange.call.address, crashCount: suspects.crashCount(identity, clock.nowMs()) })
+    const crashCount = suspects.crashCount(identity, clock.nowMs())
+    onSuspect({ ...report, requestId: exchange.id, caller: exchange.call.address, crashCount })
+    unshared.set(identity, [...unshared.get(identity) ?? [], report])
+    if (exchange.phase === 'settled' || crashCount >= CRASHES_BEFORE_SHARING) shareCrashes(identity)
   }
 
   const startCheck = (key: string, service: string, target: Target): void => {
@@ -71,5 +108,43 @@
     startCheck(key, service, target)
   }
 
-  return { suspects, recordLost }
+  /** Identity of a request if it can be a suspect; most of the time there is none. */
+  const suspectIdentity = (exchange: Exchange): string | undefined => suspects.count() === 0 ? undefined : requestIdentity(exchange)
+
+  return {
+    recordLost,
+    recordAnswered: exchange => {
+      const identity = suspectIdentity(exchange)
+      if (identity === undefined) return
+      suspects.recordAnswered(identity)
+      unshared.delete(identity)
+    },
+    recordFailed: exchange => {
+      const identity = unshared.size === 0 ? undefined : requestIdentity(exchange)
+      if (identity !== undefined) shareCrashes(identity)
+    },
+    isSuspect: exchange => {
+      const identity = suspectIdentity(exchange)
+      return identity !== undefined && suspects.crashCount(identity, clock.nowMs()) > 0
+    },
+    isRefused: (exchange, purpose) => {
+      const identity = suspectIdentity(exchange)
+      if (identity === undefined) return false
+      const nowMs = clock.nowMs()
+      return suspects.isBanned(identity, nowMs) || (purpose !== 'first' && !suspects.mayRepeat(identity, nowMs))
+    },
+    describe: exchange => {
+      const identity = requestIdentity(exchange) ?? ''
+      return `identity ${identity}, ${suspects.crashCount(identity, clock.nowMs())} targets ended under it`
+    },
+    hasSuspectHead: head => suspects.count() > 0 && suspects.isKnown(hasHead(head())),
+    applyNotes: notes => {
+      const nowMs = clock.nowMs()
+      for (const { crashedRequest: identity, service, targetId, ageMs } of notes) {
+        if (identity !== undefined) suspects.recordCrash({ identity, service, targetId, crashedMs: nowMs - ageMs }, nowMs)
+      }
+    },
+    notes: () => suspects.reports(clock.nowMs()).map(toNote),
+    suspectCount: suspects.count
+  }
 }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -11,7 +11,7 @@
 import { createAdminServer } from './admin-server.js'
 import { createBurnBuckets } from './burn-buckets.js'
 import { MAINTENANCE_INTERVAL_MS, CALLER_LIMITS, PAUSE_MS_MIN, REPLAY_BYTES_MAX, WHEEL_TICK_MS } from './constants.js'
-import { createCrashWatch } from './crash-watch.js'
+import { createCrashWatch, isCrashNote } from './crash-watch.js'
 import { createDeadlineWheel } from './deadline-wheel.js'
 import { sendEndMs, shutDownGracefully } from './graceful-shutdown.js'
 import { createHeaderRules } from './headers.js'
@@ -80,6 +80,7 @@
       caller_connections: callerServer.connectionCount(),
       in_flight: pipeline.inFlightCount(),
       load_percent: runtimes.loadPercent(clock.nowMs()),
+      suspect_requests: crashWatch.suspectCount(),
       targets_unreachable: Number(relaying.responses.isLost(clock.nowMs())),
       new_connections_unreachable: Number(relaying.connections.isLost(clock.nowMs())),
       ...fleet.gauges()
@@ -121,7 +122,8 @@
     clock,
     checkTarget: createTargetCheck(clock),
     isCutOff: () => relaying.responses.isLost(clock.nowMs()) || relaying.connections.isLost(clock.nowMs()),
-    onSuspect: nodeEvents.recordSuspect
+    onSuspect: nodeEvents.recordSuspect,
+    share: notes => fleet.shareNotes(notes)
   })
   const reachabilityLog = createReachabilityLog(relaying, nodeEvents.recordReachability)
 
@@ -227,7 +229,7 @@
     events: nodeEvents.find({ automaticOnly: true, withinMs: REPORT_WINDOW_MS })
   })
 
-  const peerSource: PeerSource = { status, explain: (query: ExplainQuery) => nodeEvents.find(query), report }
+  const peerSource: PeerSource = { status, explain: (query: ExplainQuery) => nodeEvents.find(query), report, crashNotes: crashWatch.notes }
   const admin = createAdminServer({
     status,
     explain: peerSource.explain,
@@ -238,7 +240,10 @@
 
   const start = async (): Promise<void> => {
     fleet.onTargets(runtimes.applyTargets)
-    fleet.onNotes(runtimes.applyNotes)
+    fleet.onNotes(notes => {
+      crashWatch.applyNotes(notes)
+      runtimes.applyNotes(notes.filter(note => !isCrashNote(note)))
+    })
     fleet.onProbe(runtimes.applyProbe)
     fleet.setLastResponseSource((service, targetId) => runtimes.get(service)?.table.lastResponseMs(targetId))
     fleet.onConfiguration(onConfiguration)
--- a/packages/daemon/src/exchange.ts
+++ b/packages/daemon/src/exchange.ts
@@ -35,8 +35,10 @@
   /** Id in the admission queue. Request ids are set by callers and need not be unique. */
   queueId: string
   phase: 'collecting' | 'queued' | 'running' | 'settled'
-  /** Whether the response of a target was relayed completely. */
+  /** Whether a target ran the request and its response was relayed completely. */
   isAnswered: boolean
+  /** Whether the connection of an attempt broke after the request was sent. */
+  hasLostTarget: boolean
   triedTargetIds: Set<string>
   attempts: Attempt[]
   attemptCount: number
@@ -96,6 +98,8 @@
   forwardedAllowance: number
   /** Number of connections that were lost before anything was written. */
   reacquireCount: number
+  /** Ends the reservation of the target for this attempt. */
+  releaseTarget?: () => void
 }
 
 export const isWritten = (attempt: Attempt): boolean => attempt.writtenMs !== undefined
@@ -104,6 +108,7 @@
 export const finishAttempt = (attempt: Attempt, outcome: AttemptOutcome, nowMs: number): void => {
   if (attempt.isFinished) return
   attempt.isFinished = true
+  attempt.releaseTarget?.()
   const { exchange, table, targetId } = attempt
   exchange.attempts.splice(exchange.attempts.indexOf(attempt), 1)
   table.recordOutcome(targetId, outcome, nowMs - (attempt.writtenMs ?? attempt.startedMs), nowMs)
--- a/packages/daemon/src/fleet/datagram-codec.ts
+++ b/packages/daemon/src/fleet/datagram-codec.ts
@@ -35,8 +35,10 @@
 ]
 
 /** Older nodes ignore these fields, which are only sent when one of them is present. */
-const packStatement = ({ limitPerS, pauseMs, isStated }: TargetNote): unknown[] =>
-  limitPerS === undefined && pauseMs === undefined && isStated === undefined ? [] : [limitPerS ?? null, pauseMs ?? null, isStated ?? null]
+const packStatement = ({ limitPerS, pauseMs, isStated, crashedRequest }: TargetNote): unknown[] => {
+  if (crashedRequest !== undefined) return [null, null, null, Buffer.from(crashedRequest, 'hex')]
+  return limitPerS === undefined && pauseMs === undefined && isStated === undefined ? [] : [limitPerS ?? null, pauseMs ?? null, isStated ?? null]
+}
 
 const packNote = (note: TargetNote): unknown[] => [
   note.service, note.targetId, OBSERVATIONS.indexOf(note.observation), note.ageMs, note.inFlight ?? null, note.byProbe ?? null,
@@ -67,8 +69,9 @@
 }
 
 const unpackNote = (value: unknown): Record<string, unknown> => {
-  const [service, targetId, observation, ageMs, inFlight, byProbe, limitPerS, pauseMs, isStated] = asArray(value)
-  return omitAbsent({ service, targetId, observation: OBSERVATIONS[observation as number], ageMs, inFlight, byProbe, limitPerS, pauseMs, isStated })
+  const [service, targetId, observation, ageMs, inFlight, byProbe, limitPerS, pauseMs, isStated, identity] = asArray(value)
+  const crashedRequest = identity instanceof Uint8Array ? Buffer.from(identity).toString('hex') : identity
+  return omitAbsent({ service, targetId, observation: OBSERVATIONS[observation as number], ageMs, inFlight, byProbe, limitPerS, pauseMs, isStated, crashedRequest })
 }
 
 const unpackOrder = (value: unknown): Record<string, unknown> => {
--- a/packages/daemon/src/fleet/fleet-runtime.ts
+++ b/packages/daemon/src/fleet/fleet-runtime.ts
@@ -20,6 +20,7 @@
 import { openPeerAddresses } from './open-peer-addresses.js'
 import { createPermits } from './permits.js'
 import { createProbeDriver } from './probe-driver.js'
+import { createSuspectSync } from './suspect-sync.js'
 import { createVmListDriver } from './vm-list-driver.js'
 
 const STARTUP_PEER_COUNT = 3
@@ -59,10 +60,12 @@
     publishTargets()
   }
 
+  const suspectSync = createSuspectSync({ clock, random, peers, clients, onNotes: onNotes.emit })
   const reportMember = createMemberReporter(context)
 
   const onMember = (member: MemberUpdate, previous: MemberState | undefined): void => {
     reportMember(member, previous)
+    if (previous === 'dead') suspectSync.hurry()
     configuration.onMembersChanged()
   }
 
@@ -146,6 +149,7 @@
     vmList.start()
     configuration.start()
     probes.start()
+    suspectSync.start()
   }
 
   const entryAnswer = (zone?: string): EntryAnswer =>
@@ -166,6 +170,7 @@
   const stop = async (): Promise<void> => {
     configuration.stop()
     vmList.stop()
+    suspectSync.stop()
     await Promise.all([gossip.stop(), probes.stop(), peerServer?.close(), clients.close(), service.close(), vmListReader.close()])
   }
 
@@ -188,6 +193,7 @@
     resumeAfterPause: gapMs => {
       gossip.resumeAfterPause(gapMs)
       probes.resumeAfterPause(gapMs)
+      suspectSync.hurry()
     },
     counters,
     gauges: () => {
--- a/packages/daemon/src/fleet/store-fleet.ts
+++ b/packages/daemon/src/fleet/store-fleet.ts
@@ -21,6 +21,7 @@
 import { createCatchUp } from './catch-up.js'
 import { createChangeWaiters } from './change-waiters.js'
 import { createPeerWatch, withRestoreCount, type ChangesQuery, type PeerChanges, type PublishedQuery, type PublishedUpdate } from './peer-watch.js'
+import { createSuspectSync } from './suspect-sync.js'
 import { createStoreFollower, type PlatformStore, type FollowedPeer, type StoreChanges } from './store-follower.js'
 
 export type StoreFleetOptions = {
@@ -71,6 +72,8 @@
   const members = (): MemberUpdate[] => gossip.membership()?.members() ?? []
   const peers = (): MemberUpdate[] => members().filter(({ nodeId }) => nodeId !== settings.nodeId)
   const permits = createPermits({ context, members, clients })
+  const suspectSync = createSuspectSync({ clock, random, peers, clients, onNotes: onNotes.emit })
+  const reportMember = createMemberReporter(context)
 
   /** @param source logged origin of the change: the store, a peer's node id, or time for time-driven changes */
   const publish = (source: string): void => {
@@ -170,7 +173,10 @@
   })
 
   const gossip = createGossipDriver(context, {
-    onMember: createMemberReporter(context),
+    onMember: (member, previous) => {
+      reportMember(member, previous)
+      if (previous === 'dead') suspectSync.hurry()
+    },
     onNotes: notes => onNotes.emit(notes),
     onConfigurationSeen: (from, order) => {
       if (order.revision <= configurationVersion()) return
@@ -252,6 +258,7 @@
       ...source
     }, gossip)
     follower.start()
+    suspectSync.start()
     runMaintenance()
   }
 
@@ -280,7 +287,10 @@
     }),
     ...createFleetQueries({ nodeId: settings.nodeId, source: () => peerSource, peers, clients }),
     leave: gossip.leave,
-    resumeAfterPause: gossip.resumeAfterPause,
+    resumeAfterPause: gapMs => {
+      gossip.resumeAfterPause(gapMs)
+      suspectSync.hurry()
+    },
     counters: () => ({
       ...gossip.counters(),
       ...permits.counters(),
@@ -298,6 +308,7 @@
       isStopped = true
       cancelMaintenance()
       catchUp.stop()
+      suspectSync.stop()
       follower.stop()
       await Promise.all([gossip.stop(), peerServer?.close(), clients.close(), store.close()])
     }
--- a/packages/daemon/src/hedging.ts
+++ b/packages/daemon/src/hedging.ts
@@ -7,6 +7,7 @@
 import { isolateErrors } from './completion.js'
 import type { PipelineContext } from './pipeline-context.js'
 import { OBJECTIVE_SHARE } from './placement.js'
+import { isSuspect } from './suspect-isolation.js'
 
 export type HedgeActions = {
   startHedge: () => void
@@ -32,6 +33,8 @@
   const { kind, runtime, responder } = exchange
   // A peer hedges by itself.
   if (isRelay || !kind.idempotent || exchange.isHedged || exchange.attempts.length !== 1 || responder) return
+  // A suspect goes to one target at a time.
+  if (isSuspect(context, exchange)) return
   if (exchange.sendCount >= (kind.attemptsMax ?? Infinity)) return
   const decision = planHedge({
     idempotent: true,
--- a/packages/daemon/src/placement.ts
+++ b/packages/daemon/src/placement.ts
@@ -7,6 +7,7 @@
 import { probeLoad } from './load-probes.js'
 import type { AttemptPurpose, PipelineContext } from './pipeline-context.js'
 import { isolateErrors } from './completion.js'
+import { excludedTargets } from './suspect-isolation.js'
 
 export type PlacementOutcome = Exclude<Placement, { step: 'probe' | 'wait' }>
 
@@ -36,11 +37,11 @@
 const placementRequest = (
   context: PipelineContext, exchange: Exchange, purpose: AttemptPurpose, { probed, canProbe }: Pick<PlacementRequest, 'probed' | 'canProbe'>
 ): PlacementRequest => {
-  const { kind, triedTargetIds, arrivedMs, deadlineMs } = exchange
+  const { kind, arrivedMs, deadlineMs } = exchange
   const objectiveMs = (kind.objectiveMs ?? kind.deadlineMs) * OBJECTIVE_SHARE
   return {
     zone: context.zone,
-    exclude: triedTargetIds,
+    exclude: excludedTargets(context, exchange),
     idempotent: kind.idempotent,
     bodyBytes: exchange.body.sizeBytes(),
     serviceTimeMs: context.serviceTimes.usualMs(kind.name, objectiveMs),
--- a/packages/daemon/src/request-body.ts
+++ b/packages/daemon/src/request-body.ts
@@ -31,6 +31,8 @@
   collectBytesMax: number
   /** Whether a body of unknown size is collected up to the limit. */
   collectsUnknownSize: boolean
+  /** Whether any body is collected up to the limit, because its beginning decides whether the request may be sent. */
+  collectsAny: boolean
   bytesMax: number
   onTooLarge: () => void
   onProgress: () => void
@@ -57,7 +59,7 @@
   const { req } = options.call
   if (!hasBody(req)) return NO_BODY
   const length = req.headers['content-length']
-  const isSmall = length === undefined ? options.collectsUnknownSize : Number(length) <= options.collectBytesMax
+  const isSmall = options.collectsAny || (length === undefined ? options.collectsUnknownSize : Number(length) <= options.collectBytesMax)
   return createReceivedBody(options, isSmall)
 }
 
--- a/packages/daemon/src/request-pipeline.ts
+++ b/packages/daemon/src/request-pipeline.ts
@@ -49,18 +49,20 @@
   const nowMs = context.clock.nowMs()
   const givenId = call.req.headers[context.dialect.requestIdHeader.toLowerCase()]
   const id = isRequestId(givenId) ? givenId : context.nextRequestId()
-  let head: string | undefined
+  let givenHead: string | undefined
+  const head = (): string => (givenHead ??= headIdentity(call, path))
   const exchange: Exchange = {
     id,
     call,
     method: call.req.method ?? 'GET',
     path,
-    head: () => (head ??= headIdentity(call, path)),
+    head,
     runtime,
     kind,
     body: createRequestBody({
       call,
       collectBytesMax: context.collectBytesMax,
+      collectsAny: context.crashWatch.hasSuspectHead(head),
       collectsUnknownSize: kind.idempotent && kind.boundedBy === 'deadline',
       bytesMax: kind.bodyBytesMax,
       onTooLarge: () => isolateErrors(context, exchange, () => onBodyTooLarge(context, exchange)),
@@ -75,6 +77,7 @@
     queueId: '',
     phase: 'collecting',
     isAnswered: false,
+    hasLostTarget: false,
     triedTargetIds: new Set(),
     attempts: [],
     attemptCount: 0,
@@ -122,6 +125,10 @@
   if (exchange.phase === 'settled') return
   const { runtime, kind } = exchange
   const nowMs = context.clock.nowMs()
+  if (context.crashWatch.isRefused(exchange, 'first')) {
+    failExchange(context, exchange, 'request-crashes-targets', { detail: context.crashWatch.describe(exchange) })
+    return
+  }
   if (runtime.table.routing(nowMs).candidates.length === 0) {
     failExchange(context, exchange, 'no-target')
     return
--- a/packages/daemon/src/service-runtimes.ts
+++ b/packages/daemon/src/service-runtimes.ts
@@ -22,6 +22,8 @@
   connections: Map<string, TargetConnections>
   /** Callbacks of requests that found all usable targets at their limits; each retries the selection. */
   targetWaiters: Set<() => void>
+  /** Number of attempts of suspects at each target; see suspect-isolation.ts. */
+  suspectCounts: Map<string, number>
   share: number
   /** Targets that must not get new requests. Checked again directly before a request is written. */
   draining: Set<string>
@@ -161,6 +163,7 @@
       retryBudget: createRetryBudget(retryLimits),
       connections: new Map(),
       targetWaiters: new Set(),
+      suspectCounts: new Map(),
       share,
       draining
     }
--- a/packages/daemon/src/types.ts
+++ b/packages/daemon/src/types.ts
@@ -64,6 +64,8 @@
   status: () => NodeStatus
   explain: (query: ExplainQuery) => EventEntry[]
   report: () => NodeReport
+  /** Requests under which targets ended. */
+  crashNotes: () => TargetNote[]
 }
 
 export type RequestPermit = (query: Omit<PermitQuery, 'nodeId'>) => Promise<PermitAnswer>
--- a/packages/daemon/test/fleet-nodes.ts
+++ b/packages/daemon/test/fleet-nodes.ts
@@ -83,7 +83,8 @@
   await runtime.start({
     status: () => statusOf(runtime, settings),
     explain: () => [],
-    report: () => ({ nodeId: settings.nodeId, zone: settings.zone, sinceWallMs: 0, buckets: [], events: [] })
+    report: () => ({ nodeId: settings.nodeId, zone: settings.zone, sinceWallMs: 0, buckets: [], events: [] }),
+    crashNotes: () => []
   })
   return node
 }
--- a/packages/fleet/src/note-exchange.ts
+++ b/packages/fleet/src/note-exchange.ts
@@ -32,6 +32,7 @@
 export const isStateNote = (note: TargetNote): boolean => note.observation !== 'answering' || isStatement(note)
 
 const subjectOf = (note: TargetNote): string => {
+  if (note.crashedRequest !== undefined) return `crash/${note.crashedRequest}`
   if (note.limitPerS !== undefined) return 'limit'
   if (note.pauseMs !== undefined) return 'pause'
   return isStateNote(note) ? note.observation : note.byProbe ? 'probed' : 'answering'
