Rule most requests out as suspects by their head, without hashing the body

Cause: with suspects about, each request was compared with the heads of all of them, up to 1,024, and its body was hashed anew at each check.

Change: suspects are counted by the part of their identity that is known before the body, and a body is hashed once, as it is read.

--- a/packages/daemon/src/crash-watch.ts
+++ b/packages/daemon/src/crash-watch.ts
@@ -10,7 +10,7 @@
 import type { Target, TargetNote } from '@wisteriavalve/schema'
 import type { Attempt, Exchange } from './exchange.js'
 import type { AttemptPurpose } from './pipeline-context.js'
-import { hasHead, requestIdentity } from './request-identity.js'
+import { headOf, requestIdentity } from './request-identity.js'
 import type { CheckTarget } from './target-check.js'
 
 export type SuspectEvent = CrashReport & {
@@ -60,7 +60,7 @@
 export const isCrashNote = (note: TargetNote): boolean => note.crashedRequest !== undefined
 
 export const createCrashWatch = ({ clock, checkTarget, isCutOff, onSuspect, share }: CrashWatchOptions): CrashWatch => {
-  const suspects = createSuspectRequests()
+  const suspects = createSuspectRequests(headOf)
   /** Requests that were at a target whose end is being checked, by service and target. */
   const pending = new Map<string, LostRequest[]>()
   /** Crashes that the other nodes do not know yet, by identity. */
@@ -108,8 +108,10 @@
     startCheck(key, service, target)
   }
 
+  const hasSuspectHead = (head: () => string): boolean => suspects.count() > 0 && suspects.hasGroup(head())
+
   /** Identity of a request if it can be a suspect; most of the time there is none. */
-  const suspectIdentity = (exchange: Exchange): string | undefined => suspects.count() === 0 ? undefined : requestIdentity(exchange)
+  const suspectIdentity = (exchange: Exchange): string | undefined => hasSuspectHead(exchange.head) ? requestIdentity(exchange) : undefined
 
   return {
     recordLost,
@@ -137,7 +139,7 @@
       const identity = requestIdentity(exchange) ?? ''
       return `identity ${identity}, ${suspects.crashCount(identity, clock.nowMs())} targets ended under it`
     },
-    hasSuspectHead: head => suspects.count() > 0 && suspects.isKnown(hasHead(head())),
+    hasSuspectHead,
     applyNotes: notes => {
       const nowMs = clock.nowMs()
       for (const { crashedRequest: identity, service, targetId, ageMs } of notes) {
--- a/packages/daemon/src/request-body.ts
+++ b/packages/daemon/src/request-body.ts
@@ -138,8 +138,8 @@
     isComplete: () => isEnded,
     sizeBytes: () => Math.max(receivedBytes, Number(req.headers['content-length'] ?? 0)),
     hash: () => {
-      bodyHash ??= collectedBody ? undefined : startHash()
-      return collectedBody ? hashBytes(collectedBody.subarray(0, collectBytesMax)) : bodyHash?.value(isEnded)
+      bodyHash ??= startHash()
+      return bodyHash.value(isEnded)
     },
     isWaitingForCaller: () => !isEnded && (isCollecting || (stream !== undefined && stream.readableLength === 0)),
     close: () => {
--- a/packages/daemon/src/request-identity.ts
+++ b/packages/daemon/src/request-identity.ts
@@ -20,5 +20,4 @@
   return bodyHash === undefined ? undefined : head() + bodyHash
 }
 
-/** Matches the identities of requests with a head. */
-export const hasHead = (head: string) => (identity: string): boolean => identity.slice(0, HASH_DIGITS) === head
+export const headOf = (identity: string): string => identity.slice(0, HASH_DIGITS)
--- a/packages/policy/src/suspect-requests.ts
+++ b/packages/policy/src/suspect-requests.ts
@@ -33,14 +33,31 @@
 /** Time after the last crash for which a request is remembered: one ban longer than it is banned. */
 const memoryMs = (crashCount: number): number => banMs(crashCount) + BAN_MS
 
-export const createSuspectRequests = (): SuspectRequests => {
+/** @param groupOf the part of an identity that is known first */
+export const createSuspectRequests = (groupOf: (identity: string) => string): SuspectRequests => {
   /** In the order of the latest crash. */
   const suspects = new Map<string, Suspect>()
+  /** Number of suspects of each group. */
+  const groupSizes = new Map<string, number>()
+
+  const add = (identity: string, suspect: Suspect): void => {
+    const group = groupOf(identity)
+    suspects.set(identity, suspect)
+    groupSizes.set(group, (groupSizes.get(group) ?? 0) + 1)
+  }
+
+  const remove = (identity: string): void => {
+    if (!suspects.delete(identity)) return
+    const group = groupOf(identity)
+    const size = (groupSizes.get(group) ?? 0) - 1
+    if (size > 0) groupSizes.set(group, size)
+    else groupSizes.delete(group)
+  }
 
   const findSuspect = (identity: string, nowMs: number): Suspect | undefined => {
     const suspect = suspects.get(identity)
     if (!suspect || nowMs - suspect.lastCrashMs < memoryMs(suspect.crashes.length)) return suspect
-    suspects.delete(identity)
+    remove(identity)
     return undefined
   }
 
@@ -48,7 +65,7 @@
   const dropOne = (): void => {
     const harmless = [...suspects].find(([, { crashes }]) => crashes.length < CRASHES_OF_BAN)
     const identity = harmless?.[0] ?? suspects.keys().next().value
-    if (identity !== undefined) suspects.delete(identity)
+    if (identity !== undefined) remove(identity)
   }
 
   const recordCrash: SuspectRequests['recordCrash'] = (report, nowMs) => {
@@ -56,8 +73,8 @@
     if (suspect.crashes.some(crash => isSameCrash(crash, report))) return false
     if (suspect.crashes.length < CRASHES_KEPT_MAX) suspect.crashes.push(report)
     suspect.lastCrashMs = Math.max(suspect.lastCrashMs, report.crashedMs)
-    suspects.delete(report.identity)
-    suspects.set(report.identity, suspect)
+    remove(report.identity)
+    add(report.identity, suspect)
     if (suspects.size > SUSPECTS_MAX) dropOne()
     return true
   }
@@ -66,14 +83,14 @@
 
   return {
     recordCrash,
-    recordAnswered: identity => { suspects.delete(identity) },
+    recordAnswered: remove,
     crashCount,
     isBanned: (identity, nowMs) => {
       const suspect = findSuspect(identity, nowMs)
       return suspect !== undefined && nowMs - suspect.lastCrashMs < banMs(suspect.crashes.length)
     },
     mayRepeat: (identity, nowMs) => crashCount(identity, nowMs) < CRASHES_OF_LAST_ATTEMPT,
-    isKnown: isMatch => [...suspects.keys()].some(isMatch),
+    hasGroup: group => groupSizes.has(group),
     reports: nowMs => [...suspects.keys()].flatMap(identity => findSuspect(identity, nowMs)?.crashes ?? []),
     count: () => suspects.size
   }
--- a/packages/policy/src/types.ts
+++ b/packages/policy/src/types.ts
@@ -411,8 +411,8 @@
   isBanned: (identity: string, nowMs: number) => boolean
   /** Whether the request may be sent to a further target. */
   mayRepeat: (identity: string, nowMs: number) => boolean
-  /** Whether the identity of a suspect matches. */
-  isKnown: (isMatch: (identity: string) => boolean) => boolean
+  /** Whether a suspect belongs to the group, so most requests are ruled out without their identity. */
+  hasGroup: (group: string) => boolean
   reports: (nowMs: number) => CrashReport[]
   /** Number of suspects. */
   count: () => number
--- a/packages/policy/test/suspect-requests.test.ts
+++ b/packages/policy/test/suspect-requests.test.ts
@@ -8,16 +8,18 @@
 const HOUR_MS = 3_600_000
 const BAN_MS = 600_000
 
+const groupOf = (identity: string): string => identity.slice(0, 1)
+
 const crash = (targetId: string, crashedMs: number, identity = 'deadly'): CrashReport => ({ identity, service: 's', targetId, crashedMs })
 
 const createBanned = (lastCrashMs = 2_000) => {
-  const suspects = createSuspectRequests()
+  const suspects = createSuspectRequests(groupOf)
   for (const [index, id] of ['a', 'b', 'c'].entries()) suspects.recordCrash(crash(id, lastCrashMs - 1_000 * (2 - index)), lastCrashMs)
   return suspects
 }
 
 test('a request is banned after the third target that ended under it, and not sent twice after the second', t => {
-  const suspects = createSuspectRequests()
+  const suspects = createSuspectRequests(groupOf)
   const seen = ['a', 'b', 'c'].map(id => {
     suspects.recordCrash(crash(id, 0), 0)
     return [suspects.mayRepeat('deadly', 0), suspects.isBanned('deadly', 0)]
@@ -27,7 +29,7 @@
 })
 
 test('one crash that several nodes report counts once, and a second crash of a restarted target counts again', t => {
-  const suspects = createSuspectRequests()
+  const suspects = createSuspectRequests(groupOf)
   t.true(suspects.recordCrash(crash('a', 1_000), 1_000))
   t.false(suspects.recordCrash(crash('a', 1_400), 1_400))
   t.true(suspects.recordCrash(crash('a', 4_000), 4_000))
@@ -35,7 +37,7 @@
 })
 
 test('an answer clears a request', t => {
-  const suspects = createSuspectRequests()
+  const suspects = createSuspectRequests(groupOf)
   suspects.recordCrash(crash('a', 0), 0)
   suspects.recordCrash(crash('b', 0), 0)
   suspects.recordAnswered('deadly')
@@ -44,7 +46,7 @@
 })
 
 test('crashes far apart are added up, and forgotten when there is no further one', t => {
-  const suspects = createSuspectRequests()
+  const suspects = createSuspectRequests(groupOf)
   suspects.recordCrash(crash('a', 0), 0)
   suspects.recordCrash(crash('b', 500_000), 500_000)
   suspects.recordCrash(crash('c', 1_000_000), 1_000_000)
@@ -76,7 +78,18 @@
 
 test('a starting node that gets the reports of a peer bans the same requests', t => {
   const suspects = createBanned()
-  const started = createSuspectRequests()
+  const started = createSuspectRequests(groupOf)
   for (const report of suspects.reports(3_000)) started.recordCrash(report, 3_000)
   t.true(started.isBanned('deadly', 3_000))
 })
+
+test('a group is known while a suspect of it is', t => {
+  const suspects = createSuspectRequests(groupOf)
+  suspects.recordCrash(crash('a', 0, 'x-1'), 0)
+  suspects.recordCrash(crash('b', 0, 'x-1'), 0)
+  suspects.recordCrash(crash('a', 0, 'x-2'), 0)
+  suspects.recordAnswered('x-1')
+  t.deepEqual([suspects.hasGroup('x'), suspects.hasGroup('y')], [true, false])
+  suspects.recordAnswered('x-2')
+  t.false(suspects.hasGroup('x'))
+})
