--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -3,7 +3,6 @@
  * hedging, target health, connection selection, caller limits.
  */
 export * from './types.js'
-export * from './placement-types.js'
 export { classifyRequest, createServiceIndex } from './classification.js'
 export { createRouteIndex } from './routes.js'
 export { parseLoadReport } from './load-report.js'
--- a/packages/policy/src/placement-types.ts
+++ b/packages/policy/src/types/placement.ts
@@ -1,7 +1,7 @@
 /**
  * Types of the selection of a target with load probes.
  */
-import type { SelectionRequest } from './types.js'
+import type { SelectionRequest } from './selection.js'
 
 /** A request whose target is selected with load probes that are sent for this request. */
 export type PlacementRequest = SelectionRequest & {
