--- a/packages/testbench/src/proxy/tcp.ts
+++ b/packages/testbench/src/proxy/tcp.ts
@@ -28,6 +28,8 @@
   blockDirections: (directions: readonly Direction[]) => void
   /** Resets open and new connections until called with false. */
   setPartitioned: (partitioned: boolean) => void
+  /** Resets open connections and refuses new ones until called with true, as the port of a process that has ended does. */
+  setListening: (isListening: boolean) => void
   /** Forwards no further bytes on the connections that are open now; new ones work. */
   silence: () => void
   /** Resets every open connection. */
@@ -144,6 +146,11 @@
       isPartitioned = next
       if (isPartitioned) resetAll()
     },
+    setListening: isListening => {
+      if (isListening && !server.listening) server.listen(port, host)
+      else if (!isListening && server.listening) server.close()
+      if (!isListening) resetAll()
+    },
     silence: () => { for (const connection of connections) connection.isSilent = true },
     resetAll,
     resetAfter: (direction, bytes) => { resetLimit = bytes === undefined ? undefined : { direction, bytes } },
--- a/packages/testbench/test/proxy.test.ts
+++ b/packages/testbench/test/proxy.test.ts
@@ -89,3 +89,16 @@
   t.is(answer.toString(), 'y')
   t.false(hasReceived)
 })
+
+test('a proxy that does not listen resets its connections and refuses new ones, until it listens again', async t => {
+  const proxy = await setUp(t)
+  const old = await connect(proxy)
+  const closed = once(old, 'close')
+  proxy.setListening(false)
+  await closed
+  const refused = net.connect(proxy)
+  const [error] = await once(refused, 'error') as [NodeJS.ErrnoException]
+  t.is(error.code, 'ECONNREFUSED')
+  proxy.setListening(true)
+  t.is(await echo(await connect(proxy), 'a'), 'a')
+})
