--- a/packages/testbench/test/proxy.test.ts
+++ b/packages/testbench/test/proxy.test.ts
@@ -93,7 +93,7 @@
 test('a proxy that does not listen resets its connections and refuses new ones, until it listens again', async t => {
   const proxy = await setUp(t)
   const old = await connect(proxy)
-  const closed = once(old, 'close')
+  const closed = new Promise(resolve => { old.once('close', resolve) })
   proxy.setListening(false)
   await closed
   const refused = net.connect(proxy)
