--- a/packages/fleet/test/simulated-fleet.ts
+++ b/packages/fleet/test/simulated-fleet.ts
@@ -48,7 +48,7 @@
 
 /** Approximates the message sizes of the daemon's codec. */
 const sizeBytes = (message: GossipMessage): number =>
-  150 + 45 * (message.updates.length + 1) + 40 * message.notes.length + (message.configuration ? 45 : 0)
+  150 + 45 * (message.updates.length + 1) + 40 * message.notes.length + 22 * message.notes.filter(({ crashedRequest }) => crashedRequest !== undefined).length + (message.configuration ? 45 : 0)
 
 const hostOf = (index: number): string => `10.0.${index >> 8}.${index & 255}`
 
