Bound what a starting node is told of suspect requests

Cause: a node told all that it knows, up to 1,024 requests with 16 crashes each, to every node that asks, each ten seconds: some MB in the worst case, where a node may spend 10 KB a second.

Change: 256 crashes at most, those of the requests with most crashes first.

Test: policy/suspect-requests "a starting node is told of bans first" failed before.

--- a/packages/policy/src/suspect-requests.ts
+++ b/packages/policy/src/suspect-requests.ts
@@ -20,6 +20,8 @@
 /** Several nodes report the same crash; each notices it within this time. */
 const SAME_CRASH_MS = 1_000
 const SUSPECTS_MAX = 1_024
+/** Maximum number of crashes that a node tells one that has started. */
+const REPORTS_MAX = 256
 /** Later crashes only extend the ban. */
 const CRASHES_KEPT_MAX = 16
 
@@ -91,7 +93,11 @@
     },
     mayRepeat: (identity, nowMs) => crashCount(identity, nowMs) < CRASHES_OF_LAST_ATTEMPT,
     hasGroup: group => groupSizes.has(group),
-    reports: nowMs => [...suspects.keys()].flatMap(identity => findSuspect(identity, nowMs)?.crashes ?? []),
+    reports: nowMs => [...suspects.keys()]
+      .flatMap(identity => findSuspect(identity, nowMs) ?? [])
+      .sort((a, b) => b.crashes.length - a.crashes.length || b.lastCrashMs - a.lastCrashMs)
+      .flatMap(({ crashes }) => crashes)
+      .slice(0, REPORTS_MAX),
     count: () => suspects.size
   }
 }
--- a/packages/policy/src/types/suspects.ts
+++ b/packages/policy/src/types/suspects.ts
@@ -25,6 +25,7 @@
   mayRepeat: (identity: string, nowMs: number) => boolean
   /** Whether a suspect belongs to the group, so most requests are ruled out without their identity. */
   hasGroup: (group: string) => boolean
+  /** The crashes of the requests with most of them, to be told to a node that has started. */
   reports: (nowMs: number) => CrashReport[]
   /** Number of suspects. */
   count: () => number
--- a/packages/policy/test/suspect-requests.test.ts
+++ b/packages/policy/test/suspect-requests.test.ts
@@ -83,6 +83,14 @@
   t.true(started.isBanned('deadly', 3_000))
 })
 
+test('a starting node is told of bans first, and of a bounded number of crashes', t => {
+  const suspects = createBanned()
+  for (let index = 0; index < 1_000; index++) suspects.recordCrash(crash('a', 3_000 + index, `request-${index}`), 3_000 + index)
+  const reports = suspects.reports(5_000)
+  t.deepEqual(reports.slice(0, 4).map(({ identity }) => identity), ['deadly', 'deadly', 'deadly', 'request-999'])
+  t.is(reports.length, 256)
+})
+
 test('a group is known while a suspect of it is', t => {
   const suspects = createSuspectRequests(groupOf)
   suspects.recordCrash(crash('a', 0, 'x-1'), 0)
