Tell the other nodes of a suspect whose repeat a peer has answered

Cause: crashes that are held back while the repeat of a request runs were neither told nor dropped when a peer answered the repeat, since a relayed answer is not taken for the answer of a target. They stayed in memory.

Change: such a request counts as one that ended without an answer of a target to this node.

--- a/packages/daemon/src/completion.ts
+++ b/packages/daemon/src/completion.ts
@@ -69,10 +69,9 @@
 export const completeExchange = (context: PipelineContext, attempt: Attempt): void => {
   const { exchange } = attempt
   const nowMs = context.clock.nowMs()
-  if (!attempt.isRelay) {
-    exchange.isAnswered = true
-    context.crashWatch.recordAnswered(exchange)
-  }
+  if (attempt.isRelay) context.crashWatch.recordFailed(exchange)
+  else context.crashWatch.recordAnswered(exchange)
+  exchange.isAnswered = !attempt.isRelay
   finishAttempt(attempt, attempt.status >= 500 ? 'error-status' : 'ok', nowMs)
   const wasAdmitted = detach(context, exchange, 'cancelled')
   try {
--- a/packages/daemon/src/crash-watch.ts
+++ b/packages/daemon/src/crash-watch.ts
@@ -25,7 +25,7 @@
   recordLost: (attempt: Attempt) => void
   /** To be called when a target has run and answered a request. */
   recordAnswered: (exchange: Exchange) => void
-  /** To be called when a request ended without the answer of a target. */
+  /** To be called when a request ended without the answer of a target to this node. */
   recordFailed: (exchange: Exchange) => void
   /** Whether a target ended under the request, as far as any node knows. */
   isSuspect: (exchange: Exchange) => boolean
--- a/packages/daemon/test/crash-watch.test.ts
+++ b/packages/daemon/test/crash-watch.test.ts
@@ -6,9 +6,11 @@
 import { createManualClock } from '@wisteriavalve/common'
 import type { TargetNote } from '@wisteriavalve/schema'
 import test from 'ava'
+import { completeExchange } from '../src/completion.js'
 import { createCrashWatch, type SuspectEvent } from '../src/crash-watch.js'
 import type { Attempt, Exchange } from '../src/exchange.js'
 import { createDatagramCodec } from '../src/fleet/datagram-codec.js'
+import type { PipelineContext } from '../src/pipeline-context.js'
 import type { TargetCheckResult } from '../src/target-check.js'
 
 type FakeExchange = Pick<Exchange, 'phase' | 'isAnswered'>
@@ -144,3 +146,13 @@
   const decoded = codec.decode(codec.encode({ type: 'ping', nonce: 1, sender, updates: [], notes: [note] }, 1))
   t.deepEqual(decoded.ok && decoded.value.message.notes, [note])
 })
+
+test('a request that a peer answered in the end leaves nothing behind that the other nodes are never told', t => {
+  const { clock, watch, shared, lose, createExchange } = createWatch()
+  const exchange = createExchange('a')
+  lose(exchange, 't1')
+  Object.assign(exchange, { attempts: [], phase: 'settled', call: { req: { complete: true } }, body: { ...exchange.body, close: () => undefined } })
+  const attempt = { exchange, isRelay: true, status: 200, table: { recordOutcome: () => undefined } } as unknown as Attempt
+  completeExchange({ clock, crashWatch: watch, wheel: { cancel: () => undefined }, recorder: { answered: () => undefined } } as unknown as PipelineContext, attempt)
+  t.deepEqual(shared.map(({ targetId }) => targetId), ['t1'])
+})
