Give a request that crashes its backend servers up in the sample client

Cause: the sample client tries a request that a node has refused as not run at the next address. A request that is refused because it crashes its backend servers would be tried at each node, also at one that has not heard of it yet.

Test: cli/caller-client "a request that crashes its backend servers is not tried at the next node" failed before.

--- a/examples/caller-client.mjs
+++ b/examples/caller-client.mjs
@@ -6,8 +6,8 @@
  *   node examples/caller-client.mjs 10.0.0.4:8080 GET /stockview/stock/1
  *
  * A request is sent to the next address only when it certainly did not run: its
- * connection could not be opened, or a node reports so. Any other retry is left
- * to the program that uses this client, because it depends on the request.
+ * connection could not be opened, or a node reports so. A request that crashes its
+ * backend servers is given up at once. Any other retry is left to the program that uses this client, because it depends on the request.
  */
 import { realpathSync } from 'node:fs'
 import http from 'node:http'
@@ -41,9 +41,12 @@
   request.end(body)
 })
 
+/** Result code of a request that crashes its backend servers; all nodes refuse it. */
+const CRASHES_TARGETS_CODE = 'WV-1022'
+
 /** Whether the node refused the request for a reason of its own. Another node may accept it. */
 const isRefusedByNode = ({ status, headers }) =>
-  headers['x-result-class'] === 'not-run' && (status === 502 || status === 503)
+  headers['x-result-class'] === 'not-run' && (status === 502 || status === 503) && headers['x-result-code'] !== CRASHES_TARGETS_CODE
 
 /**
  * @param entries some addresses of the fleet, { host, port }, for the first request
--- a/packages/cli/test/caller-client.test.ts
+++ b/packages/cli/test/caller-client.test.ts
@@ -1,6 +1,7 @@
 /**
- * Guards against a sample client that repeats a request which may have run, or
- * that keeps using an address at which nothing listens any more.
+ * Guards against a sample client that repeats a request which may have run, that
+ * tries one which crashes its backend servers at each node, or that keeps using
+ * an address at which nothing listens any more.
  */
 import type { RequestListener, ServerResponse } from 'node:http'
 import { join } from 'node:path'
@@ -50,6 +51,13 @@
   }
 })
 
+test('a request that crashes its backend servers is not tried at the next node', async t => {
+  const refuse = (res: ServerResponse): void => { res.writeHead(503, { 'x-result-class': 'not-run', 'x-result-code': 'WV-1022' }).end() }
+  const nodes = await serveNodes(t, refuse, answer)
+  const { status } = await createCaller({ entries: nodes.addresses, zone: 'lagos-a' }).request(order)
+  t.deepEqual([status, nodes.seen], [503, [0]])
+})
+
 test('the entry answer is used for its lifetime and then requested again', async t => {
   const nodes = await serveNodes(t, answer)
   let nowMs = 0
