Show in a trace the targets that a refused request has ended, and restores of the store

Change: the lines of all nodes with the same identity are shown, and the cause names the targets. store_restored is an event of a node.

Test: cli/trace, two cases failed before.

--- a/examples/caller-client.mjs
+++ b/examples/caller-client.mjs
@@ -7,7 +7,8 @@
  *
  * A request is sent to the next address only when it certainly did not run: its
  * connection could not be opened, or a node reports so. A request that crashes its
- * backend servers is given up at once. Any other retry is left to the program that uses this client, because it depends on the request.
+ * backend servers is given up at once. Any other retry is left to the program that
+ * uses this client, because it depends on the request.
  */
 import { realpathSync } from 'node:fs'
 import http from 'node:http'
--- a/packages/cli/src/trace/request-trace.ts
+++ b/packages/cli/src/trace/request-trace.ts
@@ -8,7 +8,11 @@
   requestId: string
   /** Lines about the request, in chronological order. */
   own: LogLine[]
-  /** Latest line of each event about the node, its configuration, the store and the request's targets, up to the end of the request. */
+  /**
+   * Latest line of each event about the node, its configuration, the store and the
+   * request's targets, up to the end of the request, and the crashes of targets
+   * for which it was refused.
+   */
   context: LogLine[]
   cause: string
   /** Information that the logs do not contain. */
@@ -16,7 +20,7 @@
 }
 
 /** Events about a node as a whole; the latest of each before the end of the request is shown. */
-const NODE_EVENTS = new Set(['daemon_started', 'configuration_adopted', 'store_reachable', 'store_unreachable', 'process_paused', 'lines_left_out', 'daemon_leaving'])
+const NODE_EVENTS = new Set(['daemon_started', 'configuration_adopted', 'store_reachable', 'store_unreachable', 'store_restored', 'process_paused', 'lines_left_out', 'daemon_leaving'])
 /** Events about one target. */
 const TARGET_EVENTS = new Set(['target_state', 'target_listed', 'target_unlisted', 'connections_retired'])
 
@@ -35,7 +39,18 @@
     const latest = key === undefined ? undefined : latestByKey.get(key)
     if (key !== undefined && (!latest || latest.wallMs <= line.wallMs)) latestByKey.set(key, line)
   }
-  return [...latestByKey.values()].sort(byTime)
+  return [...latestByKey.values(), ...findCrashes(lines, own)].sort(byTime)
+}
+
+/** The message of a request that crashes its targets names its identity, which is the same each time it comes. */
+const IDENTITY = /identity ([0-9a-f]{32})/
+
+/** Lines of all nodes about targets that ended under the request before it was refused. */
+const findCrashes = (lines: readonly LogLine[], own: readonly LogLine[]): LogLine[] => {
+  const end = own.at(-1)
+  const identity = IDENTITY.exec(end?.fields.message ?? '')?.[1]
+  if (!end || identity === undefined) return []
+  return lines.filter(({ event, fields, wallMs }) => event === 'request_suspect' && fields.identity === identity && wallMs <= end.wallMs)
 }
 
 /** Highest configuration revision that any node had in force when the request arrived. */
@@ -46,10 +61,12 @@
 /** Removes the full stop of a message that is embedded in another sentence. */
 const messageOf = ({ fields }: LogLine): string => (fields.message ?? '').replace(/\.$/, '')
 
-const describeRefusal = (line: LogLine): string => {
+const describeRefusal = (line: LogLine, context: readonly LogLine[]): string => {
   const { fields } = line
+  const crashed = new Set(context.flatMap(({ event, fields: each }) => event === 'request_suspect' ? [each.target] : []))
+  const crashHint = crashed.size === 0 ? '' : `; it was running when ${[...crashed].join(', ')} ended`
   const retryHint = fields.retry_after_ms === undefined ? '' : `; it was told to come back after ${fields.retry_after_ms} ms`
-  return `It was refused after ${fields.duration_ms ?? 0} ms and did not run (${fields.result_code}): ${messageOf(line)}${retryHint}.`
+  return `It was refused after ${fields.duration_ms ?? 0} ms and did not run (${fields.result_code}): ${messageOf(line)}${crashHint}${retryHint}.`
 }
 
 const describeUnknownOutcome = (line: LogLine, context: readonly LogLine[]): string => {
@@ -74,7 +91,7 @@
   const end = own.findLast(({ event }) => event === 'request_failed' || event === 'request_answered')
   if (!end) return own.length === 0 ? 'The logs have no line about this request.' : 'The logs do not show how it ended.'
   if (end.event === 'request_answered') return describeAnswer(end, lines)
-  return end.fields.result_class === 'not-run' ? describeRefusal(end) : describeUnknownOutcome(end, context)
+  return end.fields.result_class === 'not-run' ? describeRefusal(end, context) : describeUnknownOutcome(end, context)
 }
 
 const findMissing = (own: readonly LogLine[], context: readonly LogLine[]): string[] => {
--- a/packages/cli/test/trace.test.ts
+++ b/packages/cli/test/trace.test.ts
@@ -42,6 +42,23 @@
   t.deepEqual(path.context.map(({ event }) => event), ['daemon_started', 'configuration_adopted', 'target_state'])
 })
 
+test('a request that was refused because it crashes its targets leads to the targets that ended, on all nodes', t => {
+  const identity = '0123456789abcdef'.repeat(2)
+  const crash = (node: string, second: string, target: string, of = identity): string =>
+    `level=warn time=${AT}${second}.000Z node=${node} event=request_suspect request_id=other identity=${of} caller=10.0.0.9 service=s target=${target} crashes=1`
+  const path = traceRequest([...NODE, ...lines(
+    crash('n1', '03', 't1'), crash('n2', '03', 't2'), crash('n2', '04', 't3'), crash('n2', '04', 't9', 'f'.repeat(32)), crash('n2', '08', 't8'),
+    `level=info time=${AT}05.000Z node=n1 event=request_failed request_id=r1 service=s target="" result_code=WV-1022 result_class=not-run duration_ms=1 message="refused (identity ${identity}, 3 targets ended under it)."`
+  )], 'r1')
+  t.deepEqual(path.context.filter(({ event }) => event === 'request_suspect').map(({ fields }) => fields.target), ['t1', 't2', 't3'])
+  t.regex(path.cause, /WV-1022.*it was running when t1, t2, t3 ended/)
+})
+
+test('a restore of the store is among the earlier events of a node', t => {
+  const restored = lines(`level=warn time=${AT}03.000Z node=n1 event=store_restored revision=36 restore_count=2 previous_revision=37 previous_restore_count=1 source=store`)
+  t.true(traceRequest([...NODE, ...restored, ...lines(answered('duration_ms=100 sent_after_ms=1 configuration=4'))], 'r1').context.some(({ event }) => event === 'store_restored'))
+})
+
 const answered = (fields: string): string =>
   `level=info time=${AT}09.000Z node=n1 event=request_answered request_id=r1 service=s target=t1 status=200 objective_ms=400 reason=r ${fields}`
 
