Clear a suspect at all nodes when one of them gets an answer to it

Cause: an answer cleared a suspect only at the node that got it. Orders that lose their target are not repeated, so each crash is told to all nodes; a node that hears of three of them together refuses the request and then never gets an answer that would clear it.

Change: a node that gets the answer to a suspect of which others know tells them. An answer voids the crashes before it, also those that are reported later.

--- a/packages/daemon/src/crash-watch.ts
+++ b/packages/daemon/src/crash-watch.ts
@@ -3,7 +3,8 @@
  * connection of a request that was sent breaks without a response, the target is
  * checked; if it has ended, the requests that this node had at it are suspects
  * (policy/suspect-requests). Nodes tell each other of suspects, but not of one
- * whose repeat is still running, because most of them are answered then.
+ * whose repeat is still running, because most of them are answered then. They
+ * also tell each other when a suspect was answered after all.
  */
 import type { Clock } from '@wisteriavalve/common'
 import { createSuspectRequests, type CrashReport } from '@wisteriavalve/policy'
@@ -69,6 +70,9 @@
   const toNote = ({ identity, service, targetId, crashedMs }: CrashReport): TargetNote =>
     ({ service, targetId, observation: 'dead', ageMs: Math.max(0, Math.round(clock.nowMs() - crashedMs)), crashedRequest: identity })
 
+  const toAnsweredNote = (identity: string, { runtime, responder }: Exchange): TargetNote =>
+    ({ service: runtime.configuration.name, targetId: responder?.targetId ?? '', observation: 'answering', ageMs: 0, crashedRequest: identity })
+
   const shareCrashes = (identity: string): void => {
     const reports = unshared.get(identity)
     unshared.delete(identity)
@@ -117,8 +121,10 @@
     recordLost,
     recordAnswered: exchange => {
       const identity = suspectIdentity(exchange)
-      if (identity === undefined) return
-      suspects.recordAnswered(identity)
+      const knownCount = identity === undefined ? 0 : suspects.crashCount(identity, clock.nowMs())
+      if (identity === undefined || knownCount === 0) return
+      if (knownCount > (unshared.get(identity)?.length ?? 0)) share([toAnsweredNote(identity, exchange)])
+      suspects.recordAnswered(identity, clock.nowMs())
       unshared.delete(identity)
     },
     recordFailed: exchange => {
@@ -142,8 +148,10 @@
     hasSuspectHead,
     applyNotes: notes => {
       const nowMs = clock.nowMs()
-      for (const { crashedRequest: identity, service, targetId, ageMs } of notes) {
-        if (identity !== undefined) suspects.recordCrash({ identity, service, targetId, crashedMs: nowMs - ageMs }, nowMs)
+      for (const { crashedRequest: identity, service, targetId, observation, ageMs } of notes) {
+        if (identity === undefined) continue
+        if (observation === 'answering') suspects.recordAnswered(identity, nowMs - ageMs)
+        else suspects.recordCrash({ identity, service, targetId, crashedMs: nowMs - ageMs }, nowMs)
       }
     },
     notes: () => suspects.reports(clock.nowMs()).map(toNote),
--- a/packages/daemon/test/crash-watch.test.ts
+++ b/packages/daemon/test/crash-watch.test.ts
@@ -129,6 +129,24 @@
   }
 })
 
+test('a request that is answered at one node is no suspect at the others, although they never had an answer to it', t => {
+  const [answering, other] = [createWatch(), createWatch()]
+  for (const id of ['t1', 't2', 't3']) {
+    const exchange = answering.createExchange('a')
+    settle(exchange, {})
+    answering.lose(exchange, id)
+  }
+  const running = createWatch()
+  running.watch.applyNotes(answering.shared.slice(0, 2))
+  other.watch.applyNotes(answering.shared)
+  t.true(other.watch.isRefused(other.createExchange('a'), 'first'))
+  running.watch.recordAnswered(running.createExchange('a'))
+  other.watch.applyNotes(running.shared)
+  t.false(other.watch.isRefused(other.createExchange('a'), 'first'))
+  other.watch.applyNotes(answering.shared.map(note => ({ ...note, ageMs: 5 })))
+  t.false(other.watch.isSuspect(other.createExchange('a')))
+})
+
 test('a node that has started learns what a peer knows, whatever its age', t => {
   const { clock, watch, lose, createExchange } = createWatch()
   const exchange = createExchange('a')
--- a/packages/fleet/src/note-exchange.ts
+++ b/packages/fleet/src/note-exchange.ts
@@ -28,11 +28,14 @@
 /** What a target stated about itself. It may end and be stated again soon. */
 const isStatement = (note: TargetNote): boolean => note.limitPerS !== undefined || note.pauseMs !== undefined
 
+/** Whether a target ended under a request, or answered one under which targets had ended. */
+const isAboutRequest = (note: TargetNote): boolean => note.crashedRequest !== undefined
+
 /** Observations that all nodes must learn at once. */
-export const isStateNote = (note: TargetNote): boolean => note.observation !== 'answering' || isStatement(note)
+export const isStateNote = (note: TargetNote): boolean => note.observation !== 'answering' || isStatement(note) || isAboutRequest(note)
 
 const subjectOf = (note: TargetNote): string => {
-  if (note.crashedRequest !== undefined) return `crash/${note.crashedRequest}`
+  if (note.crashedRequest !== undefined) return `${note.observation}/${note.crashedRequest}`
   if (note.limitPerS !== undefined) return 'limit'
   if (note.pauseMs !== undefined) return 'pause'
   return isStateNote(note) ? note.observation : note.byProbe ? 'probed' : 'answering'
@@ -40,7 +43,7 @@
 
 const keyOf = (note: TargetNote): string => `${note.service}/${note.targetId}/${subjectOf(note)}`
 
-const repeatMs = (note: TargetNote): number => isStateNote(note) && !isStatement(note) ? STATE_NOTE_REPEAT_MS : ANSWERING_NOTE_REPEAT_MS
+const repeatMs = (note: TargetNote): number => isStateNote(note) && !isStatement(note) && !isAboutRequest(note) ? STATE_NOTE_REPEAT_MS : ANSWERING_NOTE_REPEAT_MS
 
 /** Returns the note with its age at the time of sending. */
 export const withCurrentAge = ({ note, observedMs }: Observation, nowMs: number): TargetNote =>
--- a/packages/policy/src/suspect-requests.ts
+++ b/packages/policy/src/suspect-requests.ts
@@ -41,6 +41,8 @@
   const suspects = new Map<string, Suspect>()
   /** Number of suspects of each group. */
   const groupSizes = new Map<string, number>()
+  /** Time of the last answer of requests that were suspects, in the order of the answers. */
+  const answeredMs = new Map<string, number>()
 
   const add = (identity: string, suspect: Suspect): void => {
     const group = groupOf(identity)
@@ -71,6 +73,7 @@
   }
 
   const recordCrash: SuspectRequests['recordCrash'] = (report, nowMs) => {
+    if (report.crashedMs <= (answeredMs.get(report.identity) ?? -Infinity)) return false
     const suspect = findSuspect(report.identity, nowMs) ?? { crashes: [], lastCrashMs: -Infinity }
     if (suspect.crashes.some(crash => isSameCrash(crash, report))) return false
     if (suspect.crashes.length < CRASHES_KEPT_MAX) suspect.crashes.push(report)
@@ -81,11 +84,21 @@
     return true
   }
 
+  const recordAnswered: SuspectRequests['recordAnswered'] = (identity, atMs) => {
+    answeredMs.delete(identity)
+    answeredMs.set(identity, atMs)
+    if (answeredMs.size > SUSPECTS_MAX) answeredMs.delete(answeredMs.keys().next().value as string)
+    const suspect = suspects.get(identity)
+    remove(identity)
+    const later = suspect?.crashes.filter(({ crashedMs }) => crashedMs > atMs) ?? []
+    if (suspect && later.length > 0) add(identity, { ...suspect, crashes: later })
+  }
+
   const crashCount = (identity: string, nowMs: number): number => findSuspect(identity, nowMs)?.crashes.length ?? 0
 
   return {
     recordCrash,
-    recordAnswered: remove,
+    recordAnswered,
     crashCount,
     isBanned: (identity, nowMs) => {
       const suspect = findSuspect(identity, nowMs)
--- a/packages/policy/src/types/suspects.ts
+++ b/packages/policy/src/types/suspects.ts
@@ -15,8 +15,8 @@
 export type SuspectRequests = {
   /** @returns whether the crash is new to this node */
   recordCrash: (report: CrashReport, nowMs: number) => boolean
-  /** Clears a request that a target has run and answered. */
-  recordAnswered: (identity: string) => void
+  /** Clears a request that a target has run and answered: earlier crashes do not count, also if they are reported later. */
+  recordAnswered: (identity: string, atMs: number) => void
   /** Number of targets that ended under the request. */
   crashCount: (identity: string, nowMs: number) => number
   /** Whether the request must not reach a target. */
