Count the relayed requests that peers do not take

Cause: a node that relays its requests counts those that it sent, but not those that the peer refused because it is cut off as well. Whether relayed requests fail for want of a peer that reaches the targets could be read only from the lines of all other nodes.

Change: wisteriavalve_refused_relays_total.

Measured: the tests of relaying and metrics of the daemon pass.

--- a/packages/daemon/src/relaying.ts
+++ b/packages/daemon/src/relaying.ts
@@ -75,8 +75,10 @@
 /** Whether the peer has not handled the request, so that it can be sent elsewhere. */
 export const isRefusedByPeer = (headers: readonly string[]): boolean => REFUSAL_CODES.has(rawHeader(headers, 'x-result-code') ?? '')
 
-export const passOverPeer = ({ relaying, clock }: PipelineContext, { targetId }: Attempt): void =>
+export const passOverPeer = ({ relaying, clock, recorder }: PipelineContext, { targetId }: Attempt): void => {
+  recorder.relayRefused()
   relaying.peers.table.recordPause(targetId, PEER_PAUSE_MS, clock.nowMs())
+}
 
 /** The result of a peer is the result of the request. */
 export const resultHeaders = (headers: readonly string[]): string[] =>
--- a/packages/daemon/src/request-recorder.ts
+++ b/packages/daemon/src/request-recorder.ts
@@ -164,8 +164,10 @@
     if (table.requestLimitPerS(targetId) !== undefined) metrics.increment('limited_target_requests')
   }
 
+  const relayRefused = (): void => metrics.increment('refused_relays')
+
   const limitUnreadable = ({ exchange, targetId }: Attempt): void =>
     writeLine(clock.nowMs(), 'target_limit', { service: exchange.runtime.configuration.name, target: targetId, state: 'unreadable', request_id: exchange.id })
 
-  return { routed, written, limitUnreadable, answered, failed, refused, malformed, probed, internalError }
+  return { routed, written, relayRefused, limitUnreadable, answered, failed, refused, malformed, probed, internalError }
 }
