Take no relayed request at a node that can open no connection to a target

Cause: such a node relays a request that finds no connection. The peer that gets it can be in the same position. Only a node that nothing answers refused relayed requests.

The class of fault: a refusal that concerns the peer is taken for one that concerns the request.

--- a/packages/daemon/src/attempts.ts
+++ b/packages/daemon/src/attempts.ts
@@ -13,7 +13,7 @@
 import { permitWaitMaxMs, place, type PlacementOutcome } from './placement.js'
 import { LEAVING_RETRY_AFTER_MS } from './constants.js'
 import { scheduleHedge } from './hedging.js'
-import { CUT_OFF_RETRY_AFTER_MS, isCutOff, isRelayed, selectRelayPeer, tryTargetAgain } from './relaying.js'
+import { cannotReachTargets, CUT_OFF_RETRY_AFTER_MS, isCutOff, isRelayed, selectRelayPeer, tryTargetAgain } from './relaying.js'
 import { excludedTargets, isTaken, reserveTarget } from './suspect-isolation.js'
 import { withPermit } from './target-permits.js'
 import { dropData, endResponse, onResponseHead, relayData } from './response-relay.js'
@@ -75,7 +75,7 @@
     startAt(context, exchange, { ...relayDestination(context, peer), purpose }, lastResult)
     return true
   }
-  if (!isRelayed(exchange.call) || !isCutOff(context)) return false
+  if (!isRelayed(exchange.call) || !cannotReachTargets(context, lastResult)) return false
   failExchange(context, exchange, exchange.unknownResult ?? 'targets-unreachable', { retryAfterMs: CUT_OFF_RETRY_AFTER_MS })
   return true
 }
--- a/packages/daemon/src/pipeline-context.ts
+++ b/packages/daemon/src/pipeline-context.ts
@@ -27,9 +27,9 @@
   malformed: (result: ResultName, address: string, reason: string) => void
   /** The request of an attempt was written. */
   written: (attempt: Attempt) => void
-  /** A response states a request limit that cannot be read; the limit that was known stays in force. */
   /** A peer did not take a relayed request. */
   relayRefused: () => void
+  /** A response states a request limit that cannot be read; the limit that was known stays in force. */
   limitUnreadable: (attempt: Attempt) => void
   /** A load probe is sent to a target. */
   probed: () => void
--- a/packages/daemon/src/relaying.ts
+++ b/packages/daemon/src/relaying.ts
@@ -36,7 +36,7 @@
 /** Time for which a peer is passed over that cannot take requests. */
 const PEER_PAUSE_MS = 1_000
 /** Results of a peer for which another peer, or this node, handles the request. */
-const REFUSALS: readonly ResultName[] = ['targets-unreachable', 'node-leaving', 'node-not-ready', 'caller-limit']
+const REFUSALS: readonly ResultName[] = ['targets-unreachable', 'connect-failed', 'node-leaving', 'node-not-ready', 'caller-limit']
 const REFUSAL_CODES: ReadonlySet<string> = new Set(REFUSALS.map(name => resultCode(name).code))
 
 export const isRelayed = ({ req }: Pick<Call, 'req'>): boolean => req.headers[RELAYED_BY_HEADER] !== undefined
@@ -56,12 +56,17 @@
 const canRelay = ({ call, relayCount, attempts, body, unknownResult, kind }: Exchange): boolean =>
   !isRelayed(call) && relayCount < RELAYS_MAX && attempts.length === 0 && body.canOpen() && (unknownResult === undefined || kind.idempotent)
 
+/**
+ * Whether this node cannot reach a target for a request: nothing answers it, or
+ * the request found no connection and no new one opens.
+ * @param lastResult result of the previous attempt of the request
+ */
+export const cannotReachTargets = (context: PipelineContext, lastResult: ResultName | undefined): boolean =>
+  isCutOff(context) || (lastResult === 'connect-failed' && context.relaying.connections.isLost(context.clock.nowMs()))
+
 /** @param lastResult result of the previous attempt */
-export const selectRelayPeer = (context: PipelineContext, exchange: Exchange, lastResult: ResultName | undefined): Target | undefined => {
-  const { relaying: { connections, peers }, clock } = context
-  const isConnectionRefused = lastResult === 'connect-failed' && connections.isLost(clock.nowMs())
-  return (isCutOff(context) || isConnectionRefused) && canRelay(exchange) ? peers.select(exchange.triedTargetIds) : undefined
-}
+export const selectRelayPeer = (context: PipelineContext, exchange: Exchange, lastResult: ResultName | undefined): Target | undefined =>
+  cannotReachTargets(context, lastResult) && canRelay(exchange) ? context.relaying.peers.select(exchange.triedTargetIds) : undefined
 
 /** Probes a target from time to time, because a response ends the state of being cut off. */
 export const tryTargetAgain = (context: PipelineContext, { runtime }: Exchange): void => {
