Relay only to peers that do not announce that they are cut off as well

Cause: nodes announce by gossip that no target answers them, but only entry answers used it. A node that can open no connection did not announce it, and after another change of the load an announcement waited for up to 5 s.

Change: peers that announce a loss get no relayed requests; both kinds of loss and their ends are announced within a second. Peers of the own zone are preferred again for about as many requests as they have of their own; before, one refusal sent all requests to other zones for a second.

--- a/packages/daemon/src/peer-targets.ts
+++ b/packages/daemon/src/peer-targets.ts
@@ -3,6 +3,7 @@
  * the targets. Their state and connections are kept like those of targets.
  */
 import type { Clock, Random } from '@wisteriavalve/common'
+import { NO_NEW_CONNECTION_LOAD_PERCENT } from '@wisteriavalve/fleet'
 import { createTargetTable, selectPeer, type TargetTable } from '@wisteriavalve/policy'
 import type { MemberUpdate, Target } from '@wisteriavalve/schema'
 import { createTargetConnections, type TargetConnections } from './backend-connections.js'
@@ -27,11 +28,15 @@
 const CONNECTIONS_PER_PEER = 64
 const REFRESH_INTERVAL_MS = 250
 
+/** Whether a node announces that it could not take the requests of another one. */
+const isCutOffMember = ({ loadPercent = 0 }: MemberUpdate): boolean => loadPercent >= NO_NEW_CONNECTION_LOAD_PERCENT
+
 const toTarget = ({ nodeId, host, callerPort, zone }: MemberUpdate): Target => ({ id: nodeId, host, port: callerPort, zone })
 
 export const createPeerTargets = ({ clock, random, nodeId, zone, members }: PeerTargetsOptions): PeerTargets => {
   const table = createTargetTable({ service: 'peers', slotsPerTarget: CONNECTIONS_PER_PEER, connectionShare: CONNECTIONS_PER_PEER })
   const connections = new Map<string, TargetConnections>()
+  const cutOffIds = new Set<string>()
   let refreshedMs = -Infinity
   let connectionId = 0
 
@@ -46,7 +51,10 @@
   const refresh = (nowMs: number): void => {
     if (nowMs - refreshedMs < REFRESH_INTERVAL_MS) return
     refreshedMs = nowMs
-    table.setTargets(members().filter(member => member.nodeId !== nodeId && member.state === 'alive').map(toTarget), nowMs)
+    const alive = members().filter(member => member.nodeId !== nodeId && member.state === 'alive')
+    table.setTargets(alive.map(toTarget), nowMs)
+    cutOffIds.clear()
+    for (const member of alive) if (isCutOffMember(member)) cutOffIds.add(member.nodeId)
     dropRemoved()
   }
 
@@ -55,7 +63,7 @@
     select: exclude => {
       const nowMs = clock.nowMs()
       refresh(nowMs)
-      const selected = selectPeer(table.routing(nowMs).candidates, { zone, exclude }, nowMs, random)
+      const selected = selectPeer(table.routing(nowMs).candidates, { zone, exclude, isCutOff: peerId => cutOffIds.has(peerId) }, nowMs, random)
       return selected && table.target(selected.target.id)
     },
     connectionsTo: peer => {
--- a/packages/fleet/src/constants.ts
+++ b/packages/fleet/src/constants.ts
@@ -36,9 +36,13 @@
 /** Minimum load change that is announced to the whole fleet. */
 export const LOAD_STEP_PERCENT = 25
 export const LOAD_ANNOUNCE_INTERVAL_MS = 5000
+/** Minimum time between announcements that a node is cut off from the targets and that it reaches them again. */
+export const CUT_OFF_ANNOUNCE_INTERVAL_MS = 1000
 export const OVERLOAD_PERCENT = 100
 /** Load of a node that reaches no target and so has no capacity. */
 export const UNREACHABLE_LOAD_PERCENT = 1000
+/** Load of a node that reaches the targets on open connections only, and so has no capacity for requests of its peers. */
+export const NO_NEW_CONNECTION_LOAD_PERCENT = UNREACHABLE_LOAD_PERCENT - 1
 
 /** Older observations of targets are neither applied nor forwarded. */
 export const NOTE_AGE_MAX_MS = 30_000
--- a/packages/policy/src/select-peer.ts
+++ b/packages/policy/src/select-peer.ts
@@ -1,20 +1,36 @@
 /**
  * Selects the peer that gets the requests of a node that is cut off from the
- * targets. This answers the loss of the network between some nodes and all
- * targets, often those of one zone: peers of the own zone are preferred until one
- * of them says that it is cut off as well.
+ * targets. This answers the loss of the network between some or most nodes and all
+ * targets, often those of one zone. Peers that are known to be cut off as well get
+ * nothing. Peers of the own zone are preferred, since traffic between zones is
+ * paid for, but only for as many requests as they have of their own: where most
+ * nodes of a zone are cut off, the few others could not carry all of its load.
  */
 import type { Random } from '@wisteriavalve/common'
 import { isPaused } from './target-pause.js'
 import type { TargetState } from './types.js'
 
+export type PeerRequest = {
+  /** Zone of this node. */
+  zone: string
+  /** Peers that were tried for the request. */
+  exclude: ReadonlySet<string>
+  /** Whether a peer announces that it is cut off. */
+  isCutOff: (peerId: string) => boolean
+}
+
 /** @param peers state of the peers; one that refused requests for want of targets is paused */
-export const selectPeer = (
-  peers: readonly TargetState[], { zone, exclude }: { zone: string, exclude: ReadonlySet<string> }, nowMs: number, random: Random
-): TargetState | undefined => {
-  const usable = peers.filter(state => !isPaused(state, nowMs) && !exclude.has(state.target.id))
-  const isZoneCutOff = peers.some(state => state.target.zone === zone && isPaused(state, nowMs))
-  const near = usable.filter(({ target }) => (target.zone === zone) !== isZoneCutOff)
-  const candidates = near.length > 0 ? near : usable
+export const selectPeer = (peers: readonly TargetState[], { zone, exclude, isCutOff }: PeerRequest, nowMs: number, random: Random): TargetState | undefined => {
+  const isNear = ({ target }: TargetState): boolean => target.zone === zone
+  const isAnnounced = ({ target }: TargetState): boolean => isCutOff(target.id)
+  const isRefusing = (state: TargetState): boolean => isPaused(state, nowMs) && !isAnnounced(state)
+  const usable = peers.filter(state => !isPaused(state, nowMs) && !isAnnounced(state) && !exclude.has(state.target.id))
+  const near = usable.filter(isNear)
+  const far = usable.filter(state => !isNear(state))
+  const cutOffNearCount = 1 + peers.filter(state => isNear(state) && isAnnounced(state)).length
+  // A refusal that no announcement explains yet is often the first sign that the whole zone is cut off.
+  const prefersNear = !peers.some(state => isNear(state) && isRefusing(state)) && random.next() * cutOffNearCount < near.length
+  const preferred = prefersNear ? near : far
+  const candidates = preferred.length > 0 ? preferred : usable
   return candidates.length === 0 ? undefined : candidates[random.int(candidates.length)]
 }
--- a/packages/policy/test/reachability.test.ts
+++ b/packages/policy/test/reachability.test.ts
@@ -60,7 +60,7 @@
   table.setTargets(PEERS, 0)
   const random = createRandom(1)
   const selectedZones = (nowMs: number, exclude: string[] = []): Set<string> =>
-    new Set(Array.from({ length: 50 }, () => selectPeer(table.routing(nowMs).candidates, { zone: 'a', exclude: new Set(exclude) }, nowMs, random)?.target.zone ?? 'none'))
+    new Set(Array.from({ length: 50 }, () => selectPeer(table.routing(nowMs).candidates, { zone: 'a', exclude: new Set(exclude), isCutOff: () => false }, nowMs, random)?.target.zone ?? 'none'))
   t.deepEqual(selectedZones(10), new Set(['a']))
   table.recordPause('a1', 1_000, 20)
   t.deepEqual(selectedZones(30), new Set(['b']))
@@ -69,6 +69,45 @@
   t.deepEqual(selectedZones(1_030), new Set(['a']))
 })
 
+const RELAYS_MAX = 3
+
+for (const cutOffShare of [0.3, 0.6, 0.9]) {
+  test(`of 200 nodes, those that are cut off, a share of ${cutOffShare}, find a peer that reaches the targets`, t => {
+    const table = createTargetTable({ service: 'peers', slotsPerTarget: 64, connectionShare: 64 })
+    const peers = Array.from({ length: 199 }, (_, index) => ({ id: `p${index}`, host: '127.0.0.1', port: 1, zone: ['a', 'b', 'c'][index % 3] as string }))
+    table.setTargets(peers, 0)
+    const random = createRandom(1)
+    const cutOffIds = new Set(peers.filter(() => random.next() < cutOffShare).map(({ id }) => id))
+    const findsPeer = (): boolean => {
+      const tried = new Set<string>()
+      while (tried.size < RELAYS_MAX) {
+        const peer = selectPeer(table.routing(1).candidates, { zone: 'a', exclude: tried, isCutOff: id => cutOffIds.has(id) }, 1, random)
+        if (!peer) return false
+        if (!cutOffIds.has(peer.target.id)) return true
+        tried.add(peer.target.id)
+      }
+      return false
+    }
+    t.is(Array.from({ length: 1_000 }, findsPeer).filter(Boolean).length, 1_000)
+  })
+}
+
+test('few peers of a zone that reach the targets get about as many requests of its nodes that are cut off as they have of their own', t => {
+  const table = createTargetTable({ service: 'peers', slotsPerTarget: 64, connectionShare: 64 })
+  const zonePeers = Array.from({ length: 9 }, (_, index) => ({ id: `a${index}`, host: '127.0.0.1', port: 1, zone: 'a' }))
+  table.setTargets([...zonePeers, ...PEERS.filter(({ zone }) => zone === 'b')], 0)
+  const random = createRandom(1)
+  const nearShare = (reachingCount: number): number => {
+    const isCutOff = (id: string): boolean => id.startsWith('a') && Number(id.slice(1)) >= reachingCount
+    const zones = Array.from({ length: 2_000 }, () => selectPeer(table.routing(1).candidates, { zone: 'a', exclude: new Set(), isCutOff }, 1, random)?.target.zone)
+    return zones.filter(zone => zone === 'a').length / zones.length
+  }
+  t.is(nearShare(0), 0)
+  t.true(Math.abs(nearShare(2) - 2 / 8) < 0.05)
+  t.is(nearShare(5), 1)
+  t.is(nearShare(9), 1)
+})
+
 test('a service that is down everywhere, or a zone of targets, is no loss while other targets answer', t => {
   const down = ['a1', 'a2', 'a3', 'a4', 'a5', 'a6']
   const reachability = createReachability(() => 12)
