Announce only the loss of all answers, and give relayed requests to nodes that open no connection

Cause: nodes whose new connections fail were announced as cut off as well. That series of failures needs two targets only, and a node that reuses its open connections opens few others that would end it. With two crashed targets, all nodes could be taken for cut off, and those that really are would find no peer.

Change: only a node that nothing answers is announced and left out. One that can open no connection is found by its refusals, as before.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -3,7 +3,7 @@
  * and the lifecycle of the process.
  */
 import { countBy, createRandom } from '@wisteriavalve/common'
-import { NO_NEW_CONNECTION_LOAD_PERCENT, UNREACHABLE_LOAD_PERCENT } from '@wisteriavalve/fleet'
+import { UNREACHABLE_LOAD_PERCENT } from '@wisteriavalve/fleet'
 import { createCallerLimits, createFleetSize, createProbeAllowance, createReachability, createServiceTimes, shareRetryLimits, type CallerLimitsOptions, type PolicyName } from '@wisteriavalve/policy'
 import type { NodeReport, NodeStatus } from '@wisteriavalve/schema'
 import { createCallerServer } from './adapters/caller-http.js'
@@ -134,11 +134,8 @@
     fleet.resumeAfterPause(gapMs)
   }
 
-  const announcedLoadPercent = (nowMs: number): number => {
-    if (relaying.responses.isLost(nowMs)) return UNREACHABLE_LOAD_PERCENT
-    if (relaying.connections.isLost(nowMs)) return NO_NEW_CONNECTION_LOAD_PERCENT
-    return Math.min(runtimes.loadPercent(nowMs), NO_NEW_CONNECTION_LOAD_PERCENT - 1)
-  }
+  const announcedLoadPercent = (nowMs: number): number =>
+    relaying.responses.isLost(nowMs) ? UNREACHABLE_LOAD_PERCENT : Math.min(runtimes.loadPercent(nowMs), UNREACHABLE_LOAD_PERCENT - 1)
 
   let loadPublishedMs = -Infinity
   const onTick = (nowMs: number, lateMs: number): void => {
--- a/packages/daemon/src/peer-targets.ts
+++ b/packages/daemon/src/peer-targets.ts
@@ -3,7 +3,7 @@
  * the targets. Their state and connections are kept like those of targets.
  */
 import type { Clock, Random } from '@wisteriavalve/common'
-import { NO_NEW_CONNECTION_LOAD_PERCENT } from '@wisteriavalve/fleet'
+import { UNREACHABLE_LOAD_PERCENT } from '@wisteriavalve/fleet'
 import { createTargetTable, selectPeer, type TargetTable } from '@wisteriavalve/policy'
 import type { MemberUpdate, Target } from '@wisteriavalve/schema'
 import { createTargetConnections, type TargetConnections } from './backend-connections.js'
@@ -28,8 +28,8 @@
 const CONNECTIONS_PER_PEER = 64
 const REFRESH_INTERVAL_MS = 250
 
-/** Whether a node announces that it could not take the requests of another one. */
-const isCutOffMember = ({ loadPercent = 0 }: MemberUpdate): boolean => loadPercent >= NO_NEW_CONNECTION_LOAD_PERCENT
+/** Whether a node announces that no target answers it. */
+const isCutOffMember = ({ loadPercent = 0 }: MemberUpdate): boolean => loadPercent >= UNREACHABLE_LOAD_PERCENT
 
 const toTarget = ({ nodeId, host, callerPort, zone }: MemberUpdate): Target => ({ id: nodeId, host, port: callerPort, zone })
 
--- a/packages/fleet/src/constants.ts
+++ b/packages/fleet/src/constants.ts
@@ -41,8 +41,6 @@
 export const OVERLOAD_PERCENT = 100
 /** Load of a node that reaches no target and so has no capacity. */
 export const UNREACHABLE_LOAD_PERCENT = 1000
-/** Load of a node that reaches the targets on open connections only, and so has no capacity for requests of its peers. */
-export const NO_NEW_CONNECTION_LOAD_PERCENT = UNREACHABLE_LOAD_PERCENT - 1
 
 /** Older observations of targets are neither applied nor forwarded. */
 export const NOTE_AGE_MAX_MS = 30_000
--- a/packages/fleet/src/self-state.ts
+++ b/packages/fleet/src/self-state.ts
@@ -6,7 +6,7 @@
  * node then sets a higher one, so its wall clock does not matter.
  */
 import type { MemberState, MemberUpdate } from '@wisteriavalve/schema'
-import { CUT_OFF_ANNOUNCE_INTERVAL_MS, LOAD_ANNOUNCE_INTERVAL_MS, LOAD_STEP_PERCENT, NO_NEW_CONNECTION_LOAD_PERCENT, OVERLOAD_PERCENT, UNREACHABLE_LOAD_PERCENT } from './constants.js'
+import { CUT_OFF_ANNOUNCE_INTERVAL_MS, LOAD_ANNOUNCE_INTERVAL_MS, LOAD_STEP_PERCENT, OVERLOAD_PERCENT, UNREACHABLE_LOAD_PERCENT } from './constants.js'
 import { rankOf } from './member-lifecycle.js'
 
 export type SelfState = {
@@ -42,7 +42,7 @@
 
   const announceLoad = (nowMs: number): boolean => {
     const loadPercent = self.loadPercent ?? 0
-    const isCutOffChange = hasCrossed(NO_NEW_CONNECTION_LOAD_PERCENT) || hasCrossed(UNREACHABLE_LOAD_PERCENT)
+    const isCutOffChange = hasCrossed(UNREACHABLE_LOAD_PERCENT)
     const isLarge = hasCrossed(OVERLOAD_PERCENT) || Math.abs(loadPercent - lastAnnounced.loadPercent) >= LOAD_STEP_PERCENT
     const intervalMs = isCutOffChange ? CUT_OFF_ANNOUNCE_INTERVAL_MS : LOAD_ANNOUNCE_INTERVAL_MS
     if ((!isCutOffChange && !isLarge) || nowMs - lastAnnounced.atMs < intervalMs) return false
