Move the budget of retries out of the module of attempts

Change: retrying.ts takes the retry of a failed attempt from the budgets of the request and of its service. No behaviour changes.

Measured: relaying, resilience and at-most-once tests of the daemon pass.

--- a/packages/daemon/src/attempts.ts
+++ b/packages/daemon/src/attempts.ts
@@ -2,7 +2,7 @@
  * Attempts of an exchange: selects a target, acquires a connection, sends the
  * request, and decides on a retry, a hedge or a failure when an attempt ends.
  */
-import { canTakeRetry, planRetry, selectTarget, splitRetryAllowance, type AttemptFailure } from '@wisteriavalve/policy'
+import { selectTarget, splitRetryAllowance, type AttemptFailure } from '@wisteriavalve/policy'
 import type { ResultName, Target } from '@wisteriavalve/schema'
 import { sendRequest, type SendFailure, type SendHandler } from './adapters/backend-http.js'
 import { canWrite, controlHeaders, isTargetClosed } from './attempt-writes.js'
@@ -16,6 +16,7 @@
 import { cannotReachTargets, CUT_OFF_RETRY_AFTER_MS, isCutOff, isRelayed, selectRelayPeer, tryTargetAgain } from './relaying.js'
 import { excludedTargets, isTaken, reserveTarget } from './suspect-isolation.js'
 import { withPermit } from './target-permits.js'
+import { tryTakeRetry, tryTakeRetryAfterStatus } from './retrying.js'
 import { dropData, endResponse, onResponseHead, relayData } from './response-relay.js'
 import { failExchange, isolateErrors, onDeadline } from './completion.js'
 
@@ -317,42 +318,12 @@
   else retryOrFail(context, exchange, failure, result, detail)
 }
 
-const hasOtherTarget = ({ runtime, triedTargetIds }: Exchange, failure: AttemptFailure, nowMs: number): boolean =>
-  runtime.table.routing(nowMs).candidates.some(state => !triedTargetIds.has(state.target.id) && canTakeRetry(state, failure, nowMs))
-
-const tryTakeRetry = (context: PipelineContext, exchange: Exchange, failure: AttemptFailure): boolean => {
-  const nowMs = context.clock.nowMs()
-  if (!hasOtherTarget(exchange, failure, nowMs)) return false
-  const { decision } = planRetry({
-    idempotent: exchange.kind.idempotent,
-    isBodyReplayable: exchange.body.canOpen(),
-    hasResponseStarted: exchange.responder !== undefined,
-    deadlineMs: exchange.deadlineMs,
-    attempts: exchange.attemptCount,
-    sendCount: exchange.sendCount,
-    sendCountMax: exchange.kind.attemptsMax ?? Infinity,
-    allowance: exchange.retryAllowance
-  }, failure, nowMs)
-  if (decision !== 'retry') return false
-  // Nothing was sent on a connection that failed to open, so this retry adds no load and is not counted in the budget.
-  if (failure !== 'connect-failed' && !exchange.runtime.retryBudget.tryTake('retry', nowMs)) return false
-  exchange.retryAllowance -= 1
-  return true
-}
-
 const retryOrFail = (context: PipelineContext, exchange: Exchange, failure: AttemptFailure, result: ResultName, detail?: string): void => {
   if (failure === 'connect-failed' && handleWithoutTargets(context, exchange, 'retry', result)) return
   if (tryTakeRetry(context, exchange, failure)) startAttempt(context, exchange, 'retry', result)
   else failExchange(context, exchange, exchange.unknownResult ?? result, { detail, retryAfterMs: RETRY_AFTER_REFUSAL_MS })
 }
 
-/**
- * Takes a retry from the budget to replace a response with an error status;
- * returns whether one was available.
- */
-const tryTakeRetryAfterStatus = (context: PipelineContext, attempt: Attempt): boolean =>
-  attempt.exchange.attempts.length === 1 && tryTakeRetry(context, attempt.exchange, 'error-status')
-
 /**
  * Retries the request of a silent connection on another target. Without a
  * retry, the request keeps the connection until its deadline.
