Relay a request for which two targets opened no connection

Cause: a node takes itself for cut off after four failures within 250 ms or more.

Change: a request that found no connection at two targets goes to a peer; at a peer it is refused, so that the next one is asked. A request is relayed to five peers at most instead of three, since none is known to be cut off yet.

--- a/packages/daemon/src/attempts.ts
+++ b/packages/daemon/src/attempts.ts
@@ -76,7 +76,7 @@
     startAt(context, exchange, { ...relayDestination(context, peer), purpose }, lastResult)
     return true
   }
-  if (!isRelayed(exchange.call) || !cannotReachTargets(context, lastResult)) return false
+  if (!isRelayed(exchange.call) || !cannotReachTargets(context, exchange, lastResult)) return false
   failExchange(context, exchange, exchange.unknownResult ?? 'targets-unreachable', { retryAfterMs: CUT_OFF_RETRY_AFTER_MS })
   return true
 }
@@ -236,7 +236,7 @@
       const head = { status, headers, statusText, atMs: recordProgress() }
       const step = onResponseHead(context, attempt, head, () => tryTakeRetryAfterStatus(context, attempt))
       if (step.step === 'failed') onAttemptFailed(context, attempt, 'reset', 'answer-broken', step.message)
-      else if (step.step === 'refused' && attempt.isRelay) startAttempt(context, exchange, attempt.purpose)
+      else if (step.step === 'refused' && attempt.isRelay) startAttempt(context, exchange, attempt.purpose, exchange.connectFailureCount > 0 ? 'connect-failed' : undefined)
       else if (step.step === 'refused') retryOrFail(context, exchange, 'refused', 'backend-refused')
       else if (step.step === 'retry') startAttempt(context, exchange, 'retry', 'answer-broken')
     }),
@@ -301,6 +301,7 @@
   const { exchange } = attempt
   const nowMs = context.clock.nowMs()
   if (!attempt.isRelay && exchange.responder !== attempt) context.relaying.responses.recordFailure(attempt.targetId, nowMs)
+  if (!attempt.isRelay && failure === 'connect-failed') exchange.connectFailureCount++
   if (failure === 'reset' && isWritten(attempt) && !attempt.isRelay) {
     exchange.hasLostTarget = true
     context.crashWatch.recordLost(attempt)
--- a/packages/daemon/src/exchange.ts
+++ b/packages/daemon/src/exchange.ts
@@ -44,6 +44,8 @@
   attemptCount: number
   /** Number of peers that the request was relayed to. */
   relayCount: number
+  /** Number of attempts at targets for which no connection was opened. */
+  connectFailureCount: number
   /** Number of attempts whose request was written to a target. */
   sendCount: number
   /** Time at which the first attempt was written; undefined before. */
--- a/packages/daemon/src/relaying.ts
+++ b/packages/daemon/src/relaying.ts
@@ -32,7 +32,9 @@
 }
 
 /** Peers that a request is relayed to, one after the other, until one accepts it. */
-const RELAYS_MAX = 3
+const RELAYS_MAX = 5
+/** Targets that a request found without a connection, after which a peer is asked instead of further targets. */
+const CONNECT_FAILURES_MIN = 2
 /** Time for which a peer is passed over that cannot take requests. */
 const PEER_PAUSE_MS = 1_000
 /** Results of a peer for which another peer, or this node, handles the request. */
@@ -58,15 +60,16 @@
 
 /**
  * Whether this node cannot reach a target for a request: nothing answers it, or
- * the request found no connection and no new one opens.
+ * the request found no connection, at several targets or while no new one opens.
  * @param lastResult result of the previous attempt of the request
  */
-export const cannotReachTargets = (context: PipelineContext, lastResult: ResultName | undefined): boolean =>
-  isCutOff(context) || (lastResult === 'connect-failed' && context.relaying.connections.isLost(context.clock.nowMs()))
+export const cannotReachTargets = (context: PipelineContext, { connectFailureCount }: Exchange, lastResult: ResultName | undefined): boolean =>
+  isCutOff(context) ||
+  (lastResult === 'connect-failed' && (connectFailureCount >= CONNECT_FAILURES_MIN || context.relaying.connections.isLost(context.clock.nowMs())))
 
 /** @param lastResult result of the previous attempt */
 export const selectRelayPeer = (context: PipelineContext, exchange: Exchange, lastResult: ResultName | undefined): Target | undefined =>
-  cannotReachTargets(context, lastResult) && canRelay(exchange) ? context.relaying.peers.select(exchange.triedTargetIds) : undefined
+  cannotReachTargets(context, exchange, lastResult) && canRelay(exchange) ? context.relaying.peers.select(exchange.triedTargetIds) : undefined
 
 /** Probes a target from time to time, because a response ends the state of being cut off. */
 export const tryTargetAgain = (context: PipelineContext, { runtime }: Exchange): void => {
--- a/packages/daemon/src/request-pipeline.ts
+++ b/packages/daemon/src/request-pipeline.ts
@@ -82,6 +82,7 @@
     attempts: [],
     attemptCount: 0,
     relayCount: 0,
+    connectFailureCount: 0,
     sendCount: 0,
     isHedged: false,
     responder: undefined,
