Spread relayed requests over all peers where most nodes of a zone are cut off

Cause: the few peers of the own zone that reach the targets got as many relayed requests as they have of their own, and a part of those of the other zones. The node of a small zone then had more than its processor could take and read requests half a second late.

Change: peers of the own zone are preferred only while no more nodes of the zone are cut off than reach the targets.

--- a/packages/policy/src/select-peer.ts
+++ b/packages/policy/src/select-peer.ts
@@ -3,8 +3,8 @@
  * targets. This answers the loss of the network between some or most nodes and all
  * targets, often those of one zone. Peers that are known to be cut off as well get
  * nothing. Peers of the own zone are preferred, since traffic between zones is
- * paid for, but only for as many requests as they have of their own: where most
- * nodes of a zone are cut off, the few others could not carry all of its load.
+ * paid for, but not where most nodes of the zone are cut off: the few others could
+ * not carry its load, and it is spread over all peers.
  */
 import type { Random } from '@wisteriavalve/common'
 import { isPaused } from './target-pause.js'
@@ -26,11 +26,11 @@
   const isRefusing = (state: TargetState): boolean => isPaused(state, nowMs) && !isAnnounced(state)
   const usable = peers.filter(state => !isPaused(state, nowMs) && !isAnnounced(state) && !exclude.has(state.target.id))
   const near = usable.filter(isNear)
-  const far = usable.filter(state => !isNear(state))
   const cutOffNearCount = 1 + peers.filter(state => isNear(state) && isAnnounced(state)).length
   // A refusal that no announcement explains yet is often the first sign that the whole zone is cut off.
-  const prefersNear = !peers.some(state => isNear(state) && isRefusing(state)) && random.next() * cutOffNearCount < near.length
-  const preferred = prefersNear ? near : far
+  const isZoneDoubtful = peers.some(state => isNear(state) && isRefusing(state))
+  const far = isZoneDoubtful ? usable.filter(state => !isNear(state)) : []
+  const preferred = near.length >= cutOffNearCount && !isZoneDoubtful ? near : far
   const candidates = preferred.length > 0 ? preferred : usable
   return candidates.length === 0 ? undefined : candidates[random.int(candidates.length)]
 }
