Keep what targets stated while the configuration leaves their service out

What callers would see: a configuration leaves a service out and the next one has it again. Targets that had said that they are leaving got requests again, and so did targets that had asked for rest.

Cause: the table of the targets of a service was dropped with the service.

Change: a service that is left out keeps its state for 60 s and takes it up again when it is back; its idle connections are closed at once.

--- a/packages/daemon/src/service-runtimes.ts
+++ b/packages/daemon/src/service-runtimes.ts
@@ -114,6 +114,9 @@
 /** Pools change rarely, and checking all of them is expensive on a node with many services. */
 const POOL_CHECK_MS = 1_000
 
+/** What the targets of a removed service stated still holds when the service is back in time. */
+const REMOVED_RETENTION_MS = 60_000
+
 /** The pool of a removed target is kept until its last request has ended. */
 const dropUnusedPools = ({ connections, table }: ServiceRuntime): void => {
   for (const [targetId, pool] of connections) {
@@ -125,6 +128,8 @@
 
 export const createServiceRuntimes = ({ clock, random, retryLimits, probesBeforeAttempt = false, echoesRequestIds = false, onHealth, onRequestLimit, onTargetPause, onSilent, onOpenResult }: ServiceRuntimesOptions): ServiceRuntimes => {
   const runtimes = new Map<string, ServiceRuntime>()
+  /** Services that the configuration leaves out, and since when. */
+  const removedRuntimes = new Map<string, { runtime: ServiceRuntime, removedMs: number }>()
   const targetsByService = new Map<string, ServiceTargets>()
   let index: ServiceIndex | undefined
   /** Services with attempts or changes since target notes were last collected. */
@@ -170,7 +175,25 @@
     return runtime
   }
 
+  const removeService = (name: string, runtime: ServiceRuntime): void => {
+    runtimes.delete(name)
+    removedRuntimes.set(name, { runtime, removedMs: clock.nowMs() })
+    for (const pool of runtime.connections.values()) pool.closeIdle()
+  }
+
+  const bringBackService = (name: string): void => {
+    const removed = removedRuntimes.get(name)
+    if (!removed) return
+    removedRuntimes.delete(name)
+    runtimes.set(name, removed.runtime)
+  }
+
+  const dropRemovedServices = (nowMs: number): void => {
+    for (const [name, { removedMs }] of removedRuntimes) if (nowMs - removedMs >= REMOVED_RETENTION_MS) removedRuntimes.delete(name)
+  }
+
   const applyService = (configuration: ServiceConfiguration, entryVmCountMax: number): void => {
+    bringBackService(configuration.name)
     const share = connectionShare(configuration.connectionsPerTarget, entryVmCountMax)
     const targets = targetsByService.get(configuration.name) ?? { targets: configuration.targets, leavingIds: [] }
     const existing = runtimes.get(configuration.name)
@@ -210,7 +233,7 @@
     get: service => runtimes.get(service),
     all: () => runtimes.values(),
     applyConfiguration: ({ services, settings, routes }) => {
-      for (const name of runtimes.keys()) if (!services.has(name)) runtimes.delete(name)
+      for (const [name, runtime] of runtimes) if (!services.has(name)) removeService(name, runtime)
       for (const configuration of services.values()) applyService(configuration, settings.entryVmCountMax)
       index = routes ? createRouteIndex(routes, services, random) : createServiceIndex(services.values())
     },
@@ -240,6 +263,7 @@
       if (nowMs - lastPoolCheckMs < POOL_CHECK_MS) return
       lastPoolCheckMs = nowMs
       for (const runtime of runtimes.values()) dropUnusedPools(runtime)
+      dropRemovedServices(nowMs)
     },
     takeNotes: nowMs => {
       const notes = [...changedRuntimes].flatMap(({ table }) => table.takeNotes(nowMs))
--- a/packages/daemon/test/support.ts
+++ b/packages/daemon/test/support.ts
@@ -46,6 +46,8 @@
   calls: string[]
   sharedNotes: TargetNote[]
   setTargets: (service: string, targets: ServiceTargets) => void
+  /** Puts a configuration with these services in force. */
+  applyServices: (services: readonly ServiceConfiguration[]) => void
   /** Answers queries for permits; tests replace it. */
   answerPermit: RequestPermit
 }
@@ -66,6 +68,9 @@
     calls,
     sharedNotes,
     setTargets: (name, targets) => { for (const listener of targetListeners) listener(name, targets) },
+    applyServices: next => {
+      for (const listener of configurationListeners) listener({ ...adopted, services: new Map(next.map(each => [each.name, each])) })
+    },
     start: async () => {
       calls.push('start')
       if (services.length > 0) for (const listener of configurationListeners) listener(adopted)
