--- a/packages/daemon/src/adapters/caller-http.ts
+++ b/packages/daemon/src/adapters/caller-http.ts
@@ -9,7 +9,7 @@
 import { resetSocket, type Clock } from '@wisteriavalve/common'
 import type { CallerBounds } from '@wisteriavalve/fleet'
 import { resultCode, type FailureBody, type ResultName } from '@wisteriavalve/schema'
-import { CALLER_IDLE_MS, HEADER_BYTES_MAX, HEAD_TIMEOUT_MS, LATE_ACCEPT_MS, LATE_MS, LINGER_BYTES_MAX, LINGER_MS } from '../constants.js'
+import { CALLER_IDLE_MS, HEADER_BYTES_MAX, HEAD_TIMEOUT_MS, LINGER_BYTES_MAX, LINGER_MS } from '../constants.js'
 import type { HttpDialect } from '../http-dialect.js'
 
 /** A caller's request together with its response. */
@@ -34,8 +34,6 @@
   clock: Clock
   dialect: HttpDialect
   onCall: (call: Call) => void
-  /** How late this process handles events, in ms. */
-  delayMs: () => number
   /** Reports an unexpected error of onCall; the caller receives a failure response. */
   onUnexpectedError: (error: unknown) => void
   /** Returns false to refuse the connection. */
@@ -185,12 +183,10 @@
  * half-closed connection cannot be distinguished from a closed one, so waiting
  * for it would also keep the requests of all disconnected callers running.
  */
-export const createCallerServer = ({ clock, dialect, onCall, delayMs, onUnexpectedError, acceptConnection, onConnectionClosed, onMalformed }: CallerServerOptions): CallerServer => {
+export const createCallerServer = ({ clock, dialect, onCall, onUnexpectedError, acceptConnection, onConnectionClosed, onMalformed }: CallerServerOptions): CallerServer => {
   const openCalls = new WeakMap<Duplex, Set<Call>>()
   const latestCalls = new WeakMap<Duplex, Call>()
   const closingSockets: ClosingSockets = new WeakSet()
-  /** Connections without a request so far, and when they were accepted. */
-  const unusedConnections = new WeakMap<Duplex, number>()
   let connectionCount = 0
   let acceptedCount = 0
   let held: Set<Call> | undefined
@@ -234,28 +230,6 @@
     }
   }
 
-  /**
-   * Whether the caller may have left before its request was read. A connection waits
-   * in the queue of the listener first, of which the event loop takes one connection
-   * a turn, so its first request can be far older than a turn.
-   */
-  const mayHaveLeft = ({ req: { socket }, arrivedMs }: Call): boolean => {
-    const acceptedMs = unusedConnections.get(socket)
-    unusedConnections.delete(socket)
-    if (acceptedMs === undefined) return delayMs() >= LATE_MS
-    return Math.max(delayMs(), arrivedMs - acceptedMs) >= LATE_ACCEPT_MS
-  }
-
-  /**
-   * Handles a request after the event loop has read all sockets once more. If its
-   * caller has left, the end of the connection is read by then; the socket is
-   * closed some turns later.
-   */
-  const handleAfterReads = (call: Call): void => {
-    const { socket } = call.req
-    setImmediate(() => setImmediate(() => { if (!socket.readableEnded && openCalls.get(socket)?.has(call)) handle(call) }))
-  }
-
   const accept = (req: IncomingMessage, res: ServerResponse, expectsContinue: boolean): void => {
     const { socket } = req
     // The caller resends a request that follows a closing response to another node, so it must not run here.
@@ -268,7 +242,6 @@
     latestCalls.set(socket, call)
     res.once('close', () => close(call)).on('error', ignoreError)
     if (held) held.add(call)
-    else if (mayHaveLeft(call)) handleAfterReads(call)
     else handle(call)
   }
 
@@ -285,17 +258,13 @@
     const address = socket.remoteAddress ?? ''
     connectionCount++
     acceptedCount++
-    unusedConnections.set(socket, clock.nowMs())
     const isAccepted = acceptConnection(address)
     const calls = new Set<Call>()
     openCalls.set(socket, calls)
-    // node:http does not close the responses of pipelined requests that wait for an earlier response, and the socket
-    // closes some turns of the event loop after the end of the caller's side.
-    const closeCalls = (): void => { for (const call of [...calls]) close(call) }
-    socket.once('end', closeCalls)
     socket.once('close', () => {
       connectionCount--
-      closeCalls()
+      // node:http does not close the responses of pipelined requests that wait for an earlier response.
+      for (const call of calls) close(call)
       if (isAccepted) onConnectionClosed(address)
     })
     if (isAccepted) return
--- a/packages/daemon/src/constants.ts
+++ b/packages/daemon/src/constants.ts
@@ -61,10 +61,6 @@
 export const WHEEL_TICK_MS = 5
 export const MAINTENANCE_INTERVAL_MS = 50
 export const PAUSE_MS_MIN = 500
-/** Delay of the event loop from which callers may leave before their requests are read. */
-export const LATE_MS = 100
-/** The same for the first request of a connection, which may have waited to be accepted for many turns of the event loop. */
-export const LATE_ACCEPT_MS = 25
 /** Minimum time without progress before a connection counts as silent. */
 export const SILENT_MS_MIN = 250
 
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -188,7 +188,6 @@
     onCall: call => {
       if (!dialect.servesWellKnown || !serveWellKnown(call, wellKnown)) pipeline.handle(call)
     },
-    delayMs: pauseDetector.delayMs,
     onUnexpectedError: error => recorder.internalError(error, undefined),
     acceptConnection: address => pipeline.callerLimits.tryOpenConnection(address),
     onConnectionClosed: address => pipeline.callerLimits.recordConnectionClosed(address),
--- a/packages/daemon/src/pause-detector.ts
+++ b/packages/daemon/src/pause-detector.ts
@@ -9,8 +9,6 @@
 export type PauseDetector = {
   /** Current epoch. Also detects a pause that has just ended. */
   epoch: (nowMs: number) => number
-  /** How late the last timer of this process ran, or the next one already is, in ms. */
-  delayMs: () => number
   stop: () => void
 }
 
@@ -27,7 +25,6 @@
   let lastTickMs = clock.nowMs()
   let dueMs = lastTickMs + intervalMs
   let epoch = 0
-  let lastDelayMs = 0
   let cancel: Cancel
 
   const check = (nowMs: number): number => {
@@ -42,7 +39,6 @@
   const tick = (): void => {
     const nowMs = clock.nowMs()
     const lateMs = Math.max(0, nowMs - dueMs)
-    lastDelayMs = lateMs
     check(nowMs)
     lastTickMs = nowMs
     dueMs = nowMs + intervalMs
@@ -51,5 +47,5 @@
   }
 
   cancel = clock.after(intervalMs, tick)
-  return { epoch: check, delayMs: () => Math.max(lastDelayMs, clock.nowMs() - dueMs), stop: () => cancel() }
+  return { epoch: check, stop: () => cancel() }
 }
