--- a/review/lib.mjs
+++ b/review/lib.mjs
@@ -390,11 +390,16 @@
   const record = createRecord(recordPath)
   const hasTrouble = process.env.TROUBLE !== '0'
   let code = 2
-  const limit = setTimeout(() => {
-    record.add('the script took longer than 110 s')
+  const giveUp = async reason => {
+    record.add(`could not run: ${reason}`)
+    console.log(`could not run: ${reason}`)
     record.save()
+    await cleanUp()
     process.exit(2)
-  }, 110_000)
+  }
+  const limit = setTimeout(() => giveUp('the script took longer than 110 s'), 110_000)
+  for (const signal of ['SIGTERM', 'SIGINT']) process.on(signal, () => giveUp(`the script got ${signal}`))
+  process.on('uncaughtException', error => giveUp(error.stack))
   try {
     const broken = await play(record, hasTrouble)
     for (const text of broken) record.add(`BROKEN ${text}`)
