Hold reading back at the socket, so that the end of a connection ends no node

Callers saw: connections of all callers of a node cut without an answer, also those whose requests sound targets had run; the process ended with code 70. Cause: a response whose caller is slower paused undici's parser. undici asserts that its parser is not paused whenever it ends it with the connection, which it does for responses without keep-alive on a reset, on a regular end and on an end by this node. The assertion is outside of any request. The parser was resumed before a regular end only. Change: undici's parser is never paused. While reading is held back, the socket hands out no bytes (read-gate.ts), so all that was handed out is parsed before any end of the connection, by whichever side. This holds for resets, deadlines, callers that leave, lost hedges and dropped refusals without a remedy at each of them. Ruled out: that ends by the target and ends by the node need a fix each; the stack of both is Parser.finish with a paused parser.

--- a/packages/daemon/src/adapters/backend-http.ts
+++ b/packages/daemon/src/adapters/backend-http.ts
@@ -17,9 +17,7 @@
  * extensions and bodies without a length. A response that exceeds the limits of
  * this module counts as broken, and its connection is closed at once.
  *
- * undici asserts that its parser is not paused when a connection ends, and the
- * failed assertion would end the process. The end of a connection is emitted
- * when all its bytes have been read, so the parser is resumed right before it.
+ * Reading is held back at the socket and not in undici; see read-gate.ts.
  */
 import { connect, type Socket } from 'node:net'
 import type { Readable } from 'node:stream'
@@ -29,6 +27,7 @@
   BACKEND_IDLE_MS, CHUNK_OVERHEAD_FACTOR, CONNECT_TIMEOUT_MS, INFORMATIONAL_HEADS_MAX, RESPONSE_HEADER_BYTES_MAX, RESPONSE_OVERHEAD_BYTES_MAX, UNSIZED_RESPONSE_BYTES_MAX
 } from '../constants.js'
 import { rawHeader } from '../headers.js'
+import { createReadGate, type ReadGate } from './read-gate.js'
 
 export type BackendRequest = {
   method: string
@@ -43,17 +42,11 @@
 export type BackendSocket = {
   client: Client
   socket: Socket
+  readGate: ReadGate
   /** Whether the connection ended with an error. */
   hasFailed: () => boolean
-  /** Sets the listener of the running request; undefined removes it. */
-  setListener: (listener: SocketListener | undefined) => void
-}
-
-export type SocketListener = {
-  /** Called when bytes have arrived. */
-  onBytes: () => void
-  /** Called when the peer has ended the connection, before undici handles it. */
-  onEnd: () => void
+  /** Sets the listener for bytes that arrive during the running request; undefined removes it. */
+  setBytesListener: (listener: (() => void) | undefined) => void
 }
 
 export type SendFailure =
@@ -74,7 +67,10 @@
   /** Called when the socket has accepted bytes of the request body. */
   onBodyProgress: () => void
   onHead: (status: number, rawHeaders: string[], statusText: string) => void
-  /** Returns false to stop reading until resume is called. */
+  /**
+   * Returns false to stop reading until resume is called. The bytes that were
+   * read before are still passed on.
+   */
   onData: (chunk: Buffer) => boolean
   onEnd: (rawTrailers: string[]) => void
   onFailure: (failure: SendFailure) => void
@@ -119,14 +115,15 @@
     // undici listens for errors only from the first request on; an unhandled error before it would end the process.
     let hadError = false
     socket.off('error', onError).on('error', () => { hadError = true })
-    let listener: SocketListener | undefined
-    socket.on('readable', () => listener?.onBytes()).on('end', () => listener?.onEnd())
+    let bytesListener: (() => void) | undefined
+    socket.on('readable', () => bytesListener?.())
     onOpen({
       client: createClient(target, socket),
       socket,
+      readGate: createReadGate(socket),
       // remoteAddress must be read only at the end of a response, because node:net caches the first result.
       hasFailed: () => hadError || socket.remoteAddress === undefined,
-      setListener: next => { listener = next }
+      setBytesListener: next => { bytesListener = next }
     })
   })
 }
@@ -174,12 +171,12 @@
   let informationalHeadCount = 0
   let bodyBytes = 0
   let isFinished = false
-  let resumeReading: () => void = () => undefined
   const stream = request.body !== null && !Buffer.isBuffer(request.body) ? request.body : undefined
 
   const finish = (): void => {
     isFinished = true
-    backend.setListener(undefined)
+    backend.setBytesListener(undefined)
+    backend.readGate.release()
   }
 
   const destroy = (): void => {
@@ -205,8 +202,6 @@
     }
   }
 
-  const resume = (): void => { if (!isFinished) resumeReading() }
-
   /** Runs the final check directly before the first byte is written. */
   const allowWrite = (): boolean => {
     if (isFinished) return false
@@ -221,7 +216,7 @@
       return false
     }
     isWritten = true
-    backend.setListener({ onBytes: limitOverhead, onEnd: resume })
+    backend.setBytesListener(limitOverhead)
     handler.onWritten()
     return true
   }
@@ -236,7 +231,7 @@
     if (isFinished) abort(new Error('the request was aborted'))
   }
 
-  const onHeaders = (status: number, raw: Buffer[], resume: () => void, statusText: string): boolean => {
+  const onHeaders = (status: number, raw: Buffer[], _resume: () => void, statusText: string): boolean => {
     if (isFinished) return true
     if (status < 200) {
       informationalHeadCount++
@@ -245,7 +240,6 @@
     }
     const headers = decodeHeaders(raw)
     hasHead = true
-    resumeReading = resume
     hasLength = hasAnnouncedEnd(request.method, status, headers)
     endsByClose = isDelimitedByClose(request.method, status, headers)
     if (endsByClose && !request.allowsEndByClose) fail({ kind: 'broken', message: 'the response has neither a content-length nor chunked encoding' })
@@ -271,11 +265,10 @@
 
   const onBodySent = (): void => { if (!isFinished) handler.onBodyProgress() }
   const onData = (chunk: Buffer): boolean => {
-    // A resumed parser passes on an empty chunk, which must not pause it again.
-    if (isFinished || chunk.length === 0) return true
+    if (isFinished) return true
     bodyBytes += chunk.length
-    if (hasLength || bodyBytes <= UNSIZED_RESPONSE_BYTES_MAX) return handler.onData(chunk)
-    fail({ kind: 'broken', message: `a response without a length is larger than ${UNSIZED_RESPONSE_BYTES_MAX} bytes` })
+    if (!hasLength && bodyBytes > UNSIZED_RESPONSE_BYTES_MAX) fail({ kind: 'broken', message: `a response without a length is larger than ${UNSIZED_RESPONSE_BYTES_MAX} bytes` })
+    else if (!handler.onData(chunk)) backend.readGate.hold()
     return true
   }
 
@@ -283,5 +276,5 @@
     { method: request.method as 'GET', path: request.path, headers: request.headers, body: request.body },
     { onConnect, onHeaders, onData, onComplete, onError, onBodySent }
   )
-  return { resume, abort: () => { if (!isFinished) destroy() } }
+  return { resume: () => { if (!isFinished) backend.readGate.release() }, abort: () => { if (!isFinished) destroy() } }
 }
--- a/packages/daemon/src/attempts.ts
+++ b/packages/daemon/src/attempts.ts
@@ -164,6 +164,7 @@
     isDropped: false,
     droppedBytes: 0,
     isFlushed: false,
+    isWaitingForDrain: false,
     status: 0,
     forwardedAllowance: takeForwardedAllowance(exchange),
     reacquireCount: 0,
--- a/packages/daemon/src/backend-connections.ts
+++ b/packages/daemon/src/backend-connections.ts
@@ -114,8 +114,9 @@
     const connection: BackendConnection = {
       client: opened.client,
       socket: opened.socket,
+      readGate: opened.readGate,
       hasFailed: opened.hasFailed,
-      setListener: opened.setListener,
+      setBytesListener: opened.setBytesListener,
       id: nextId(),
       openedMs: nowMs,
       lastProgressMs: nowMs,
--- a/packages/daemon/src/exchange.ts
+++ b/packages/daemon/src/exchange.ts
@@ -95,6 +95,8 @@
   droppedBytes: number
   /** Whether bytes of the response body were written to the caller. */
   isFlushed: boolean
+  /** Whether reading is held back until the caller has taken what was written. */
+  isWaitingForDrain: boolean
   status: number
   /** Share of the retry allowance that is delegated to the backend server. */
   forwardedAllowance: number
--- a/packages/daemon/src/response-relay.ts
+++ b/packages/daemon/src/response-relay.ts
@@ -139,7 +139,13 @@
   attempt.isFlushed = true
   // node:http joins the head and the first chunk into one write only if the chunk is a string.
   if (isFirst && chunk.length <= JOINED_WRITE_BYTES_MAX ? res.write(chunk.toString('latin1'), 'latin1') : res.write(chunk)) return true
-  res.once('drain', () => attempt.outgoingRequest?.resume())
+  if (!attempt.isWaitingForDrain) {
+    attempt.isWaitingForDrain = true
+    res.once('drain', () => {
+      attempt.isWaitingForDrain = false
+      attempt.outgoingRequest?.resume()
+    })
+  }
   return false
 }
 
