End a response with an impossible status before undici asserts on it

Callers saw: 502 with "the connection to the target was lost" for an answer with a status code below 100, and a failed assertion of the HTTP client in the log. Cause: a status below 200 was handed on as informational, also one below 100, and undici asserts that there is none.

--- a/packages/daemon/src/adapters/backend-http.ts
+++ b/packages/daemon/src/adapters/backend-http.ts
@@ -29,6 +29,9 @@
 import { rawHeader } from '../headers.js'
 import { createReadGate, type ReadGate } from './read-gate.js'
 
+/** Smallest status that a response can have. */
+const STATUS_MIN = 100
+
 export type BackendRequest = {
   method: string
   path: string
@@ -171,6 +174,8 @@
   let informationalHeadCount = 0
   let bodyBytes = 0
   let isFinished = false
+  /** Ends undici's parsing of the response; without it, undici goes on with what it has read. */
+  let abortParsing: (error?: Error) => void = () => undefined
   const stream = request.body !== null && !Buffer.isBuffer(request.body) ? request.body : undefined
 
   const finish = (): void => {
@@ -223,6 +228,7 @@
 
   const onConnect = (abort: (error?: Error) => void): void => {
     startCount++
+    abortParsing = abort
     if (startCount > 1) fail({ kind: 'second-start', message: 'the HTTP client started the request a second time' })
     // undici writes the head of a streamed request together with its first
     // chunk. These listeners run directly before undici's own listeners.
@@ -233,6 +239,11 @@
 
   const onHeaders = (status: number, raw: Buffer[], _resume: () => void, statusText: string): boolean => {
     if (isFinished) return true
+    if (status < STATUS_MIN) {
+      fail({ kind: 'broken', message: `the response has the status ${status}` })
+      abortParsing()
+      return true
+    }
     if (status < 200) {
       informationalHeadCount++
       if (informationalHeadCount > INFORMATIONAL_HEADS_MAX) fail({ kind: 'lost', message: `more than ${INFORMATIONAL_HEADS_MAX} informational heads` })
--- a/packages/daemon/test/faulty-targets.test.ts
+++ b/packages/daemon/test/faulty-targets.test.ts
@@ -6,7 +6,7 @@
 import test from 'ava'
 import type { Socket } from 'node:net'
 import { DEFAULT_DIALECT, type HttpDialect } from '../src/http-dialect.js'
-import { call, createKind, createService, ORDER, startDaemon, startRawBackend } from './support.js'
+import { call, createKind, createService, formatOwnResponse, ORDER, startDaemon, startRawBackend } from './support.js'
 import './exit.js'
 
 /** Targets that echo request ids, and whose responses may end with their connection. */
@@ -85,3 +85,18 @@
     })
   }
 }
+
+for (const status of ['000', '001', '050', '099']) {
+  for (const connection of ['keep-alive', 'close']) {
+    test(`a response with the status ${status} and Connection: ${connection} is broken, and another target answers a request that may run again`, async t => {
+      const head = `HTTP/1.1 ${status} OK\r\nconnection: ${connection}\r\ncontent-length: 4\r\n\r\ndone`
+      const broken = await startRawBackend(socket => { socket.write(head) })
+      const good = await startRawBackend((socket, received) => { socket.write(formatOwnResponse(received)) })
+      const daemon = await startDaemon([createService([broken], { kinds: [ORDER] })])
+      t.is((await call(daemon.port, { method: 'POST', body: 'x' })).status, 502)
+      t.regex(daemon.lines.join('\n'), /event=request_failed .*result_code=WV-2003/)
+      const second = await startDaemon([createService([broken, good])])
+      for (let count = 0; count < 4; count++) t.is((await call(second.port)).status, 200)
+    })
+  }
+}
