Answer also when a target's reason phrase cannot be written

Callers saw: no byte of an answer, until they gave up, when the reason phrase of their target's answer had a byte that is not ASCII, or a control character. Cause: node:http refuses such a phrase but keeps it for the next head, so the head of the failure that was to go out instead was refused as well. The request counted as ended by then, and nothing ended it a second time. Change: such a phrase is replaced by the usual one of the status, which RFC 9112 allows, and the answer is passed on. A connection with control characters or bytes that are not UTF-8 in a phrase carries no other request. Evidence: request_fault lines with ERR_INVALID_CHAR, twice for each request.

--- a/packages/daemon/src/response-relay.ts
+++ b/packages/daemon/src/response-relay.ts
@@ -3,6 +3,7 @@
  * the complete response of one attempt or a broken connection, never a partial
  * response that looks complete.
  */
+import { STATUS_CODES } from 'node:http'
 import { findResponseOwner, type AttemptFailure, type ResponseOwner } from '@wisteriavalve/policy'
 import { LINGER_MS, REPLAY_BYTES_MAX } from './constants.js'
 import { abandonAttempt, finishAttempt, type Attempt } from './exchange.js'
@@ -12,6 +13,11 @@
 import { isRefusedByPeer, passOverPeer, resultHeaders } from './relaying.js'
 import { recordStatedLimit } from './target-permits.js'
 
+/** Reason phrases that node:http writes. */
+const FORWARDED_PHRASE = /^[\t\x20-\x7e]*$/
+/** Control characters, and what undici puts in place of bytes that are not UTF-8. */
+const SPOILED_PHRASE = /[^\P{Cc}\t]|\ufffd/u
+
 /** Above this size, copying the chunk costs more than a second buffer in the write. */
 const JOINED_WRITE_BYTES_MAX = 4_096
 
@@ -82,9 +88,15 @@
   context.wheel.schedule(nowMs + LINGER_MS, () => { if (attempt.connection) abandonAttempt(attempt, outcome, context.clock.nowMs()) })
 }
 
+/** A reason phrase that cannot be written is replaced by the usual one of the status. Callers should ignore it anyway (RFC 9112, section 4). */
+const forwardedPhrase = (status: number, statusText: string): string =>
+  FORWARDED_PHRASE.test(statusText) ? statusText : STATUS_CODES[status] ?? ''
+
 export const onResponseHead = (context: PipelineContext, attempt: Attempt, head: ResponseHead, tryTakeRetryAfterStatus: () => boolean): HeadOutcome => {
   const { exchange } = attempt
   const nowMs = head.atMs
+  // Other bytes on the connection may be wrong as well.
+  if (attempt.connection && SPOILED_PHRASE.test(head.statusText)) attempt.connection.isRetired = true
   if (recordResponseOwner(context, attempt, head.headers) === 'foreign') return { step: 'failed', message: 'the response belongs to another request' }
   const isRefused = attempt.isRelay ? isRefusedByPeer(head.headers) : recordResponseSignals(context, attempt, head)
   if (exchange.phase === 'settled' || (exchange.responder && exchange.responder !== attempt)) {
@@ -124,7 +136,7 @@
   forwarded.push(context.dialect.requestIdHeader, exchange.id)
   if (attempt.isRelay) forwarded.push(...resultHeaders(headers))
   try {
-    res.writeHead(status, statusText, forwarded)
+    res.writeHead(status, forwardedPhrase(status, statusText), forwarded)
   } catch (error) {
     return { step: 'failed', message: error instanceof Error ? error.message : 'the response head cannot be forwarded' }
   }
