End the caller's connection when a failure cannot be answered

Callers saw: no answer and no end of their connection when an unexpected error stopped the response that was to report a failure; in the first 300 ms of a node such an error ended the process. Cause: a request counted as ended before its failure was written, and an error in that was only logged. Change: a failure response has its own reason phrase and framing, whatever an earlier head left behind. One that cannot be written resets the connection, as does an error in a request that counts as ended without a whole response.

--- a/packages/daemon/src/adapters/caller-http.ts
+++ b/packages/daemon/src/adapters/caller-http.ts
@@ -3,7 +3,7 @@
  * node:http rejects conflicting framing (content-length together with
  * transfer-encoding, or two different lengths) before a request arrives here.
  */
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { createServer, STATUS_CODES, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Duplex } from 'node:stream'
 import type { Socket } from 'node:net'
 import { resetSocket, type Clock } from '@wisteriavalve/common'
@@ -90,7 +90,9 @@
   const { req, res } = call
   const mustClose = hasBody(req) && !req.complete
   if (mustClose) call.closeAfter()
-  res.writeHead(status, [...headers, 'content-length', String(Buffer.byteLength(body))])
+  // A head that node:http refused halfway may have left its framing and its reason phrase behind.
+  res.chunkedEncoding = false
+  res.writeHead(status, STATUS_CODES[status] ?? 'Failed', [...headers, 'content-length', String(Buffer.byteLength(body))])
   if (mustClose && req.method !== 'HEAD') {
     res.write(body)
     discardBodyThenClose(call)
@@ -107,12 +109,7 @@
 
 export type FailureOptions = { requestId?: string, retryAfterMs?: number, detail?: string }
 
-/** Sends a failure response with a result code, or resets the connection when a response has begun. */
-export const sendFailureResponse = (call: Call, name: ResultName, { requestId, retryAfterMs, detail }: FailureOptions): void => {
-  if (call.res.headersSent) {
-    resetCaller(call)
-    return
-  }
+const writeFailureResponse = (call: Call, name: ResultName, { requestId, retryAfterMs, detail }: FailureOptions): void => {
   const { code, class: resultClass, status = 500 } = resultCode(name)
   const headers = ['content-type', 'application/json', 'x-result-code', code, 'x-result-class', resultClass]
   if (requestId !== undefined) headers.push(call.dialect.requestIdHeader, requestId)
@@ -120,6 +117,24 @@
   sendResponse(call, status, headers, failureBody(name, detail))
 }
 
+/**
+ * Sends a failure response with a result code. Resets the connection when a
+ * response has begun, and when the failure cannot be written.
+ * @throws the error that stopped the write
+ */
+export const sendFailureResponse = (call: Call, name: ResultName, options: FailureOptions): void => {
+  if (call.res.headersSent) {
+    resetCaller(call)
+    return
+  }
+  try {
+    writeFailureResponse(call, name, options)
+  } catch (error) {
+    resetCaller(call)
+    throw error
+  }
+}
+
 /** Resets the caller's connection. A caller then cannot mistake a partial response for a complete one. */
 export const resetCaller = ({ req }: Call): void => { resetSocket(req.socket) }
 
@@ -221,12 +236,20 @@
     if (openCalls.get(call.req.socket)?.delete(call)) call.onClosed?.()
   }
 
+  const tryFailUnexpectedly = (call: Call): void => {
+    try {
+      sendFailureResponse(call, 'node-fault', {})
+    } catch (error) {
+      onUnexpectedError(error)
+    }
+  }
+
   const handle = (call: Call): void => {
     try {
       onCall(call)
     } catch (error) {
       onUnexpectedError(error)
-      sendFailureResponse(call, 'node-fault', {})
+      tryFailUnexpectedly(call)
     }
   }
 
--- a/packages/daemon/src/completion.ts
+++ b/packages/daemon/src/completion.ts
@@ -4,7 +4,7 @@
  */
 import type { AttemptOutcome } from '@wisteriavalve/policy'
 import type { ResultName } from '@wisteriavalve/schema'
-import { sendFailureResponse } from './adapters/caller-http.js'
+import { resetCaller, sendFailureResponse } from './adapters/caller-http.js'
 import { LINGER_MS } from './constants.js'
 import { abandonAttempt, finishAttempt, isWritten, type Attempt, type Exchange } from './exchange.js'
 import type { PipelineContext } from './pipeline-context.js'
@@ -98,9 +98,13 @@
   }
 }
 
+/** Ends the connection of a request that counts as ended and has no complete response, so its caller does not wait for one. */
+const endUnanswered = ({ call }: Exchange): void => { if (!call.res.writableEnded) resetCaller(call) }
+
 const failAfterError = (context: PipelineContext, exchange: Exchange): void => {
   try {
-    failExchange(context, exchange, chooseResult(exchange, 'node-fault', 'node-fault-after-send'))
+    if (exchange.phase === 'settled') endUnanswered(exchange)
+    else failExchange(context, exchange, chooseResult(exchange, 'node-fault', 'node-fault-after-send'))
   } catch (error) {
     context.recorder.internalError(error, exchange.id)
   }
--- a/packages/daemon/src/request-pipeline.ts
+++ b/packages/daemon/src/request-pipeline.ts
@@ -4,7 +4,7 @@
  */
 import type { CallerLimits } from '@wisteriavalve/policy'
 import type { ResultName } from '@wisteriavalve/schema'
-import { sendFailureResponse, type Call } from './adapters/caller-http.js'
+import { resetCaller, sendFailureResponse, type Call } from './adapters/caller-http.js'
 import { startAttempt } from './attempts.js'
 import { LEAVING_RETRY_AFTER_MS } from './constants.js'
 import type { Exchange } from './exchange.js'
@@ -188,7 +188,13 @@
     call.onClosed = () => { isDisconnected = true }
     const resume = (): void => {
       call.onClosed = undefined
-      if (!isDisconnected) validateAndStart(call)
+      if (isDisconnected) return
+      try {
+        validateAndStart(call)
+      } catch (error) {
+        context.recorder.internalError(error, undefined)
+        resetCaller(call)
+      }
     }
     if (!gate.tryWait(resume, resume)) resume()
   }
