Bound the memory and time of responses whose bytes are not of their body

Callers saw: sound requests at a node waited for seconds, and some failed, while a few targets sent short header lines or chunks of one byte without end; with chunks the node grew beyond the memory of its VM. Cause: undici parses all bytes that it gets at once, about 8,000 lines in 64 KB, and creates an error for each line beyond its limit; each chunk was a write to the caller of its own, with a hundred times its size in memory. Change: a response of mostly other bytes is parsed in small pieces, 1 ms for all of them in a turn of the event loop; it ends after 256 further lines or 64 KB in a row without a byte of its body. Small chunks are joined. Ruled out: bodies that callers do not take; reading stops there as before.

--- a/packages/daemon/src/adapters/backend-http.ts
+++ b/packages/daemon/src/adapters/backend-http.ts
@@ -13,9 +13,10 @@
  * reports a reset that arrives together with the last bytes as a normal end;
  * such a socket is recognized by its missing remote address at that moment.
  *
- * undici limits heads and trailers, but not informational heads, chunk
- * extensions and bodies without a length. A response that exceeds the limits of
- * this module counts as broken, and its connection is closed at once.
+ * undici does not limit informational heads, chunk extensions and bodies without
+ * a length, and its limit of heads and trailers costs an error for each further
+ * line. A response that exceeds the limits of response-limits.ts counts as
+ * broken, and its connection is closed at once.
  *
  * Reading is held back at the socket and not in undici; see read-gate.ts.
  */
@@ -24,10 +25,12 @@
 import { resetSocket } from '@wisteriavalve/common'
 import { Client } from 'undici'
 import {
-  BACKEND_IDLE_MS, CHUNK_OVERHEAD_FACTOR, CONNECT_TIMEOUT_MS, INFORMATIONAL_HEADS_MAX, RESPONSE_HEADER_BYTES_MAX, RESPONSE_OVERHEAD_BYTES_MAX, UNSIZED_RESPONSE_BYTES_MAX
+  BACKEND_IDLE_MS, CONNECT_TIMEOUT_MS, INFORMATIONAL_HEADS_MAX, RESPONSE_HEADER_BYTES_MAX, UNSIZED_RESPONSE_BYTES_MAX
 } from '../constants.js'
 import { rawHeader } from '../headers.js'
-import { createReadGate, type ReadGate } from './read-gate.js'
+import { createChunkJoiner } from './chunk-joiner.js'
+import { createReadGate, type ReadGate, type ReadPace } from './read-gate.js'
+import { createResponseLimits } from './response-limits.js'
 
 /** Smallest status that a response can have. */
 const STATUS_MIN = 100
@@ -48,8 +51,6 @@
   readGate: ReadGate
   /** Whether the connection ended with an error. */
   hasFailed: () => boolean
-  /** Sets the listener for bytes that arrive during the running request; undefined removes it. */
-  setBytesListener: (listener: (() => void) | undefined) => void
 }
 
 export type SendFailure =
@@ -118,15 +119,12 @@
     // undici listens for errors only from the first request on; an unhandled error before it would end the process.
     let hadError = false
     socket.off('error', onError).on('error', () => { hadError = true })
-    let bytesListener: (() => void) | undefined
-    socket.on('readable', () => bytesListener?.())
     onOpen({
       client: createClient(target, socket),
       socket,
       readGate: createReadGate(socket),
       // remoteAddress must be read only at the end of a response, because node:net caches the first result.
-      hasFailed: () => hadError || socket.remoteAddress === undefined,
-      setBytesListener: next => { bytesListener = next }
+      hasFailed: () => hadError || socket.remoteAddress === undefined
     })
   })
 }
@@ -140,7 +138,8 @@
     headersTimeout: 0,
     bodyTimeout: 0,
     keepAliveTimeout: BACKEND_IDLE_MS,
-    maxHeaderSize: RESPONSE_HEADER_BYTES_MAX,
+    // Never reached, because response-limits.ts ends a response before.
+    maxHeaderSize: 2 * RESPONSE_HEADER_BYTES_MAX,
     connect: (_options, callback) => {
       const isFirst = !isUsed
       isUsed = true
@@ -172,7 +171,7 @@
   let endsByClose = false
   let hasLength = false
   let informationalHeadCount = 0
-  let bodyBytes = 0
+  const limits = createResponseLimits()
   let isFinished = false
   /** Ends undici's parsing of the response; without it, undici goes on with what it has read. */
   let abortParsing: (error?: Error) => void = () => undefined
@@ -180,7 +179,7 @@
 
   const finish = (): void => {
     isFinished = true
-    backend.setBytesListener(undefined)
+    backend.readGate.setPacing(undefined)
     backend.readGate.release()
   }
 
@@ -196,15 +195,11 @@
     handler.onFailure(failure)
   }
 
-  /** Bytes that arrived on the connection before this request was written. */
-  const bytesBefore = backend.socket.bytesRead
-
-  /** Ends a response whose bytes, apart from its body, never end. */
-  const limitOverhead = (): void => {
-    const overheadBytes = backend.socket.bytesRead - bytesBefore - bodyBytes
-    if (overheadBytes > RESPONSE_OVERHEAD_BYTES_MAX + CHUNK_OVERHEAD_FACTOR * bodyBytes) {
-      fail({ kind: hasHead ? 'broken' : 'lost', message: `the response has ${overheadBytes} bytes outside of its body` })
-    }
+  const choosePace = (): ReadPace => {
+    const exceeded = limits.exceeded()
+    if (exceeded === undefined) return limits.pace()
+    fail({ kind: hasHead ? 'broken' : 'lost', message: exceeded })
+    return 'stop'
   }
 
   /** Runs the final check directly before the first byte is written. */
@@ -221,7 +216,7 @@
       return false
     }
     isWritten = true
-    backend.setBytesListener(limitOverhead)
+    backend.readGate.setPacing({ choosePace, onPiece: limits.recordPiece })
     handler.onWritten()
     return true
   }
@@ -251,6 +246,7 @@
     }
     const headers = decodeHeaders(raw)
     hasHead = true
+    limits.recordHead()
     hasLength = hasAnnouncedEnd(request.method, status, headers)
     endsByClose = isDelimitedByClose(request.method, status, headers)
     if (endsByClose && !request.allowsEndByClose) fail({ kind: 'broken', message: 'the response has neither a content-length nor chunked encoding' })
@@ -264,6 +260,7 @@
       fail({ kind: 'broken', message: 'the connection was reset before the response ended' })
       return
     }
+    body.flush()
     finish()
     handler.onEnd(decodeHeaders(trailers ?? []))
   }
@@ -275,11 +272,13 @@
   }
 
   const onBodySent = (): void => { if (!isFinished) handler.onBodyProgress() }
+  const deliver = (chunk: Buffer): void => { if (!isFinished && !handler.onData(chunk)) backend.readGate.hold() }
+  const body = createChunkJoiner(deliver)
   const onData = (chunk: Buffer): boolean => {
     if (isFinished) return true
-    bodyBytes += chunk.length
-    if (!hasLength && bodyBytes > UNSIZED_RESPONSE_BYTES_MAX) fail({ kind: 'broken', message: `a response without a length is larger than ${UNSIZED_RESPONSE_BYTES_MAX} bytes` })
-    else if (!handler.onData(chunk)) backend.readGate.hold()
+    limits.recordBody(chunk.length)
+    if (!hasLength && limits.bodyBytes() > UNSIZED_RESPONSE_BYTES_MAX) fail({ kind: 'broken', message: `a response without a length is larger than ${UNSIZED_RESPONSE_BYTES_MAX} bytes` })
+    else body.add(chunk)
     return true
   }
 
--- a/packages/daemon/src/adapters/read-gate.ts
+++ b/packages/daemon/src/adapters/read-gate.ts
@@ -7,29 +7,79 @@
  * undici's parser is never paused here. While the gate is held, the socket hands
  * out no bytes; they stay in its buffer, and from there in the kernel. Everything
  * that the socket has handed out is parsed before any end of the connection.
+ *
+ * undici also parses all bytes that it gets at once. Bytes that cost more time
+ * than others are therefore handed out in small pieces, within a time limit for
+ * each turn of the event loop that all connections share.
  */
 import type { Socket } from 'node:net'
+import { SLOW_PIECE_BYTES, SLOW_READING_TURN_MS, START_PIECE_BYTES } from '../constants.js'
+import { createTurnBudget } from './turn-budget.js'
+
+/** `start` hands out the first piece of a response, `stop` nothing. */
+export type ReadPace = 'free' | 'start' | 'slow' | 'stop'
+
+export type ReadPacing = {
+  /** Called before each piece. */
+  choosePace: () => ReadPace
+  /** Called with each piece before it is parsed. */
+  onPiece: (piece: Buffer, pace: ReadPace) => void
+}
 
 export type ReadGate = {
-  /** Stops reading. What is being parsed at this moment is still passed on. */
+  /** Stops reading. The piece that is being parsed is still passed on. */
   hold: () => void
   /** Continues reading, after the current call stack. */
   release: () => void
+  /** Sets the pace of the running request; undefined removes it. */
+  setPacing: (pacing: ReadPacing | undefined) => void
 }
 
+const slowReading = createTurnBudget({ turnMs: SLOW_READING_TURN_MS, nowMs: () => performance.now(), schedule: setImmediate })
+
 /** Takes over reading from the socket, which must be read in paused mode. */
 export const createReadGate = (socket: Socket): ReadGate => {
   const read = socket.read.bind(socket)
   let isHeld = false
-  // A size of 0 hands out nothing; node:stream uses it to fill its buffer.
-  socket.read = size => isHeld && size !== 0 ? null : read(size)
+  let isWaiting = false
+  let pacing: ReadPacing | undefined
+
+  const continueReading = (): void => { if (!isHeld && !socket.destroyed) socket.emit('readable') }
+
+  const retrySlowReading = (): void => {
+    isWaiting = false
+    continueReading()
+  }
+
+  const startSlowPiece = (): boolean => {
+    if (isWaiting) return false
+    isWaiting = !slowReading.tryStart(retrySlowReading)
+    return !isWaiting
+  }
+
+  const readPiece = (pace: ReadPace): Buffer | null => {
+    if (pace === 'stop' || (pace === 'slow' && socket.readableLength > 0 && !startSlowPiece())) return null
+    const bytesMax = pace === 'slow' ? SLOW_PIECE_BYTES : pace === 'start' ? START_PIECE_BYTES : Infinity
+    const piece: Buffer | null = socket.readableLength > bytesMax ? read(bytesMax) : read()
+    if (piece) pacing?.onPiece(piece, pace)
+    return piece
+  }
+
+  // undici reads again right after it has parsed a piece. A size of 0 hands out nothing; node:stream uses it to fill its buffer.
+  socket.read = size => {
+    if (size === 0) return read(0)
+    slowReading.end()
+    return isHeld ? null : readPiece(pacing?.choosePace() ?? 'free')
+  }
+
   return {
     hold: () => { isHeld = true },
     release: () => {
       if (!isHeld) return
       isHeld = false
       // undici's parser must not be entered again from one of its own callbacks.
-      queueMicrotask(() => { if (!isHeld && !socket.destroyed) socket.emit('readable') })
-    }
+      queueMicrotask(continueReading)
+    },
+    setPacing: next => { pacing = next }
   }
 }
--- a/packages/daemon/src/backend-connections.ts
+++ b/packages/daemon/src/backend-connections.ts
@@ -116,7 +116,6 @@
       socket: opened.socket,
       readGate: opened.readGate,
       hasFailed: opened.hasFailed,
-      setBytesListener: opened.setBytesListener,
       id: nextId(),
       openedMs: nowMs,
       lastProgressMs: nowMs,
--- a/packages/daemon/src/constants.ts
+++ b/packages/daemon/src/constants.ts
@@ -26,13 +26,30 @@
 export const CONNECT_TIMEOUT_MS = 150
 /** Idle time of a connection if the backend server does not state one. */
 export const BACKEND_IDLE_MS = 4_000
+/**
+ * Maximum number of received bytes without a byte of the body: informational
+ * heads and the head together, trailers, or the extensions of a chunk.
+ */
 export const RESPONSE_HEADER_BYTES_MAX = 65_536
+/** Maximum number of lines among these bytes, beyond those of the first piece. Each line costs memory of its own. */
+export const SLOW_LINES_MAX = 256
+/** Size of the first piece of a response that is parsed at once; most heads fit into it. */
+export const START_PIECE_BYTES = 4_096
+/** Size of further pieces when many bytes of a response are not of its body. */
+export const SLOW_PIECE_BYTES = 2_048
+/** Bytes outside of its body, as a number and a share of the body, from which a response is parsed in such pieces. */
+export const SLOW_OVERHEAD_BYTES = 2_048
+export const SLOW_OVERHEAD_SHARE = 0.25
+/** Time for parsing such pieces in one turn of the event loop. */
+export const SLOW_READING_TURN_MS = 1
+/** Smaller pieces of a body are joined before they are passed on. */
+export const SMALL_CHUNK_BYTES = 1_024
+export const JOINED_CHUNKS_BYTES = 16_384
 /** Maximum number of informational (1xx) heads before a response. */
 export const INFORMATIONAL_HEADS_MAX = 16
 /**
  * Maximum number of received bytes of a response that are not part of its body:
- * heads, chunk extensions and trailers. It includes what the socket may have
- * buffered ahead of the parser.
+ * heads, chunk extensions and trailers.
  */
 export const RESPONSE_OVERHEAD_BYTES_MAX = 262_144
 /** Allowed overhead for each byte of the body, since each chunk of a body has a header of its own. */
--- /dev/null
+++ b/packages/daemon/test/costly-responses.test.ts
@@ -0,0 +1,135 @@
+/**
+ * Guards against a process that runs out of memory, or stops for other requests,
+ * while targets send bytes without end that cost more than others: many short
+ * lines in a head or in trailers, and a body of very small chunks.
+ */
+import { readFileSync } from 'node:fs'
+import type { Socket } from 'node:net'
+import test from 'ava'
+import { createResponseLimits } from '../src/adapters/response-limits.js'
+import { createTurnBudget } from '../src/adapters/turn-budget.js'
+import { call, createKind, createRawCaller, createService, formatOwnResponse, startDaemonProcess, startRawBackend } from './support.js'
+import './exit.js'
+
+const LINES = 'X-A: b\r\n'.repeat(2_048)
+const CHUNKED = 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
+
+const ENDLESS = {
+  'a head of short lines': { start: 'HTTP/1.1 200 OK\r\n', block: LINES },
+  'trailers of short lines': { start: `${CHUNKED}4\r\nbody\r\n0\r\n`, block: LINES },
+  'informational heads': { start: '', block: 'HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n'.repeat(400) },
+  'a body of chunks of one byte': { start: CHUNKED, block: '1\r\na\r\n'.repeat(2_700) }
+}
+
+/** Starts a backend server that answers each connection with the start, and then with the block until it is closed. */
+const startEndlessBackend = ({ start, block }: { start: string, block: string }): Promise<number> => startRawBackend((socket: Socket) => {
+  socket.removeAllListeners('data').resume()
+  socket.write(start)
+  const send = (): void => {
+    if (socket.destroyed) return
+    if (socket.write(block)) setImmediate(send)
+    else socket.once('drain', send)
+  }
+  send()
+})
+
+/** Memory of the smallest entry VMs. */
+const MEMORY_MB_MAX = 250
+const CALLERS = 24
+const DEADLINE_MS = 2_000
+const SOUND_REQUESTS = 150
+const SOUND_INTERVAL_MS = 20
+/** Half of the deadline of the sound requests. */
+const SOUND_MS_MAX = 1_000
+const KB_PER_MB = 1_024
+
+const memoryMb = (pid: number): number => Number(/VmRSS:\s+(\d+)/.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))?.[1]) / KB_PER_MB
+
+for (const [name, endless] of Object.entries(ENDLESS)) {
+  for (const reads of [true, false]) {
+    test.serial(`sound requests are served, and memory is bounded, beside ${CALLERS} responses with ${name} whose callers ${reads ? 'read' : 'do not read'}`, async t => {
+      const good = await startRawBackend((socket, received) => { setTimeout(() => socket.write(formatOwnResponse(received)), 5) })
+      const daemon = await startDaemonProcess(t, [
+        createService([good], { name: 'good', pathPrefix: '/good', slotsPerTarget: 64, kinds: [createKind({ path: '/good/**', deadlineMs: 2 * SOUND_MS_MAX })] }),
+        createService([await startEndlessBackend(endless), await startEndlessBackend(endless)], {
+          slotsPerTarget: 512, connectionsPerTarget: 1_024, kinds: [createKind({ deadlineMs: DEADLINE_MS })]
+        })
+      ])
+      const callers = Array.from({ length: CALLERS }, () => createRawCaller(daemon.port, 'GET /shop/x HTTP/1.1\r\nhost: a\r\n\r\n'))
+      if (!reads) for (const { socket } of callers) socket.pause()
+      let longestMs = 0
+      let mostMb = 0
+      const send = async (): Promise<void> => {
+        const sentMs = performance.now()
+        t.is((await call(daemon.port, { path: '/good/x' })).status, 200)
+        longestMs = Math.max(longestMs, performance.now() - sentMs)
+      }
+      const sent: Promise<void>[] = []
+      for (let count = 0; count < SOUND_REQUESTS; count++) {
+        sent.push(send())
+        await new Promise(resolve => setTimeout(resolve, SOUND_INTERVAL_MS))
+        mostMb = Math.max(mostMb, memoryMb(daemon.child.pid as number))
+      }
+      await Promise.all(sent)
+      for (const { socket } of callers) socket.destroy()
+      t.log(`longest ${Math.round(longestMs)} ms, memory ${Math.round(mostMb)} MB`)
+      t.true(longestMs < SOUND_MS_MAX)
+      t.true(mostMb < MEMORY_MB_MAX)
+    })
+  }
+}
+
+test('a response is parsed at once when most of its bytes are of its body', t => {
+  const limits = createResponseLimits()
+  t.is(limits.pace(), 'start')
+  limits.recordPiece(Buffer.alloc(4_096), 'start')
+  limits.recordHead()
+  limits.recordBody(3_800)
+  t.is(limits.pace(), 'free')
+  limits.recordPiece(Buffer.alloc(65_536), 'free')
+  limits.recordBody(65_500)
+  t.is(limits.pace(), 'free')
+  t.is(limits.exceeded(), undefined)
+})
+
+test('lines and bytes in a row outside of the body are limited, and are counted anew after a byte of the body', t => {
+  const lines = Buffer.from('x: y\r\n'.repeat(200))
+  const limits = createResponseLimits()
+  limits.recordPiece(Buffer.alloc(4_096), 'start')
+  t.is(limits.pace(), 'slow')
+  limits.recordPiece(lines, 'slow')
+  t.is(limits.exceeded(), undefined)
+  limits.recordBody(1)
+  limits.recordPiece(lines, 'slow')
+  t.is(limits.exceeded(), undefined)
+  limits.recordPiece(lines, 'slow')
+  t.regex(limits.exceeded() ?? '', /lines in a row/)
+  const long = createResponseLimits()
+  long.recordPiece(Buffer.alloc(70_000), 'start')
+  t.regex(long.exceeded() ?? '', /bytes in a row/)
+})
+
+test('work beyond the time of a turn waits for the next turn in its order, and all of it is done', t => {
+  let nowMs = 0
+  const turns: (() => void)[] = []
+  const budget = createTurnBudget({ turnMs: 1, nowMs: () => nowMs, schedule: run => turns.push(run) })
+  const done: string[] = []
+  const work = (name: string, pieces: number) => (): void => {
+    for (let left = pieces; left > 0; left--) {
+      if (!budget.tryStart(work(name, left))) return
+      done.push(name)
+      nowMs += 0.6
+      budget.end()
+    }
+  }
+  for (const name of ['a', 'b', 'c']) work(name, 3)()
+  t.deepEqual(done, ['a', 'a'])
+  let turnCount = 0
+  for (let turn = turns.shift(); turn; turn = turns.shift()) {
+    turnCount++
+    turn()
+  }
+  t.is(done.length, 9)
+  t.deepEqual(done, ['a', 'a', 'a', 'b', 'c', 'c', 'b', 'b', 'c'])
+  t.true(turnCount >= 4 && turnCount <= 6)
+})
