Hold a response without a length until its end is known

Callers saw: requests that pipelined others behind a broken answer lost those answers too, although sound targets ran them. Cause: an answer that only the end of its connection ends was passed on as it came. A reset on its way could then be shown only by a reset of the caller's connection, which takes along the requests behind it. Change: such an answer is held until its end, up to 64 KB and 250 ms. One that breaks meanwhile is no answer: the request goes to another target if it may run again, or ends with 502, and the connection stays. Weighed: holding back the requests behind it would delay all pipelined requests, also behind sound answers with a length; what is held here delays only answers without a length, by the time until their own end.

--- a/packages/daemon/src/adapters/backend-http.ts
+++ b/packages/daemon/src/adapters/backend-http.ts
@@ -29,6 +29,7 @@
 } from '../constants.js'
 import { rawHeader } from '../headers.js'
 import { createChunkJoiner } from './chunk-joiner.js'
+import { createHeldResponse, type HeldResponse } from './held-response.js'
 import { createReadGate, type ReadGate, type ReadPace } from './read-gate.js'
 import { createResponseLimits } from './response-limits.js'
 
@@ -68,7 +69,7 @@
   /** Final check, made in the same turn of the event loop as the first write. */
   canWrite: () => boolean
   onWritten: () => void
-  /** Called when the socket has accepted bytes of the request body. */
+  /** Called when the socket has accepted bytes of the request body, and when bytes of a response arrive that are held. */
   onBodyProgress: () => void
   onHead: (status: number, rawHeaders: string[], statusText: string) => void
   /**
@@ -171,6 +172,7 @@
   let endsByClose = false
   let hasLength = false
   let informationalHeadCount = 0
+  let held: HeldResponse | undefined
   const limits = createResponseLimits()
   let isFinished = false
   /** Ends undici's parsing of the response; without it, undici goes on with what it has read. */
@@ -179,6 +181,7 @@
 
   const finish = (): void => {
     isFinished = true
+    held?.drop()
     backend.readGate.setPacing(undefined)
     backend.readGate.release()
   }
@@ -232,6 +235,8 @@
     if (isFinished) abort(new Error('the request was aborted'))
   }
 
+  const passOn = (chunk: Buffer): void => { if (!isFinished && !handler.onData(chunk)) backend.readGate.hold() }
+
   const onHeaders = (status: number, raw: Buffer[], _resume: () => void, statusText: string): boolean => {
     if (isFinished) return true
     if (status < STATUS_MIN) {
@@ -250,6 +255,7 @@
     hasLength = hasAnnouncedEnd(request.method, status, headers)
     endsByClose = isDelimitedByClose(request.method, status, headers)
     if (endsByClose && !request.allowsEndByClose) fail({ kind: 'broken', message: 'the response has neither a content-length nor chunked encoding' })
+    else if (endsByClose) held = createHeldResponse(() => handler.onHead(status, headers, statusText), passOn)
     else handler.onHead(status, headers, statusText)
     return true
   }
@@ -261,6 +267,8 @@
       return
     }
     body.flush()
+    held?.release()
+    if (isFinished) return
     finish()
     handler.onEnd(decodeHeaders(trailers ?? []))
   }
@@ -272,8 +280,11 @@
   }
 
   const onBodySent = (): void => { if (!isFinished) handler.onBodyProgress() }
-  const deliver = (chunk: Buffer): void => { if (!isFinished && !handler.onData(chunk)) backend.readGate.hold() }
-  const body = createChunkJoiner(deliver)
+  const body = createChunkJoiner(chunk => {
+    if (isFinished) return
+    if (held?.add(chunk)) handler.onBodyProgress()
+    else passOn(chunk)
+  })
   const onData = (chunk: Buffer): boolean => {
     if (isFinished) return true
     limits.recordBody(chunk.length)
--- a/packages/daemon/src/constants.ts
+++ b/packages/daemon/src/constants.ts
@@ -56,6 +56,9 @@
 export const CHUNK_OVERHEAD_FACTOR = 8
 /** Maximum size of the body of a response that announces no length. */
 export const UNSIZED_RESPONSE_BYTES_MAX = 67_108_864
+/** Limits for holding a response without a length until its end is known. */
+export const HELD_RESPONSE_BYTES_MAX = 65_536
+export const HELD_RESPONSE_MS_MAX = 250
 /** Time for which a target that sent a response for another request gets a new connection for each request. */
 export const FOREIGN_RESPONSE_HOLD_MS = 10_000
 
