Read chunked answers in the fuzz of responses before their bodies are compared

Cause: the check compared the raw bytes behind a head with the id of the request. Change: the check decodes lengths and chunks, and is stricter: a whole body must be the planned one to its end, a partial one a beginning of it, and responses that can never be whole must not look whole.

--- a/packages/daemon/test/response-fuzz.test.ts
+++ b/packages/daemon/test/response-fuzz.test.ts
@@ -108,7 +108,10 @@
 
 const REQUEST = /(?:GET|POST) \/shop\/\S+ HTTP\/1\.1\r\n[^]*?\r\n\r\n/g
 
-type Run = { id: string, isRefused: boolean }
+type Run = { id: string, isRefused: boolean, framing: Framing }
+
+/** Framings that no answer can be made of which looks whole. */
+const NEVER_WHOLE: ReadonlySet<Framing> = new Set(['too-long', 'chunked-broken', 'reset'])
 
 /** Starts a target that plays the next plan for each request. */
 const startFuzzedBackend = (nextPlan: () => Plan, runs: Run[]): Promise<number> => {
@@ -120,7 +123,7 @@
     for (const [head] of requests.slice(handledCount)) {
       const id = /x-request-id: (\S+)/i.exec(head)?.[1] ?? ''
       const plan = nextPlan()
-      runs.push({ id, isRefused: isRefusal(plan) })
+      runs.push({ id, isRefused: isRefusal(plan), framing: plan.framing })
       playPlan(socket, plan, id).catch(() => undefined)
     }
   })
@@ -128,7 +131,50 @@
 
 type Outcome = { ids: string[], method: string, received: string, isEnded: boolean, durationMs: number }
 
-const ANSWER = /HTTP\/1\.1 (\d{3})[^\r]*\r\n([^]*?)\r\n\r\n/g
+type Answer = { status: string, fields: string, body: string, isWhole: boolean }
+
+type Part = { body: string, isWhole: boolean, end: number }
+
+const readChunks = (text: string, start: number): Part => {
+  let body = ''
+  for (let place = start; ;) {
+    const size = /^([0-9a-f]+)\r\n/i.exec(text.slice(place, place + 20))
+    if (!size) return { body, isWhole: false, end: text.length }
+    const sizeBytes = Number.parseInt(size[1] as string, 16)
+    const from = place + size[0].length
+    if (sizeBytes === 0) {
+      const trailersEnd = text.startsWith('\r\n', from) ? from : text.indexOf('\r\n\r\n', from) + 2
+      return { body, isWhole: trailersEnd >= from && text.startsWith('\r\n', trailersEnd), end: trailersEnd + 2 }
+    }
+    body += text.slice(from, from + sizeBytes)
+    place = from + sizeBytes + 2
+    if (place > text.length) return { body, isWhole: false, end: text.length }
+  }
+}
+
+const readBody = (text: string, start: number, status: string, fields: string): Part => {
+  if (status === '204' || status === '304') return { body: '', isWhole: true, end: start }
+  if (/transfer-encoding: chunked/i.test(fields)) return readChunks(text, start)
+  const lengthText = /content-length: (\d+)/i.exec(fields)?.[1]
+  if (lengthText === undefined) return { body: text.slice(start), isWhole: true, end: text.length }
+  const end = start + Number(lengthText)
+  return { body: text.slice(start, end), isWhole: text.length >= end, end }
+}
+
+/** Reads all answers that a caller has received on its connection. */
+const readAnswers = (text: string): Answer[] => {
+  const answers: Answer[] = []
+  for (let place = 0; place < text.length;) {
+    const headEnd = text.indexOf('\r\n\r\n', place)
+    if (headEnd < 0) return answers
+    const [statusLine = '', ...fields] = text.slice(place, headEnd).split('\r\n')
+    const status = statusLine.split(' ')[1] ?? ''
+    const { body, isWhole, end } = readBody(text, headEnd + 4, status, fields.join('\r\n'))
+    answers.push({ status, fields: fields.join('\r\n'), body, isWhole })
+    place = end
+  }
+  return answers
+}
 
 const formatRequest = (method: string, id: string, isLast: boolean): string =>
   `${method} /shop/${id} HTTP/1.1\r\nhost: a\r\nx-request-id: ${id}\r\nx-request-timeout-ms: ${DEADLINE_MS}\r\n${isLast ? 'connection: close\r\n' : ''}${method === 'POST' ? 'content-length: 0\r\n' : ''}\r\n`
@@ -152,19 +198,20 @@
 })
 
 /** Describes what is wrong with the answers of a caller that read to the end. */
-const checkAnswers = ({ ids, method, received }: Outcome, ran: ReadonlySet<string>): string[] => {
+const checkAnswers = ({ ids, method, received }: Outcome, runs: readonly Run[]): string[] => {
   const faults: string[] = []
-  const heads = [...received.matchAll(ANSWER)]
-  if (heads.length > ids.length) faults.push(`${ids.join()}: ${heads.length} answers`)
-  heads.forEach((match, index) => {
-    const [head, status = '', fields = ''] = match
+  const answers = readAnswers(received)
+  if (answers.length > ids.length) faults.push(`${ids.join()}: ${answers.length} answers`)
+  answers.forEach(({ status, fields, body, isWhole }, index) => {
     const id = ids[index] ?? ''
+    const runsOfId = runs.filter(run => run.id === id)
     const resultClass = /x-result-class: (\S+)/i.exec(fields)?.[1]
     if (!fields.toLowerCase().includes(`x-request-id: ${id}`.toLowerCase())) faults.push(`${id}: the answer has another id`)
-    if (resultClass === 'not-run' && method === 'POST' && ran.has(id)) faults.push(`${id}: ran and was reported as not run (${status})`)
-    if (resultClass !== undefined || status === '204' || status === '304') return
-    const rest = received.slice((match.index ?? 0) + head.length)
-    if (rest.length > 0 && !rest.replace(/^[0-9a-f]+\r\n/i, '').startsWith(`${id}:`.slice(0, 3))) faults.push(`${id}: the body is of another request: ${rest.slice(0, 30)}`)
+    if (resultClass === 'not-run' && method === 'POST' && runsOfId.some(({ isRefused }) => !isRefused)) faults.push(`${id}: ran and was reported as not run (${status})`)
+    if (resultClass !== undefined || body === '') return
+    const own = bodyOf(id, body.length)
+    if (isWhole ? body !== own : !own.startsWith(body)) faults.push(`${id}: the body is of another request: ${body.slice(0, 30)}`)
+    if (isWhole && runsOfId.every(({ framing }) => NEVER_WHOLE.has(framing))) faults.push(`${id}: a part of a body looks whole`)
   })
   return faults
 }
@@ -206,11 +253,10 @@
   await Promise.all(Array.from({ length: PARALLEL }, sendSequence))
   load.isOver = true
   await sound
-  const ran = new Set(runs.filter(({ isRefused }) => !isRefused).map(({ id }) => id))
   const faults: string[] = []
   for (const { fuzzCall, outcome } of outcomes) {
     if (!outcome.isEnded) faults.push(`${outcome.ids.join()} ${fuzzCall.method} ${fuzzCall.behaviour}: no end after ${Math.round(outcome.durationMs)} ms`)
-    if (fuzzCall.behaviour === 'reads' || fuzzCall.behaviour === 'pipelines') faults.push(...checkAnswers(outcome, ran))
+    if (fuzzCall.behaviour === 'reads' || fuzzCall.behaviour === 'pipelines') faults.push(...checkAnswers(outcome, runs))
     if (fuzzCall.method !== 'POST') continue
     for (const id of outcome.ids) {
       const runCount = runs.filter(run => run.id === id && !run.isRefused).length
