Send bytes without end in one place of the daemon's tests

It is now in support.ts; the checks and the bytes are the same, and the readers of the responses too. No product code changed.

--- a/packages/daemon/test/broken-while-held.test.ts
+++ b/packages/daemon/test/broken-while-held.test.ts
@@ -3,10 +3,9 @@
  * ends, by whichever side, while the node has stopped reading because the caller
  * is slower: undici asserts at that moment that its parser is not paused.
  */
-import type { Socket } from 'node:net'
 import test from 'ava'
 import { openBackendSocket, sendRequest, type BackendSocket, type OutgoingRequest, type SendFailure } from '../src/adapters/backend-http.js'
-import { call, createDeferred, createKind, createRawCaller, createService, formatOwnResponse, startDaemonProcess, startRawBackend } from './support.js'
+import { call, createDeferred, createKind, createRawCaller, createService, formatOwnResponse, startDaemonProcess, startEndlessBackend, startRawBackend } from './support.js'
 import './exit.js'
 
 const PART = '.'.repeat(20_000)
@@ -101,18 +100,6 @@
   }
 }
 
-/** Starts a backend server that answers each request with the head, and then sends the block until it is closed. */
-const startEndlessBackend = ({ start, block }: { start: string, block: string }): Promise<number> => startRawBackend((socket: Socket) => {
-  socket.removeAllListeners('data').resume()
-  socket.write(start)
-  const send = (): void => {
-    if (socket.destroyed) return
-    if (socket.write(block)) setImmediate(send)
-    else socket.once('drain', send)
-  }
-  send()
-})
-
 const DEADLINE_MS = 400
 const SILENT_CALLERS = 8
 const SOUND_REQUESTS = 100
--- a/packages/daemon/test/costly-responses.test.ts
+++ b/packages/daemon/test/costly-responses.test.ts
@@ -4,11 +4,10 @@
  * lines in a head or in trailers, and a body of very small chunks.
  */
 import { readFileSync } from 'node:fs'
-import type { Socket } from 'node:net'
 import test from 'ava'
 import { createResponseLimits } from '../src/adapters/response-limits.js'
 import { createTurnBudget } from '../src/adapters/turn-budget.js'
-import { call, createKind, createRawCaller, createService, formatOwnResponse, startDaemonProcess, startRawBackend } from './support.js'
+import { call, createKind, createRawCaller, createService, formatOwnResponse, startDaemonProcess, startEndlessBackend, startRawBackend } from './support.js'
 import './exit.js'
 
 const LINES = 'X-A: b\r\n'.repeat(2_048)
@@ -21,18 +20,6 @@
   'a body of chunks of one byte': { start: CHUNKED, block: '1\r\na\r\n'.repeat(2_700) }
 }
 
-/** Starts a backend server that answers each connection with the start, and then with the block until it is closed. */
-const startEndlessBackend = ({ start, block }: { start: string, block: string }): Promise<number> => startRawBackend((socket: Socket) => {
-  socket.removeAllListeners('data').resume()
-  socket.write(start)
-  const send = (): void => {
-    if (socket.destroyed) return
-    if (socket.write(block)) setImmediate(send)
-    else socket.once('drain', send)
-  }
-  send()
-})
-
 /** Memory of the smallest entry VMs. */
 const MEMORY_MB_MAX = 250
 const CALLERS = 24
--- a/packages/daemon/test/endless-responses.test.ts
+++ b/packages/daemon/test/endless-responses.test.ts
@@ -10,16 +10,14 @@
 import { createPeerAuth } from '../src/adapters/peer-auth.js'
 import { createPeerClients } from '../src/adapters/peer-client.js'
 import { createProbeRunner } from '../src/fleet/probe-runner.js'
-import { call, createKind, createService, formatOwnResponse, ORDER, startDaemon, startRawBackend, UPLOAD } from './support.js'
+import { call, createKind, createService, formatOwnResponse, ORDER, sendWithoutEnd, startDaemon, startRawBackend, UPLOAD, type EndlessBytes } from './support.js'
 import './exit.js'
 
 const BLOCK = 'x'.repeat(16_384)
 const CHUNKED = 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
 
-type Endless = { start: string, block: string }
-
 /** Responses that end only because the node ends them. */
-const ENDLESS: Record<string, Endless> = {
+const ENDLESS: Record<string, EndlessBytes> = {
   'informational heads': { start: '', block: 'HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n'.repeat(200) },
   'bytes in a header line': { start: 'HTTP/1.1 200 OK\r\nx-long: ', block: BLOCK },
   headers: { start: 'HTTP/1.1 200 OK\r\n', block: `x-a: ${BLOCK}\r\n` },
@@ -39,20 +37,14 @@
 
 type Sender = { port: number, sentBytes: () => number, closedCount: () => number }
 
-const startEndlessBackend = async ({ start, block }: Endless): Promise<Sender> => {
+const startCountingBackend = async (bytes: EndlessBytes): Promise<Sender> => {
   let closedCount = 0
   const sockets = new Set<Socket>()
   const port = await startRawBackend(socket => {
     if (sockets.has(socket)) return
     sockets.add(socket)
     socket.once('close', () => { closedCount++ })
-    socket.write(start)
-    const send = (): void => {
-      if (socket.destroyed) return
-      if (socket.write(block)) setImmediate(send)
-      else socket.once('drain', send)
-    }
-    send()
+    sendWithoutEnd(socket, bytes)
   })
   return { port, sentBytes: () => [...sockets].reduce((sum, { bytesWritten }) => sum + bytesWritten, 0), closedCount: () => closedCount }
 }
@@ -66,7 +58,7 @@
 for (const [name, endless] of Object.entries(ENDLESS)) {
   for (const method of ['GET', 'POST', 'PUT']) {
     test.serial(`a response to ${method} with endless ${name} is ended at a limit`, async t => {
-      const backend = await startEndlessBackend(endless)
+      const backend = await startCountingBackend(endless)
       const daemon = await startDaemon([createService([backend.port], { kinds: KINDS })])
       const startMs = performance.now()
       const status = await call(daemon.port, { method, ...(method !== 'GET' && { body: 'x' }) }).then(response => response.status, () => 'reset')
@@ -89,7 +81,7 @@
 
 for (const [name, endless] of Object.entries(ENDLESS)) {
   test.serial(`reads of the platform and of peers, and health probes, end in time on endless ${name}`, async t => {
-    const { port } = await startEndlessBackend(endless)
+    const { port } = await startCountingBackend(endless)
     const reader = createHttpReader(READ_BYTES_MAX)
     const peers = createPeerClients(createPeerAuth('test', 'a-key-of-sixteen-characters'))
     const probes = createProbeRunner(() => performance.now())
@@ -109,7 +101,7 @@
 
 test.serial('other requests are not slowed down by servers that send without end', async t => {
   const good = await startRawBackend((socket, received) => { setTimeout(() => socket.write(formatOwnResponse(received)), 10) })
-  const endless = await Promise.all(Object.values(ENDLESS).map(startEndlessBackend))
+  const endless = await Promise.all(Object.values(ENDLESS).map(startCountingBackend))
   const services = [
     createService([good], { name: 'good', pathPrefix: '/good', slotsPerTarget: 16, kinds: [createKind({ path: '/good/**' })] }),
     createService(endless.map(({ port }) => port), { kinds: KINDS })
--- a/packages/daemon/test/support.ts
+++ b/packages/daemon/test/support.ts
@@ -181,6 +181,26 @@
   }))
 }
 
+/** Bytes that a backend server sends: a start, and then a block again and again. */
+export type EndlessBytes = { start: string, block: string }
+
+/** Sends bytes on the connection until the other side closes it. */
+export const sendWithoutEnd = (socket: Socket, { start, block }: EndlessBytes): void => {
+  socket.write(start)
+  const send = (): void => {
+    if (socket.destroyed) return
+    if (socket.write(block)) setImmediate(send)
+    else socket.once('drain', send)
+  }
+  send()
+}
+
+/** Backend server that answers each connection with bytes without end, and reads nothing. */
+export const startEndlessBackend = (bytes: EndlessBytes): Promise<number> => startRawBackend(socket => {
+  socket.removeAllListeners('data').resume()
+  sendWithoutEnd(socket, bytes)
+})
+
 /**
  * Returns a port on which nothing listens. The client's end of a connection
  * occupies it, since a free port could be assigned to the next listener.
