Leave processor time beside responses of very small chunks

Callers saw: nothing beside 24 such responses on an idle machine, but the node used 2.8 s of processor time in 3 s for them, which an entry VM does not have. Cause: parsing was limited to 1 ms in a turn of the event loop, and turns without other work follow each other at once. Change: after 1 ms of such work comes a pause of 15 ms. Each sound request must still be served within its deadline.

--- a/packages/daemon/src/adapters/read-gate.ts
+++ b/packages/daemon/src/adapters/read-gate.ts
@@ -9,15 +9,15 @@
  * that the socket has handed out is parsed before any end of the connection.
  *
  * undici also parses all bytes that it gets at once. Bytes that cost more time
- * than others are therefore handed out in small pieces, within a time limit for
- * each turn of the event loop that all connections share.
+ * than others are therefore handed out in small pieces, within a share of the
+ * processor that all connections have together.
  */
 import type { Socket } from 'node:net'
-import { SLOW_PIECE_BYTES, SLOW_READING_TURN_MS, START_PIECE_BYTES } from '../constants.js'
-import { createTurnBudget } from './turn-budget.js'
+import { PIECE_BYTES, SLOW_PIECE_BYTES, SLOW_READING_MS, SLOW_READING_PAUSE_MS } from '../constants.js'
+import { createWorkBudget } from './work-budget.js'
 
-/** `start` hands out the first piece of a response, `stop` nothing. */
-export type ReadPace = 'free' | 'start' | 'slow' | 'stop'
+/** `piecewise` and `slow` hand out small pieces, the latter within the shared share of the processor; `stop` hands out nothing. */
+export type ReadPace = 'free' | 'piecewise' | 'slow' | 'stop'
 
 export type ReadPacing = {
   /** Called before each piece. */
@@ -35,7 +35,11 @@
   setPacing: (pacing: ReadPacing | undefined) => void
 }
 
-const slowReading = createTurnBudget({ turnMs: SLOW_READING_TURN_MS, nowMs: () => performance.now(), schedule: setImmediate })
+const slowReading = createWorkBudget({
+  workMs: SLOW_READING_MS,
+  nowMs: () => performance.now(),
+  schedule: run => { setTimeout(run, SLOW_READING_PAUSE_MS) }
+})
 
 /** Takes over reading from the socket, which must be read in paused mode. */
 export const createReadGate = (socket: Socket): ReadGate => {
@@ -59,7 +63,7 @@
 
   const readPiece = (pace: ReadPace): Buffer | null => {
     if (pace === 'stop' || (pace === 'slow' && socket.readableLength > 0 && !startSlowPiece())) return null
-    const bytesMax = pace === 'slow' ? SLOW_PIECE_BYTES : pace === 'start' ? START_PIECE_BYTES : Infinity
+    const bytesMax = pace === 'slow' ? SLOW_PIECE_BYTES : pace === 'piecewise' ? PIECE_BYTES : Infinity
     const piece: Buffer | null = socket.readableLength > bytesMax ? read(bytesMax) : read()
     if (piece) pacing?.onPiece(piece, pace)
     return piece
--- a/packages/daemon/src/adapters/response-limits.ts
+++ b/packages/daemon/src/adapters/response-limits.ts
@@ -67,7 +67,7 @@
     },
     pace: () => {
       if (overheadBytes() > SLOW_OVERHEAD_BYTES + SLOW_OVERHEAD_SHARE * bodyBytes) return 'slow'
-      return hasHead ? 'free' : 'start'
+      return hasHead ? 'free' : 'piecewise'
     }
   }
 }
--- a/packages/daemon/src/constants.ts
+++ b/packages/daemon/src/constants.ts
@@ -33,15 +33,16 @@
 export const RESPONSE_HEADER_BYTES_MAX = 65_536
 /** Maximum number of lines among these bytes, beyond those of the first piece. Each line costs memory of its own. */
 export const SLOW_LINES_MAX = 256
-/** Size of the first piece of a response that is parsed at once; most heads fit into it. */
-export const START_PIECE_BYTES = 4_096
-/** Size of further pieces when many bytes of a response are not of its body. */
+/** Size of a piece that is parsed at once before the body of a response; most heads fit into one. */
+export const PIECE_BYTES = 4_096
+/** Size of a piece when many bytes of a response are not of its body. */
 export const SLOW_PIECE_BYTES = 2_048
 /** Bytes outside of its body, as a number and a share of the body, from which a response is parsed in such pieces. */
 export const SLOW_OVERHEAD_BYTES = 2_048
 export const SLOW_OVERHEAD_SHARE = 0.25
-/** Time for parsing such pieces in one turn of the event loop. */
-export const SLOW_READING_TURN_MS = 1
+/** Time for parsing such pieces in a row, and the pause after it. Together they bound the share of the processor. */
+export const SLOW_READING_MS = 1
+export const SLOW_READING_PAUSE_MS = 15
 /** Smaller pieces of a body are joined before they are passed on. */
 export const SMALL_CHUNK_BYTES = 1_024
 export const JOINED_CHUNKS_BYTES = 16_384
