Collect small responses without flow control, and parse nothing after a failure

Callers saw: the node stood still for about a quarter of a second at each read of a document, call between nodes or health probe whose answer had a head or trailers of short lines without end. Cause: as for answers to callers: undici parses 64 KB at once, and creates an error with a stack for each line beyond its limit. Change: these responses are collected whole, up to their limits, and parsed in pieces of 4 KB, none after the response has failed. undici's parser is not paused for them, so their connections may end at any moment, too.

--- a/packages/daemon/src/adapters/configuration-service.ts
+++ b/packages/daemon/src/adapters/configuration-service.ts
@@ -44,7 +44,7 @@
 }
 
 const parseIndex = (response: HttpResponse): number => {
-  const index = Number(response.headers['x-consul-index'])
+  const index = Number(response.header('x-consul-index'))
   return Number.isSafeInteger(index) && index > 0 ? index : 0
 }
 
--- a/packages/daemon/src/adapters/http-json.ts
+++ b/packages/daemon/src/adapters/http-json.ts
@@ -1,27 +1,20 @@
 /**
- * Reads small documents from the platform through undici, limited in time and size.
+ * Reads small documents from the platform, limited in time and size.
  */
-import { Agent } from 'undici'
 import type { Result } from '@wisteriavalve/common'
 import { withDeadline } from './deadline.js'
+import { createSmallRequestClient, type SmallResponse } from './small-request.js'
 
 export type HttpReader = {
   get: (url: string, options: { timeoutMs: number, signal?: AbortSignal }) => Promise<Result<HttpResponse, string>>
   close: () => Promise<void>
 }
 
-export type HttpResponse = { status: number, headers: Record<string, string | string[] | undefined>, body: Uint8Array }
+export type HttpResponse = SmallResponse
 
-const readBody = async (body: AsyncIterable<Uint8Array>, bytesMax: number): Promise<Uint8Array> => {
-  const chunks: Uint8Array[] = []
-  let sizeBytes = 0
-  for await (const chunk of body) {
-    sizeBytes += chunk.length
-    if (sizeBytes > bytesMax) throw new Error(`the response is larger than ${bytesMax} bytes`)
-    chunks.push(chunk)
-  }
-  return Buffer.concat(chunks)
-}
+const CONNECTIONS_MAX = 8
+const KEEP_ALIVE_MS = 15_000
+const CONNECT_TIMEOUT_MS = 1_000
 
 export const describeError = (error: unknown): string => {
   if (!(error instanceof Error)) return String(error)
@@ -31,20 +24,15 @@
 
 /** @param bytesMax maximum size of a response body */
 export const createHttpReader = (bytesMax: number): HttpReader => {
-  const dispatcher = new Agent({ connections: 8, pipelining: 1, keepAliveTimeout: 15_000, connect: { timeout: 1000 } })
+  const client = createSmallRequestClient({ bytesMax, connectionsMax: CONNECTIONS_MAX, connectTimeoutMs: CONNECT_TIMEOUT_MS, keepAliveMs: KEEP_ALIVE_MS })
   const get: HttpReader['get'] = async (url, { timeoutMs, signal }) => {
     try {
-      return await withDeadline(timeoutMs, signal, async deadline => {
-        const { origin, pathname, search } = new URL(url)
-        const response = await dispatcher.request({ origin, path: pathname + search, method: 'GET', signal: deadline })
-        const body = await readBody(response.body, bytesMax)
-        return { ok: true, value: { status: response.statusCode, headers: response.headers, body } }
-      })
+      return { ok: true, value: await withDeadline(timeoutMs, signal, deadline => client.send(url, { method: 'GET' }, deadline)) }
     } catch (error) {
       return { ok: false, error: describeError(error) }
     }
   }
-  return { get, close: () => dispatcher.destroy() }
+  return { get, close: client.close }
 }
 
 export const parseJson = (bytes: Uint8Array): unknown => {
--- a/packages/daemon/src/adapters/peer-client.ts
+++ b/packages/daemon/src/adapters/peer-client.ts
@@ -4,11 +4,11 @@
  */
 import { createTRPCClient, httpLink, type TRPCClient } from '@trpc/client'
 import { LRUCache } from 'lru-cache'
-import { Agent } from 'undici'
 import type { MemberUpdate } from '@wisteriavalve/schema'
 import { withDeadline } from './deadline.js'
 import { AUTHENTICATION_HEADER, isSameMac, REQUEST_NONCE_HEADER, type PeerAuth } from './peer-auth.js'
 import type { PeerRouter } from './peer-rpc.js'
+import { createSmallRequestClient } from './small-request.js'
 
 export type PeerAddress = Pick<MemberUpdate, 'host' | 'peerPort'>
 export type PeerClient = TRPCClient<PeerRouter>
@@ -21,40 +21,36 @@
 }
 
 const CLIENTS_MAX = 512
-const CALL_TIMEOUT_MS = 2000
+const CALL_TIMEOUT_MS = 2_000
+const CONNECT_TIMEOUT_MS = 1_000
+const KEEP_ALIVE_MS = 4_000
+const CONNECTIONS_MAX = 2
 const RESPONSE_BYTES_MAX = 16_000_000
 
 export const createPeerClients = (auth: PeerAuth): PeerClients => {
-  const dispatcher = new Agent({
-    connections: 2, pipelining: 1, keepAliveTimeout: 4000, connect: { timeout: 1000 }, maxResponseSize: RESPONSE_BYTES_MAX
+  const client = createSmallRequestClient({
+    bytesMax: RESPONSE_BYTES_MAX, connectionsMax: CONNECTIONS_MAX, connectTimeoutMs: CONNECT_TIMEOUT_MS, keepAliveMs: KEEP_ALIVE_MS
   })
   let callCount = 0
   let bytesReceived = 0
 
   const signedFetch = async (url: string | URL, options: { method?: string, body?: unknown, signal?: AbortSignal | null } = {}) => {
-    const { origin, pathname, search } = new URL(url)
-    const method = options.method ?? 'GET'
+    const { pathname, search } = new URL(url)
+    const method = options.method === 'POST' ? 'POST' : 'GET'
     const body = typeof options.body === 'string' ? options.body : ''
     const nonce = auth.newNonce()
     callCount++
-    const { status, mac, bytes } = await withDeadline(CALL_TIMEOUT_MS, options.signal, async signal => {
-      const response = await dispatcher.request({
-        origin,
-        path: pathname + search,
-        signal,
-        method: method as 'GET' | 'POST',
-        body: method === 'POST' ? body : undefined,
-        headers: {
-          'content-type': 'application/json',
-          [REQUEST_NONCE_HEADER]: nonce,
-          [AUTHENTICATION_HEADER]: auth.signRequest({ method, path: pathname + search, body, nonce })
-        }
-      })
-      const bytes = new Uint8Array(await response.body.arrayBuffer())
-      return { status: response.statusCode, mac: response.headers[AUTHENTICATION_HEADER], bytes }
-    })
+    const { status, header, body: bytes } = await withDeadline(CALL_TIMEOUT_MS, options.signal, signal => client.send(url, {
+      method,
+      headers: {
+        'content-type': 'application/json',
+        [REQUEST_NONCE_HEADER]: nonce,
+        [AUTHENTICATION_HEADER]: auth.signRequest({ method, path: pathname + search, body, nonce })
+      },
+      ...(method === 'POST' && { body })
+    }, signal))
     bytesReceived += bytes.length
-    if (!isSameMac(auth.signResponse(nonce, status, bytes), mac)) {
+    if (!isSameMac(auth.signResponse(nonce, status, bytes), header(AUTHENTICATION_HEADER))) {
       throw new Error(`the response is not authentic (status ${status})`)
     }
     return new Response(bytes, { status })
@@ -72,5 +68,5 @@
     return client
   }
 
-  return { to, callCount: () => callCount, bytesReceived: () => bytesReceived, close: () => dispatcher.destroy() }
+  return { to, callCount: () => callCount, bytesReceived: () => bytesReceived, close: client.close }
 }
--- a/packages/daemon/src/fleet/probe-runner.ts
+++ b/packages/daemon/src/fleet/probe-runner.ts
@@ -3,11 +3,11 @@
  * body size. Each probe opens a new connection and never uses one of the
  * connections for requests.
  */
-import { Agent, request } from 'undici'
 import type { ProbeResult } from '@wisteriavalve/policy'
 import { isBackendHealth, type Target } from '@wisteriavalve/schema'
 import { withDeadline } from '../adapters/deadline.js'
 import { parseJson } from '../adapters/http-json.js'
+import { createSmallRequestClient } from '../adapters/small-request.js'
 
 export type ProbeRunner = {
   probe: (target: Target, healthPath: string) => Promise<ProbeResult>
@@ -27,14 +27,13 @@
 const formatHost = (host: string): string => host.includes(':') ? `[${host}]` : host
 
 export const createProbeRunner = (nowMs: () => number): ProbeRunner => {
-  const dispatcher = new Agent({ connections: 1, pipelining: 1, connect: { timeout: TIMEOUT_MS }, maxResponseSize: BODY_BYTES_MAX })
+  const client = createSmallRequestClient({ bytesMax: BODY_BYTES_MAX, connectionsMax: 1, connectTimeoutMs: TIMEOUT_MS })
 
   const readHealth = async (url: string, signal: AbortSignal): Promise<ProbeResult> => {
     const startMs = nowMs()
-    const response = await request(url, { dispatcher, signal, reset: true })
-    const body = new Uint8Array(await response.body.arrayBuffer())
+    const { status, body } = await client.send(url, { method: 'GET', closesConnection: true }, signal)
     const health = parseJson(body)
-    if (response.statusCode !== 200 || !isBackendHealth(health)) return { ok: false, failure: 'error-status' }
+    if (status !== 200 || !isBackendHealth(health)) return { ok: false, failure: 'error-status' }
     return { ok: true, state: health.state, load: { inFlight: health.inFlight, slots: health.slots }, latencyMs: nowMs() - startMs }
   }
 
@@ -46,6 +45,6 @@
         return toProbeFailure(error)
       }
     },
-    close: () => dispatcher.destroy()
+    close: client.close
   }
 }
--- a/packages/daemon/test/costly-responses.test.ts
+++ b/packages/daemon/test/costly-responses.test.ts
@@ -3,10 +3,17 @@
  * while targets send bytes without end that cost more than others: many short
  * lines in a head or in trailers, and a body of very small chunks.
  */
+import { fork } from 'node:child_process'
+import { once } from 'node:events'
 import { readFileSync } from 'node:fs'
+import { fileURLToPath } from 'node:url'
 import test from 'ava'
+import { createHttpReader } from '../src/adapters/http-json.js'
+import { createPeerAuth } from '../src/adapters/peer-auth.js'
+import { createPeerClients } from '../src/adapters/peer-client.js'
 import { createResponseLimits } from '../src/adapters/response-limits.js'
 import { createWorkBudget } from '../src/adapters/work-budget.js'
+import { createProbeRunner } from '../src/fleet/probe-runner.js'
 import { call, createKind, createRawCaller, createService, formatOwnResponse, startDaemonProcess, startEndlessBackend, startRawBackend } from './support.js'
 import './exit.js'
 
@@ -78,6 +85,42 @@
   }
 }
 
+const SENDER = fileURLToPath(new URL('endless-sender.js', import.meta.url))
+const READ_COUNT = 8
+const READ_TIMEOUT_MS = 1_000
+const READ_BYTES_MAX = 1_000_000
+/** A process that handles requests must not do anything else for longer than this. */
+const READ_CPU_MS_MAX = 100
+const US_PER_MS = 1_000
+
+const COSTLY_KINDS = ['a head of short lines', 'trailers of short lines'] as const
+
+for (const name of COSTLY_KINDS) {
+  for (const reader of ['documents', 'calls to peers', 'health probes'] as const) {
+    test.serial(`${reader}: ${READ_COUNT} responses with ${name} cost little processor time`, async t => {
+      const sender = fork(SENDER)
+      t.teardown(() => { sender.kill() })
+      sender.send(ENDLESS[name])
+      const [port] = await once(sender, 'message') as [number]
+      const documents = createHttpReader(READ_BYTES_MAX)
+      const peers = createPeerClients(createPeerAuth('test', 'a-key-of-sixteen-characters'))
+      const probes = createProbeRunner(() => performance.now())
+      const reads = {
+        documents: async () => (await documents.get(`http://127.0.0.1:${port}/`, { timeoutMs: READ_TIMEOUT_MS })).ok,
+        'calls to peers': () => peers.to({ host: '127.0.0.1', peerPort: port }).head.query().then(() => true, () => false),
+        'health probes': async () => (await probes.probe({ id: 't', host: '127.0.0.1', port, zone: 'a' }, '/health')).ok
+      }
+      const before = process.cpuUsage()
+      for (let count = 0; count < READ_COUNT; count++) t.false(await reads[reader]())
+      const { user, system } = process.cpuUsage(before)
+      const usedCpuMs = (user + system) / US_PER_MS
+      t.log(`${Math.round(usedCpuMs)} ms`)
+      t.true(usedCpuMs < READ_COUNT * READ_CPU_MS_MAX)
+      await Promise.all([documents.close(), peers.close(), probes.close()])
+    })
+  }
+}
+
 test('a response is parsed at once when most of its bytes are of its body', t => {
   const limits = createResponseLimits()
   t.is(limits.pace(), 'piecewise')
--- a/scripts/slim/undici.cjs
+++ b/scripts/slim/undici.cjs
@@ -4,9 +4,6 @@
  */
 const Agent = require('undici/lib/dispatcher/agent.js')
 const Client = require('undici/lib/dispatcher/client.js')
-const Dispatcher = require('undici/lib/dispatcher/dispatcher.js')
-const request = require('undici/lib/api/api-request.js')
+const buildConnector = require('undici/lib/core/connect.js')
 
-Dispatcher.prototype.request = request
-
-module.exports = { Agent, Client }
+module.exports = { Agent, Client, buildConnector }
