Pass the network between nodes to a store fleet as functions

A store fleet opened its sockets itself, so how a configuration spreads over hundreds of nodes could be seen only with as many processes. Clients, server and gossip socket are now passed in, and the deadline of a watch at a peer follows the clock that is passed. No behaviour changes. The combined abort signal of each watch at a peer is gone; it stayed reachable from the follower's own signal on Node 20.

--- a/packages/daemon/src/adapters/gossip-udp.ts
+++ b/packages/daemon/src/adapters/gossip-udp.ts
@@ -11,10 +11,10 @@
   close: () => Promise<void>
 }
 
+export type OpenGossipSocket = (listen: ListenAddress, onDatagram: (bytes: Uint8Array, from: GossipAddress) => void) => Promise<GossipSocket>
+
 /** @throws the system's error when the address cannot be bound */
-export const openGossipSocket = async (
-  listen: ListenAddress, onDatagram: (bytes: Uint8Array, from: GossipAddress) => void
-): Promise<GossipSocket> => {
+export const openGossipSocket: OpenGossipSocket = async (listen, onDatagram) => {
   const socket = createSocket(listen.host.includes(':') ? 'udp6' : 'udp4')
   await new Promise<void>((resolve, reject) => {
     socket.once('error', reject)
--- a/packages/daemon/src/adapters/peer-rpc.ts
+++ b/packages/daemon/src/adapters/peer-rpc.ts
@@ -156,8 +156,10 @@
   })
 })
 
+export type OpenPeerServer = (address: ListenAddress, auth: PeerAuth, source: PeerRpcSource) => Promise<PeerServer>
+
 /** @throws the system's error when the address cannot be bound */
-export const openPeerServer = async (address: ListenAddress, auth: PeerAuth, source: PeerRpcSource): Promise<PeerServer> => {
+export const openPeerServer: OpenPeerServer = async (address, auth, source) => {
   const router = createPeerRouter(source)
   let rejectedCount = 0
   let bytesSent = 0
--- a/packages/daemon/src/fleet/gossip-driver.ts
+++ b/packages/daemon/src/fleet/gossip-driver.ts
@@ -7,7 +7,7 @@
   createMembership, createReplayGuard, PAUSE_GAP_MS, type GossipAddress, type Membership, type MembershipAction
 } from '@wisteriavalve/fleet'
 import type { ConfigurationOrder, MemberState, MemberUpdate, TargetNote, VmEntry } from '@wisteriavalve/schema'
-import { openGossipSocket, type GossipSocket } from '../adapters/gossip-udp.js'
+import { openGossipSocket, type GossipSocket, type OpenGossipSocket } from '../adapters/gossip-udp.js'
 import type { DaemonContext } from '../types.js'
 import { createDatagramCodec, type Datagram, type RejectionReason } from './datagram-codec.js'
 
@@ -63,7 +63,7 @@
   loadPercent: 0
 })
 
-export const createGossipDriver = (context: DaemonContext, handlers: GossipHandlers): GossipDriver => {
+export const createGossipDriver = (context: DaemonContext, handlers: GossipHandlers, openSocket: OpenGossipSocket = openGossipSocket): GossipDriver => {
   const { clock, random, settings } = context
   const codec = createDatagramCodec({
     fleet: settings.fleet, fleetKey: settings.fleetKey, nodeId: settings.nodeId, bootId: Date.now() * BOOT_ID_FACTOR + random.int(BOOT_ID_FACTOR)
@@ -117,7 +117,7 @@
   }
 
   const start = async ({ peerPort }: { peerPort: number }): Promise<void> => {
-    socket = await openGossipSocket(settings.gossipListen, onDatagram)
+    socket = await openSocket(settings.gossipListen, onDatagram)
     membership = createMembership({ self: selfUpdate(context, socket.port, peerPort), random, sizeBytes: codec.sizeBytes })
     lastTickMs = clock.nowMs()
     tick()
--- a/packages/daemon/src/fleet/peer-watch.ts
+++ b/packages/daemon/src/fleet/peer-watch.ts
@@ -4,8 +4,10 @@
  * Therefore one node of each availability zone polls the store, and the others
  * poll nodes.
  */
+import type { Clock } from '@wisteriavalve/common'
 import type { PublishedChange, PublishedConfiguration, PublishedStateView, StorePosition } from '@wisteriavalve/fleet'
 import type { PeerAddress, PeerClients } from '../adapters/peer-client.js'
+import { withDeadline } from '../adapters/deadline.js'
 import { describeError } from '../adapters/http-json.js'
 import type { WatchChanges } from './store-follower.js'
 
@@ -42,10 +44,11 @@
 /** Time beyond the long poll's wait after which the call to the peer is aborted. */
 const RESPONSE_MARGIN_MS = 500
 
-export const createPeerWatch = (clients: PeerClients, peer: PeerAddress): WatchChanges => async (after, waitMs, signal) => {
+export const createPeerWatch = (clients: PeerClients, peer: PeerAddress, clock: Clock): WatchChanges => async (after, waitMs, signal) => {
   const { restoreCount } = after
   try {
-    const response = await clients.to(peer).changes.query({ restoreCount, afterRevision: after.revision, waitMs }, { signal: AbortSignal.any([signal, AbortSignal.timeout(waitMs + RESPONSE_MARGIN_MS)]) })
+    const query: ChangesQuery = { restoreCount, afterRevision: after.revision, waitMs }
+    const response = await withDeadline(waitMs + RESPONSE_MARGIN_MS, signal, deadline => clients.to(peer).changes.query(query, { signal: deadline }), clock.after)
     if (response.state === 'current') return { ok: true, value: withRestoreCount(response, restoreCount) }
     if (response.state === 'restart') {
       const view = withRestoreCount(response.view, restoreCount)
--- a/packages/daemon/src/fleet/store-fleet.ts
+++ b/packages/daemon/src/fleet/store-fleet.ts
@@ -7,9 +7,10 @@
 import { buildZoneEntryAnswer, chooseStoreSource, compareStorePositions, createChangeLog, createPublishedState, type PublishedStateView, type StorePosition } from '@wisteriavalve/fleet'
 import type { ProbeResult } from '@wisteriavalve/policy'
 import type { EntryAnswer, MemberUpdate, TargetNote, VmEntry } from '@wisteriavalve/schema'
-import { createPeerAuth } from '../adapters/peer-auth.js'
-import { createPeerClients } from '../adapters/peer-client.js'
-import type { PeerServer } from '../adapters/peer-rpc.js'
+import { openGossipSocket, type OpenGossipSocket } from '../adapters/gossip-udp.js'
+import { createPeerAuth, type PeerAuth } from '../adapters/peer-auth.js'
+import { createPeerClients, type PeerClients } from '../adapters/peer-client.js'
+import { openPeerServer, type OpenPeerServer, type PeerServer } from '../adapters/peer-rpc.js'
 import { describeError } from '../adapters/http-json.js'
 import type { ActiveConfiguration, DaemonContext, FleetRuntime, PeerSource, ServiceTargets } from '../types.js'
 import { createFleetQueries, createMemberReporter } from './fleet-reports.js'
@@ -24,12 +25,22 @@
 import { createSuspectSync } from './suspect-sync.js'
 import { createStoreFollower, type PlatformStore, type FollowedPeer, type StoreChanges } from './store-follower.js'
 
+/** How a node reaches other nodes; a simulation passes its own. */
+export type PeerNetwork = {
+  createClients: (auth: PeerAuth) => PeerClients
+  openServer: OpenPeerServer
+  openGossipSocket: OpenGossipSocket
+}
+
+const PEER_NETWORK: PeerNetwork = { createClients: createPeerClients, openServer: openPeerServer, openGossipSocket }
+
 export type StoreFleetOptions = {
   store: PlatformStore
   /** Time after which the store removes the entry of a target that has stopped renewing it. */
   targetLeaseMs: number
   /** First nodes to contact; read repeatedly, because seeds may become available late and may change. */
   seeds: () => readonly VmEntry[]
+  network?: PeerNetwork
 }
 
 /** Interval of time-driven work: reading the seeds and expiring targets that are kept for a grace period. */
@@ -47,10 +58,10 @@
 /** Time for which a peer is not followed after it reported no contact with the store. */
 const BEHIND_PEER_EXCLUSION_MS = 1_000
 
-export const createStoreFleet = (context: DaemonContext, { store, targetLeaseMs, seeds }: StoreFleetOptions): FleetRuntime => {
+export const createStoreFleet = (context: DaemonContext, { store, targetLeaseMs, seeds, network = PEER_NETWORK }: StoreFleetOptions): FleetRuntime => {
   const { clock, random, settings, log } = context
   const auth = createPeerAuth(settings.fleet, settings.fleetKey)
-  const clients = createPeerClients(auth)
+  const clients = network.createClients(auth)
   const state = createPublishedState({ targetLeaseMs })
   const changeLog = createChangeLog(CHANGE_LOG_ENTRIES)
   const waiters = createChangeWaiters(clock)
@@ -137,7 +148,7 @@
     const peer = currentMembers.find(({ nodeId }) => nodeId === source.nodeId) as MemberUpdate
     return {
       nodeId: peer.nodeId,
-      watch: createPeerWatch(clients, peer),
+      watch: createPeerWatch(clients, peer, clock),
       reportFailure: ({ kind, message }) => {
         excludedUntilMs.set(peer.nodeId, clock.nowMs() + (kind === 'behind' ? BEHIND_PEER_EXCLUSION_MS : UNREACHABLE_PEER_EXCLUSION_MS))
         log('peer_unreachable', { member: peer.nodeId, message })
@@ -183,7 +194,7 @@
       if (follower.isDisconnected()) pull()
       else catchUp.recordSeen(from, order.revision)
     }
-  })
+  }, network.openGossipSocket)
 
   const updateFor = ({ restoreCount = state.position().restoreCount, revision, configurationVersion: peerVersion = Infinity }: PublishedQuery): PublishedUpdate | null => {
     const configuration = state.configuration()
@@ -256,7 +267,7 @@
       changes: handleChangesQuery,
       permit: permits.issue,
       ...source
-    }, gossip)
+    }, gossip, network.openServer)
     follower.start()
     suspectSync.start()
     runMaintenance()
