Log with each adopted configuration how old this node's news of the store was

Which of the hypotheses on late configurations holds could not be read from the logs: configuration_adopted named its source, but not how long the node had heard nothing of the store before, when it first heard of the version by gossip, and how many members it knew. It does now (store_age_ms, heard_ms, members). Readers that lost the store give a high age at all nodes at once; a slow node has heard of the version long before; a node without its fleet knows few members.

--- a/packages/daemon/src/fleet/store-fleet.ts
+++ b/packages/daemon/src/fleet/store-fleet.ts
@@ -4,7 +4,7 @@
  * follow nodes. A node without contact to the store pulls the state from a
  * random peer. Nodes discover each other through seeds and then by gossip.
  */
-import { buildZoneEntryAnswer, chooseStoreSource, compareStorePositions, createChangeLog, createPublishedState, type PublishedStateView, type StorePosition } from '@wisteriavalve/fleet'
+import { buildZoneEntryAnswer, chooseStoreSource, compareStorePositions, createChangeLog, createPublishedState, type PublishedConfiguration, type PublishedStateView, type StorePosition } from '@wisteriavalve/fleet'
 import type { ProbeResult } from '@wisteriavalve/policy'
 import type { EntryAnswer, MemberUpdate, TargetNote, VmEntry } from '@wisteriavalve/schema'
 import { openGossipSocket, type OpenGossipSocket } from '../adapters/gossip-udp.js'
@@ -76,6 +76,8 @@
   let peerSource: PeerSource | undefined
   let cancelMaintenance = (): void => {}
   let lastPullMs = -Infinity
+  /** Newest version of the configuration that a peer named by gossip. */
+  let firstHeard = { version: -1, atMs: 0 }
   let isStopped = false
 
   /** -1 before the first configuration. */
@@ -86,13 +88,28 @@
   const suspectSync = createSuspectSync({ clock, random, peers, clients, onNotes: onNotes.emit })
   const reportMember = createMemberReporter(context)
 
+  const logAdopted = ({ version, routes }: PublishedConfiguration, source: string): void => {
+    const ageMs = follower.ageBeforeResponseMs()
+    const heardMs = firstHeard.version === version ? Math.round(clock.nowMs() - firstHeard.atMs) : -1
+    log('configuration_adopted', {
+      revision: version,
+      store_revision: state.position().revision,
+      restore_count: state.position().restoreCount,
+      source,
+      routes: routes.length,
+      store_age_ms: Number.isFinite(ageMs) ? Math.round(ageMs) : -1,
+      heard_ms: heardMs,
+      members: members().length
+    })
+  }
+
   /** @param source logged origin of the change: the store, a peer's node id, or time for time-driven changes */
   const publish = (source: string): void => {
     const changes = state.takeChanges(clock.nowMs())
     if (changes.configuration) {
       activeConfiguration = toActiveConfiguration(changes.configuration, settings)
       adoptedMs = clock.nowMs()
-      log('configuration_adopted', { revision: changes.configuration.version, store_revision: state.position().revision, restore_count: state.position().restoreCount, source, routes: changes.configuration.routes.length })
+      logAdopted(changes.configuration, source)
       onConfiguration.emit(activeConfiguration)
       gossip.membership()?.setConfiguration(activeConfiguration.order)
     }
@@ -191,6 +208,7 @@
     onNotes: notes => onNotes.emit(notes),
     onConfigurationSeen: (from, order) => {
       if (order.revision <= configurationVersion()) return
+      if (order.revision > firstHeard.version) firstHeard = { version: order.revision, atMs: clock.nowMs() }
       if (follower.isDisconnected()) pull()
       else catchUp.recordSeen(from, order.revision)
     }
--- a/packages/daemon/src/fleet/store-follower.ts
+++ b/packages/daemon/src/fleet/store-follower.ts
@@ -61,6 +61,8 @@
   isDisconnected: () => boolean
   /** Time since the last response of the store, to this node or through a peer; Infinity before the first one. */
   ageMs: () => number
+  /** The same, but leaves out a response that has arrived at this moment. */
+  ageBeforeResponseMs: () => number
   /** Whether the last contact with the store is recent enough for peers to follow this node. */
   canBeFollowed: () => boolean
   stop: () => void
@@ -106,12 +108,15 @@
   let isFirstSnapshot = true
   /** Time of the last response of the store, to this node or through a peer. */
   let lastContactMs = -Infinity
+  /** The last contact but one, and when the last one was recorded. */
+  let previousContact = { contactMs: -Infinity, recordedMs: -Infinity }
   let isDisconnected = true
   let isFirstFailure = true
   /** Whether the last read failed. */
   let isUncertain = false
 
   const recordContact = (ageMs: number): void => {
+    previousContact = { contactMs: lastContactMs, recordedMs: clock.nowMs() }
     lastContactMs = Math.max(lastContactMs, clock.nowMs() - ageMs)
     isUncertain = false
     backoff.reset()
@@ -209,6 +214,7 @@
     start: () => { run().catch(error => { setImmediate(() => { throw error }) }) },
     isDisconnected: () => isDisconnected,
     ageMs: () => clock.nowMs() - lastContactMs,
+    ageBeforeResponseMs: () => clock.nowMs() - (previousContact.recordedMs === clock.nowMs() ? previousContact.contactMs : lastContactMs),
     canBeFollowed: () => !isDisconnected && clock.nowMs() - lastContactMs <= (isUncertain ? UNCERTAIN_AGE_MAX_MS : FOLLOWABLE_AGE_MAX_MS),
     stop: () => stopController.abort()
   }
