Find out sooner that the readers of the store are deaf, and pull from the peer that is ahead

What callers saw: 2.5 s after the ack of a moved route, requests were still handed to the old service, at nodes of two zones, and then no more.

Cause: each zone hears of the store through one node, and a silent loss shows only at the end of its watch, 1.9 s after it began. In the incident the store was silent for all three readers from 2.5 s on, 0.4 s before the change. The relays of the zones went on following the readers of the other zones. A node that heard of the newer version by gossip asked once, 450 ms later, or, when it had no source, a random peer.

Evidence: in second 3 of the incident no node calls the store; in second 4 the three readers get no answer. In a simulated fleet all nodes are 2.3 to 3.0 s late when only the readers lose the store.

Change: a silent loss shows within 1.2 s. Two more nodes of a zone then read the store whatever the relay says. A newer version is pulled from the peer that named it, at once by a node whose own news is old, and from the next one if that fails; its announcement does not share the allowance of other news.

Why it works: the nodes that read the store in place of a watcher do not depend on what the other zones believe, and any node that has the change tells all others within a few rounds of gossip.

The check of calls to a store that answers nobody now knows that a node whose call failed does not read in place of a watcher for 2 s; its bound is the same.

--- a/packages/daemon/src/fleet/catch-up.ts
+++ b/packages/daemon/src/fleet/catch-up.ts
@@ -1,37 +1,69 @@
 /**
- * Notices through gossip that a peer has a newer configuration than this node.
- * Changes normally arrive from the nodes that this node follows, and within
- * milliseconds of each other. When these have lost the store without a sign, the
- * state is pulled from the peer that is ahead.
+ * Notices through gossip that a peer has a newer configuration than this node,
+ * and pulls it from that peer. Changes normally arrive from the nodes that this
+ * node follows. When these have lost the store, with or without a sign, gossip
+ * reaches every node that any node reaches.
  */
 import type { Clock } from '@wisteriavalve/common'
 
 export type CatchUp = {
-  /** To be called with the configuration revision that a peer named. */
-  recordSeen: (peerId: string, revision: number) => void
+  /** To be called with the version of the configuration that a peer named. */
+  recordSeen: (peerId: string, version: number) => void
   stop: () => void
 }
 
 export type CatchUpOptions = {
   clock: Clock
-  /** Revision of the configuration in force here. */
-  revision: () => number
-  pullFrom: (peerId: string) => void
+  /** Version of the configuration in force here. */
+  version: () => number
+  /** Whether the news of this node is so old that no change is expected from the nodes that it follows. */
+  isStale: () => boolean
+  /** Resolves when the peer has answered or failed. */
+  pullFrom: (peerId: string) => Promise<void>
 }
 
-/** Changes reach the nodes that read the store up to 400 ms apart, because each waits for more changes after the last one. */
-const CATCH_UP_DELAY_MS = 450
+/** Time for a change to arrive from the nodes that this node follows, which costs no call. */
+const CATCH_UP_DELAY_MS = 150
+/** Peers that are remembered as ahead, in case the first one does not answer. */
+const PEERS_MAX = 4
+
+export const createCatchUp = ({ clock, version, isStale, pullFrom }: CatchUpOptions): CatchUp => {
+  /** Versions by peer, the latest news last. */
+  const ahead = new Map<string, number>()
+  let cancel = (): void => {}
+  let isScheduled = false
+  let isStopped = false
+
+  const takeLatest = (): string | undefined => {
+    if (isStopped) return undefined
+    for (const [peerId, seen] of [...ahead].reverse()) {
+      ahead.delete(peerId)
+      if (seen > version()) return peerId
+    }
+    return undefined
+  }
+
+  const pullNext = async (): Promise<void> => {
+    for (let peerId = takeLatest(); peerId !== undefined; peerId = takeLatest()) await pullFrom(peerId)
+    isScheduled = false
+  }
+
+  const schedule = (): void => {
+    isScheduled = true
+    cancel = clock.after(isStale() ? 0 : CATCH_UP_DELAY_MS, () => { pullNext().catch(error => { throw error }) })
+  }
 
-export const createCatchUp = ({ clock, revision, pullFrom }: CatchUpOptions): CatchUp => {
-  let cancel: (() => void) | undefined
   return {
-    recordSeen: (peerId, seenRevision) => {
-      if (cancel || seenRevision <= revision()) return
-      cancel = clock.after(CATCH_UP_DELAY_MS, () => {
-        cancel = undefined
-        if (seenRevision > revision()) pullFrom(peerId)
-      })
+    recordSeen: (peerId, seen) => {
+      if (isStopped || seen <= version()) return
+      ahead.delete(peerId)
+      ahead.set(peerId, seen)
+      if (ahead.size > PEERS_MAX) ahead.delete(ahead.keys().next().value as string)
+      if (!isScheduled) schedule()
     },
-    stop: () => cancel?.()
+    stop: () => {
+      isStopped = true
+      cancel()
+    }
   }
 }
--- a/packages/daemon/src/fleet/store-fleet.ts
+++ b/packages/daemon/src/fleet/store-fleet.ts
@@ -11,6 +11,7 @@
 import { createPeerAuth, type PeerAuth } from '../adapters/peer-auth.js'
 import { createPeerClients, type PeerClients } from '../adapters/peer-client.js'
 import { openPeerServer, type OpenPeerServer, type PeerServer } from '../adapters/peer-rpc.js'
+import { withDeadline } from '../adapters/deadline.js'
 import { describeError } from '../adapters/http-json.js'
 import type { ActiveConfiguration, DaemonContext, FleetRuntime, PeerSource, ServiceTargets } from '../types.js'
 import { createFleetQueries, createMemberReporter } from './fleet-reports.js'
@@ -49,12 +50,18 @@
 const PULL_INTERVAL_MS = 500
 /** One in this many pulls may go to another zone. */
 const PULLS_PER_CROSS_ZONE_PULL = 3
+/** A peer answers within some ms; one that takes longer is not waited for, since another one may know as much. */
+const PULL_TIMEOUT_MS = 600
+/** Age of the news of a node whose sources read the store: a watch at the store and some calls between nodes. */
+const FRESH_AGE_MAX_MS = 1_000
 const DEFAULT_ENTRY_LIFETIME_MS = 1_000
 const ENTRY_ADDRESSES_MAX = 64
 /** Number of reads whose changes are kept for peers that follow this node. */
 const CHANGE_LOG_ENTRIES = 256
 /** Time for which a peer is not followed after a failed call. */
 const UNREACHABLE_PEER_EXCLUSION_MS = 3_000
+/** Time for which a node does not read the store in place of a watcher after the store did not answer it. */
+const FAILED_STORE_EXCLUSION_MS = 2_000
 /** Time for which a peer is not followed after it reported no contact with the store. */
 const BEHIND_PEER_EXCLUSION_MS = 1_000
 
@@ -152,11 +159,13 @@
   }
 
   let turn = 0
+  let storeExcludedUntilMs = -Infinity
 
   const nextSource = (): 'store' | 'none' | FollowedPeer => {
     const currentMembers = members()
     const source = chooseStoreSource({
       view: { selfId: settings.nodeId, zone: settings.zone, members: currentMembers },
+      isStoreEligible: storeExcludedUntilMs <= clock.nowMs(),
       isEligible: nodeId => (excludedUntilMs.get(nodeId) ?? -Infinity) <= clock.nowMs(),
       turn: turn++,
       random
@@ -193,6 +202,7 @@
     knownPosition: state.position,
     onSnapshot: applySnapshot,
     onChanges: applyChanges,
+    onStoreFailed: () => { storeExcludedUntilMs = clock.nowMs() + FAILED_STORE_EXCLUSION_MS },
     onDisconnected: () => {
       state.recordStoreUnreachable()
       waiters.notify()
@@ -209,8 +219,7 @@
     onConfigurationSeen: (from, order) => {
       if (order.revision <= configurationVersion()) return
       if (order.revision > firstHeard.version) firstHeard = { version: order.revision, atMs: clock.nowMs() }
-      if (follower.isDisconnected()) pull()
-      else catchUp.recordSeen(from, order.revision)
+      catchUp.recordSeen(from, order.revision)
     }
   }, network.openGossipSocket)
 
@@ -235,7 +244,8 @@
 
   const pullFrom = async (peer: MemberUpdate): Promise<void> => {
     try {
-      const update = await clients.to(peer).published.query({ ...state.position(), configurationVersion: configurationVersion() })
+      const query: PublishedQuery = { ...state.position(), configurationVersion: configurationVersion() }
+      const update = await withDeadline(PULL_TIMEOUT_MS, null, signal => clients.to(peer).published.query(query, { signal }), clock.after)
       if (update && !isStopped) applyUpdate(update, peer.nodeId)
     } catch (error) {
       log('peer_unreachable', { member: peer.nodeId, message: describeError(error) })
@@ -244,10 +254,11 @@
 
   const catchUp = createCatchUp({
     clock,
-    revision: configurationVersion,
-    pullFrom: peerId => {
+    version: configurationVersion,
+    isStale: () => follower.isDisconnected() || follower.ageMs() > FRESH_AGE_MAX_MS,
+    pullFrom: async peerId => {
       const peer = peers().find(({ nodeId }) => nodeId === peerId)
-      if (peer) pullFrom(peer).catch(error => { throw error })
+      if (peer) await pullFrom(peer)
     }
   })
 
--- a/packages/daemon/src/fleet/store-follower.ts
+++ b/packages/daemon/src/fleet/store-follower.ts
@@ -52,6 +52,8 @@
   /** @param source 'store', or the id of the peer that was read */
   onSnapshot: (view: PublishedStateView, source: string) => void
   onChanges: (changes: StoreChanges, source: string) => void
+  /** Called when a call to the store has failed. */
+  onStoreFailed: () => void
   onDisconnected: () => void
   onReconnected: () => void
 }
@@ -73,7 +75,7 @@
  * until the watch ends. It must therefore be shorter than the 2 s within which
  * a change must be in force on all nodes.
  */
-const STORE_WATCH_MS = 1_200
+const STORE_WATCH_MS = 800
 /** Wait of one watch at a peer, which limits the delay by a peer that is cut off: the next watch uses another peer. */
 const PEER_WATCH_MS = 700
 /** Delay before the next attempt when no source is available. */
@@ -99,7 +101,7 @@
 const logFields = ({ restoreCount, revision }: StorePosition = NO_STORE_POSITION): { revision: number, restore_count: number } =>
   ({ revision, restore_count: restoreCount })
 
-export const createStoreFollower = ({ context, store, source, knownPosition, onSnapshot, onChanges, onDisconnected, onReconnected }: StoreFollowerOptions): StoreFollower => {
+export const createStoreFollower = ({ context, store, source, knownPosition, onSnapshot, onChanges, onStoreFailed, onDisconnected, onReconnected }: StoreFollowerOptions): StoreFollower => {
   const { clock, random, log } = context
   const backoff = createBackoff({ firstMs: BACKOFF_FIRST_MS, maxMs: BACKOFF_MAX_MS, random })
   const stopController = new AbortController()
@@ -136,6 +138,7 @@
 
   /** @returns delay until the next read */
   const fail = (message: string): number => {
+    onStoreFailed()
     recordFailure(message)
     return backoff.next()
   }
--- a/packages/daemon/test/simulated-store-fleet.ts
+++ b/packages/daemon/test/simulated-store-fleet.ts
@@ -67,7 +67,7 @@
 const DATAGRAM_MS = 1
 const CALL_TIMEOUT_MS = 2_000
 /** Time after the wait of a watch after which its response counts as lost. */
-const WATCH_MARGIN_MS = 700
+const WATCH_MARGIN_MS = 400
 const READ_TIMEOUT_MS = 800
 
 const unreachable = (message: string): { ok: false, error: StoreError } => ({ ok: false, error: { kind: 'unreachable', message } })
--- a/packages/daemon/test/store-follower.test.ts
+++ b/packages/daemon/test/store-follower.test.ts
@@ -28,7 +28,7 @@
     close: async () => {}
   }
   const context = { clock, random: createRandom(1), log: () => {} } as unknown as DaemonContext
-  const follower = createStoreFollower({ context, store, source, knownPosition: () => ({ restoreCount: 0, revision: 0 }), onSnapshot: () => {}, onChanges: () => {}, onDisconnected: () => {}, onReconnected: () => {} })
+  const follower = createStoreFollower({ context, store, source, knownPosition: () => ({ restoreCount: 0, revision: 0 }), onSnapshot: () => {}, onChanges: () => {}, onStoreFailed: () => {}, onDisconnected: () => {}, onReconnected: () => {} })
   follower.start()
   const advance = async (durationMs: number): Promise<void> => {
     for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += 10) {
@@ -132,6 +132,7 @@
     knownPosition: () => known,
     onSnapshot: ({ restoreCount, revision }) => applied.push({ restoreCount, revision }),
     onChanges: ({ restoreCount, revision }) => applied.push({ restoreCount, revision }),
+    onStoreFailed: () => {},
     onDisconnected: () => {},
     onReconnected: () => {}
   })
--- a/packages/fleet/src/membership.ts
+++ b/packages/fleet/src/membership.ts
@@ -43,6 +43,8 @@
   const pings = createPingTracker(random)
   const detector = createFailureDetector(random, periodMs)
   const bursts = createBurstLimit()
+  /** Apart from the others, so that a storm of updates does not delay a configuration. */
+  const configurationBursts = createBurstLimit()
   let configuration: ConfigurationOrder | undefined
   let lastTickMs: number | undefined
   let nextReconnectMs: number | undefined
@@ -140,7 +142,7 @@
   }
 
   const sendBurst = (nowMs: number): MembershipAction[] => {
-    if (!bursts.take(nowMs)) return []
+    if (!configurationBursts.take(nowMs) && !bursts.take(nowMs)) return []
     const running = presentMembers().filter(({ state }) => state !== 'leaving')
     return pickBurstReceivers(running, self.get().zone, BURST_FANOUT, random).map(member => ping(member, nowMs))
   }
@@ -249,7 +251,7 @@
 
   const setConfiguration = (order: ConfigurationOrder): void => {
     configuration = order
-    bursts.request()
+    configurationBursts.request()
   }
 
   return {
--- a/packages/fleet/src/store-sources.ts
+++ b/packages/fleet/src/store-sources.ts
@@ -18,6 +18,8 @@
 const FOLLOWERS_PER_PAIR = 8
 /** Nodes of a zone that call the store directly when they have no eligible peer. */
 const STORE_CALLERS_PER_ZONE = 3
+/** Nodes after the watcher and the relay that read the store while the watcher has lost it. */
+const DEPUTIES_PER_ZONE = 2
 /** Expected store calls per turn of all other nodes of the zone together, in case the store refuses the calls of the first nodes. */
 const EXTRA_STORE_CALLS_PER_TURN = 0.5
 
@@ -28,6 +30,8 @@
   view: MembershipView
   /** False for a node that recently did not answer or lagged behind. */
   isEligible: (nodeId: string) => boolean
+  /** False while the store has recently not answered this node. */
+  isStoreEligible?: boolean
   /** Increases with each choice; the sources are used in turn. */
   turn: number
   random: Random
@@ -51,10 +55,18 @@
   return zoneIds.slice(pairStart, pairStart + 2)
 }
 
-export const chooseStoreSource = ({ view, isEligible, turn, random }: StoreSourceOptions): StoreSource => {
+/**
+ * Whether a node reads the store in place of a watcher that has lost it. The
+ * others of the zone follow the relay then, but its sources, the watchers of the
+ * other zones, can have lost the store at the same time without knowing it yet.
+ */
+const isDeputy = (rank: number): boolean => rank > 1 && rank <= 1 + DEPUTIES_PER_ZONE
+
+export const chooseStoreSource = ({ view, isEligible, isStoreEligible = true, turn, random }: StoreSourceOptions): StoreSource => {
   const zoneIds = rankedIds(view, view.zone)
   const rank = zoneIds.indexOf(view.selfId)
   const eligible = sourceIds(view, rank, zoneIds).filter(isEligible)
+  if (isDeputy(rank) && isStoreEligible && !isEligible(zoneIds[0] as string)) return { type: 'store' }
   const nodeId = eligible[turn % Math.max(1, eligible.length)]
   if (nodeId !== undefined) return { type: 'peer', nodeId }
   if (rank < STORE_CALLERS_PER_ZONE || random.next() * zoneIds.length < EXTRA_STORE_CALLS_PER_TURN) return { type: 'store' }
--- a/packages/fleet/test/store-sources.test.ts
+++ b/packages/fleet/test/store-sources.test.ts
@@ -12,9 +12,12 @@
   zones.flatMap(zone => Array.from({ length: nodesPerZone }, (_, index) => ({ nodeId: `${zone}-${index}`, zone, state: 'alive' } as MemberUpdate)))
 
 const random = createRandom(1)
+/** Rounds of a node without a source, 300 ms each, for which a failed call to the store keeps it from reading the store in place of a watcher. */
+const FAILED_STORE_ROUNDS = 6
 
-const sourceOf = ({ nodeId, zone }: MemberUpdate, members: MemberUpdate[], turn = 0, isTrusted = (_nodeId: string): boolean => true): StoreSource =>
-  chooseStoreSource({ view: { selfId: nodeId, zone, members }, isEligible: isTrusted, turn, random })
+const sourceOf = (
+  { nodeId, zone }: MemberUpdate, members: MemberUpdate[], turn = 0, isTrusted = (_nodeId: string): boolean => true, isStoreEligible = true
+): StoreSource => chooseStoreSource({ view: { selfId: nodeId, zone, members }, isEligible: isTrusted, isStoreEligible, turn, random })
 
 /** Sources of a node in two consecutive turns. */
 const turns = (member: MemberUpdate, members: MemberUpdate[]): string[] => [0, 1].map(turn => {
@@ -72,9 +75,13 @@
   const members = fleetOf(['a', 'b', 'c'], 54)
   const rounds = 100
   const callsById = new Map<string, number>()
+  const lastCallRounds = new Map<string, number>()
   for (let round = 0; round < rounds; round++) {
     for (const member of members) {
-      if (sourceOf(member, members, round, () => false).type === 'store') callsById.set(member.nodeId, (callsById.get(member.nodeId) ?? 0) + 1)
+      const isStoreEligible = round - (lastCallRounds.get(member.nodeId) ?? -Infinity) > FAILED_STORE_ROUNDS
+      if (sourceOf(member, members, round, () => false, isStoreEligible).type !== 'store') continue
+      callsById.set(member.nodeId, (callsById.get(member.nodeId) ?? 0) + 1)
+      lastCallRounds.set(member.nodeId, round)
     }
   }
   const calls = [...callsById.values()].reduce((sum, count) => sum + count, 0)
@@ -82,6 +89,16 @@
   t.true(callsById.size > 0.5 * members.length)
 })
 
+test('two nodes of a zone read the store as soon as its watcher has lost it, and only while it answers them', t => {
+  const members = fleetOf(['a', 'b', 'c'], 54)
+  const watcher = members.find(member => member.zone === 'a' && sourceOf(member, members).type === 'store') as MemberUpdate
+  const isTrusted = (nodeId: string): boolean => nodeId !== watcher.nodeId
+  const readers = (isStoreEligible: boolean): MemberUpdate[] =>
+    members.filter(member => member.zone === 'a' && member !== watcher && sourceOf(member, members, 0, isTrusted, isStoreEligible).type === 'store')
+  t.is(readers(true).length, 2)
+  t.is(readers(false).length, 0)
+})
+
 test('a node continues with its remaining source', t => {
   const members = fleetOf(['a', 'b'], 5)
   const follower = members.find(member => {
