Name in the lines of a request the peer that relayed it and how often it was sent

Whether a request that ran on too many targets was relayed, repeated by its caller or sent too often by one node could not be read from the logs: the lines of a node about a relayed request look like those of its own callers. request_answered, request_failed and request_repeated now have relayed_by and sent.

Read in the lines of two daemons that relay with a limit of two attempts: the peer writes relayed_by=entry-1 and sent=2 for a request that the first node has sent once.

--- a/packages/daemon/src/request-recorder.ts
+++ b/packages/daemon/src/request-recorder.ts
@@ -7,7 +7,7 @@
 import { resultCode, type EventEntry, type LogEventName, type ResultName } from '@wisteriavalve/schema'
 import type { Call } from './adapters/caller-http.js'
 import type { BurnBuckets } from './burn-buckets.js'
-import { FAILURE_LINES_PER_S, ROUTE_EVENTS_PER_S, SAMPLE_LINES_PER_S } from './constants.js'
+import { FAILURE_LINES_PER_S, RELAYED_BY_HEADER, ROUTE_EVENTS_PER_S, SAMPLE_LINES_PER_S } from './constants.js'
 import type { Attempt, Exchange } from './exchange.js'
 import type { Metrics } from './metrics.js'
 import type { AttemptPurpose, RequestRecorder } from './pipeline-context.js'
@@ -15,6 +15,9 @@
 
 export type RequestRecorderOptions = { clock: Clock, events: EventRecord, log: Log, metrics: Metrics, burnBuckets: BurnBuckets, configurationRevision: () => number }
 
+/** The header comes from outside. */
+const NODE_ID_LENGTH_MAX = 128
+
 type RateLimiter = { take: (nowMs: number) => boolean, takeSkipped: () => number }
 
 const createRateLimiter = (max: number): RateLimiter => {
@@ -41,6 +44,12 @@
 
 const PURPOSE_TEXT: Record<AttemptPurpose, string> = { first: 'was sent', retry: 'was sent again', hedge: 'was also sent' }
 
+/** The peer that relayed the request, if any, and how many of its attempts were written to a target as far as this node knows. */
+const sendFields = ({ call, sendCount }: Exchange): Record<string, string | number> => {
+  const relayedBy = call.req.headers[RELAYED_BY_HEADER]
+  return { ...(relayedBy !== undefined && { relayed_by: String(relayedBy).slice(0, NODE_ID_LENGTH_MAX) }), sent: sendCount }
+}
+
 const describeRequest = ({ method, path, runtime }: Exchange): string => `${method} ${path.split('?', 1)[0]} of ${runtime.configuration.name}`
 
 /** Describes a failure in one sentence for operators. */
@@ -72,7 +81,7 @@
     if (purpose === 'retry') metrics.increment('retries')
     if (purpose === 'hedge') metrics.increment('hedges')
     if (purpose !== 'first') {
-      writeLine(nowMs, 'request_repeated', { request_id: exchange.id, service: exchange.runtime.configuration.name, kind: exchange.kind.name, purpose, target: targetId, reason, result: lastResult ?? '', attempts: exchange.attemptCount, elapsed_ms: Math.round(nowMs - exchange.arrivedMs) })
+      writeLine(nowMs, 'request_repeated', { request_id: exchange.id, service: exchange.runtime.configuration.name, kind: exchange.kind.name, purpose, target: targetId, reason, result: lastResult ?? '', attempts: exchange.attemptCount, ...sendFields(exchange), elapsed_ms: Math.round(nowMs - exchange.arrivedMs) })
     }
     if (purpose === 'first' && !routes.take(nowMs)) return
     add(nowMs, {
@@ -108,6 +117,7 @@
       target: attempt.targetId,
       status: attempt.status,
       attempts: exchange.attemptCount,
+      ...sendFields(exchange),
       duration_ms: Math.round(durationMs),
       objective_ms: objectiveMs,
       sent_after_ms: Math.round((attempt.writtenMs ?? nowMs) - exchange.arrivedMs),
@@ -135,6 +145,7 @@
       result_code: code,
       result_class: resultClass,
       attempts: exchange.attemptCount,
+      ...sendFields(exchange),
       duration_ms: Math.round(nowMs - exchange.arrivedMs),
       ...(retryAfterMs !== undefined && { retry_after_ms: Math.round(retryAfterMs) }),
       configuration: configurationRevision(),
