Keep the limit of attempts of a route over the node that relays a request and its peer

What callers saw: a request ran on three targets where its route allows two, on the first from the node that the caller used and on the others from a second node; the caller got 504.

Cause: a node that is cut off from the targets hands a request to a peer. This attempt was left out of the node's count of sends, and the peer began at 0, up to the limit of the route, for up to five peers in a row. The users' platform has no header for further attempts, which hides this elsewhere.

Change: the node hands on what is left of the limit, counts that as used, and takes it back if the peer refuses the request as not run. A request without an attempt left fails at once.

Why it works: whatever the two nodes do, the sum of what they may send is the limit, and no attempt is given out twice. A node of an earlier release does not read the header and can still use attempts of its own while both run side by side.

--- a/packages/daemon/src/attempt-writes.ts
+++ b/packages/daemon/src/attempt-writes.ts
@@ -13,7 +13,7 @@
   const headers: string[] = []
   if (dialect.retryAllowanceHeader !== undefined) headers.push(dialect.retryAllowanceHeader, String(forwardedAllowance))
   if (dialect.callDepthHeader !== undefined) headers.push(dialect.callDepthHeader, String(isRelay ? exchange.callDepth : exchange.callDepth + 1))
-  if (isRelay) headers.push(...relayHeaders(relaying))
+  if (isRelay) headers.push(...relayHeaders(relaying, exchange))
   if (!isRelay && dialect.targetIdHeader !== undefined) headers.push(dialect.targetIdHeader, targetId)
   if (isDeadlineBounded(exchange)) headers.push(dialect.timeoutHeader, String(Math.max(1, Math.floor(exchange.deadlineMs - nowMs))))
   return headers
--- a/packages/daemon/src/attempts.ts
+++ b/packages/daemon/src/attempts.ts
@@ -8,12 +8,12 @@
 import { canWrite, controlHeaders, isTargetClosed } from './attempt-writes.js'
 import type { BackendConnection } from './backend-connections.js'
 import { relayDestination, targetDestination, type Destination } from './destination.js'
-import { abandonAttempt, isWritten, type Attempt, type Exchange } from './exchange.js'
+import { abandonAttempt, attemptsLeft, isWritten, type Attempt, type Exchange } from './exchange.js'
 import type { AttemptPurpose, PipelineContext } from './pipeline-context.js'
 import { permitWaitMaxMs, place, type PlacementOutcome } from './placement.js'
 import { LEAVING_RETRY_AFTER_MS } from './constants.js'
 import { scheduleHedge } from './hedging.js'
-import { cannotReachTargets, CUT_OFF_RETRY_AFTER_MS, isCutOff, isRelayed, selectRelayPeer, tryTargetAgain } from './relaying.js'
+import { cannotReachTargets, CUT_OFF_RETRY_AFTER_MS, delegateAttempts, isCutOff, isRelayed, reclaimAttempts, selectRelayPeer, tryTargetAgain } from './relaying.js'
 import { excludedTargets, isTaken, reserveTarget } from './suspect-isolation.js'
 import { withPermit } from './target-permits.js'
 import { tryTakeRetry, tryTakeRetryAfterStatus } from './retrying.js'
@@ -54,6 +54,10 @@
     refuseSuspect(context, exchange)
     return
   }
+  if (!canAttempt(exchange)) {
+    failWithoutAttempt(context, exchange, lastResult)
+    return
+  }
   if (purpose === 'first' && context.isTooLateToSend()) {
     failExchange(context, exchange, exchange.unknownResult ?? 'node-leaving', { retryAfterMs: LEAVING_RETRY_AFTER_MS })
     return
@@ -81,9 +85,7 @@
   return true
 }
 
-/** Whether another attempt stays within the limit of attempts, counting those that are not written yet. */
-const canAttempt = ({ attempts, sendCount, kind }: Exchange): boolean =>
-  sendCount + attempts.filter(attempt => !isWritten(attempt)).length < (kind.attemptsMax ?? Infinity)
+const canAttempt = (exchange: Exchange): boolean => attemptsLeft(exchange) >= 1
 
 /** Ends a request that may not be sent again, unless one of its attempts is still running. */
 const failWithoutAttempt = (context: PipelineContext, exchange: Exchange, lastResult: ResultName | undefined): void => {
@@ -157,6 +159,7 @@
     pauseEpoch: context.pauseDetector.epoch(nowMs),
     startedMs: nowMs,
     writtenMs: undefined,
+    delegatedCount: 0,
     waiter: undefined,
     connection: undefined,
     outgoingRequest: undefined,
@@ -223,7 +226,8 @@
     onWritten: () => {
       const nowMs = context.clock.nowMs()
       attempt.writtenMs = nowMs
-      if (!attempt.isRelay) exchange.sendCount++
+      if (attempt.isRelay) delegateAttempts(attempt)
+      else exchange.sendCount++
       exchange.firstWrittenMs ??= nowMs
       if (attempt.connection) attempt.connection.sentMs = nowMs
       context.recorder.written(attempt)
@@ -237,8 +241,10 @@
       const head = { status, headers, statusText, atMs: recordProgress() }
       const step = onResponseHead(context, attempt, head, () => tryTakeRetryAfterStatus(context, attempt))
       if (step.step === 'failed') onAttemptFailed(context, attempt, 'reset', 'answer-broken', step.message)
-      else if (step.step === 'refused' && attempt.isRelay) startAttempt(context, exchange, attempt.purpose, exchange.connectFailureCount > 0 ? 'connect-failed' : undefined)
-      else if (step.step === 'refused') retryOrFail(context, exchange, 'refused', 'backend-refused')
+      else if (step.step === 'refused' && attempt.isRelay) {
+        reclaimAttempts(attempt)
+        startAttempt(context, exchange, attempt.purpose, exchange.connectFailureCount > 0 ? 'connect-failed' : undefined)
+      } else if (step.step === 'refused') retryOrFail(context, exchange, 'refused', 'backend-refused')
       else if (step.step === 'retry') startAttempt(context, exchange, 'retry', 'answer-broken')
     }),
     onData: chunk => {
--- a/packages/daemon/src/constants.ts
+++ b/packages/daemon/src/constants.ts
@@ -67,6 +67,8 @@
 export const RELAYED_BY_HEADER = 'x-relayed-by'
 /** Revision of the configuration under which the node received a request that it relays. */
 export const RELAYED_REVISION_HEADER = 'x-relayed-revision'
+/** Number of targets that a relayed request may still be sent to by the node that gets it. */
+export const RELAYED_ATTEMPTS_HEADER = 'x-relayed-attempts'
 export const RETRY_ALLOWANCE_DEFAULT = 3
 export const CALL_DEPTH_MAX = 9
 export const REQUEST_TIMEOUT_MAX_MS = 3_600_000
--- a/packages/daemon/src/exchange.ts
+++ b/packages/daemon/src/exchange.ts
@@ -46,7 +46,9 @@
   relayCount: number
   /** Number of attempts at targets for which no connection was opened. */
   connectFailureCount: number
-  /** Number of attempts whose request was written to a target. */
+  /** Number of targets that this node and the peers that it relays to may send the request to. */
+  attemptsMax: number
+  /** Number of targets that the request was sent to, or may have been sent to by a peer. */
   sendCount: number
   /** Time at which the first attempt was written; undefined before. */
   firstWrittenMs?: number
@@ -79,6 +81,8 @@
   purpose: AttemptPurpose
   /** Whether the request is sent to a peer instead of a target. */
   isRelay: boolean
+  /** Number of targets that the peer of a relayed request may send it to; 0 until it is written, and without a limit. */
+  delegatedCount: number
   /** Whether the permit owner of the target permits one request. */
   hasPermit: boolean
   /** Pause epoch in which the target was selected. */
@@ -106,6 +110,10 @@
   releaseTarget?: () => void
 }
 
+/** Number of targets that the request may still be sent to, less attempts that are under way and not written yet. */
+export const attemptsLeft = ({ attempts, attemptsMax, sendCount }: Exchange): number =>
+  attemptsMax - sendCount - attempts.filter(attempt => !isWritten(attempt)).length
+
 export const isWritten = (attempt: Attempt): boolean => attempt.writtenMs !== undefined
 
 /** Records the end of an attempt. Further calls have no effect. */
--- a/packages/daemon/src/headers.ts
+++ b/packages/daemon/src/headers.ts
@@ -2,7 +2,7 @@
  * Filtering and parsing of headers between caller and backend server. Raw
  * header lists alternate names and values, as in node:http and undici.
  */
-import { CALL_DEPTH_MAX, RELAYED_BY_HEADER, RELAYED_REVISION_HEADER, REQUEST_TIMEOUT_MAX_MS, RETRY_ALLOWANCE_DEFAULT } from './constants.js'
+import { CALL_DEPTH_MAX, RELAYED_ATTEMPTS_HEADER, RELAYED_BY_HEADER, RELAYED_REVISION_HEADER, REQUEST_TIMEOUT_MAX_MS, RETRY_ALLOWANCE_DEFAULT } from './constants.js'
 import type { HttpDialect } from './http-dialect.js'
 
 /** Hop-by-hop headers of RFC 9110, section 7.6.1, and older ones that are still in use. */
@@ -46,7 +46,7 @@
 
 export const createHeaderRules = (dialect: HttpDialect): HeaderRules => {
   const requestDropped = new Set([
-    ...HOP_BY_HOP, 'trailer', 'expect', RELAYED_BY_HEADER, RELAYED_REVISION_HEADER,
+    ...HOP_BY_HOP, 'trailer', 'expect', RELAYED_BY_HEADER, RELAYED_REVISION_HEADER, RELAYED_ATTEMPTS_HEADER,
     ...lowerCase([dialect.requestIdHeader, dialect.timeoutHeader, dialect.retryAllowanceHeader, dialect.callDepthHeader, dialect.forwardedForHeader, dialect.targetIdHeader])
   ])
   const responseDropped = new Set([
--- a/packages/daemon/src/hedging.ts
+++ b/packages/daemon/src/hedging.ts
@@ -35,7 +35,7 @@
   if (isRelay || !kind.idempotent || exchange.isHedged || exchange.attempts.length !== 1 || responder) return
   // A suspect goes to one target at a time.
   if (isSuspect(context, exchange)) return
-  if (exchange.sendCount >= (kind.attemptsMax ?? Infinity)) return
+  if (exchange.sendCount >= exchange.attemptsMax) return
   const decision = planHedge({
     idempotent: true,
     isBodyReplayable: exchange.body.canOpen(),
--- a/packages/daemon/src/relaying.ts
+++ b/packages/daemon/src/relaying.ts
@@ -5,10 +5,10 @@
  * it cannot have run.
  */
 import type { Reachability } from '@wisteriavalve/policy'
-import { resultCode, type ResultName, type Target } from '@wisteriavalve/schema'
+import { resultCode, type Kind, type ResultName, type Target } from '@wisteriavalve/schema'
 import type { Call } from './adapters/caller-http.js'
-import { RELAYED_BY_HEADER, RELAYED_REVISION_HEADER } from './constants.js'
-import type { Attempt, Exchange } from './exchange.js'
+import { RELAYED_ATTEMPTS_HEADER, RELAYED_BY_HEADER, RELAYED_REVISION_HEADER } from './constants.js'
+import { attemptsLeft, type Attempt, type Exchange } from './exchange.js'
 import { rawHeader } from './headers.js'
 import { probeLoad } from './load-probes.js'
 import type { NodeEvents, ReachabilityKind } from './node-events.js'
@@ -43,8 +43,33 @@
 
 export const isRelayed = ({ req }: Pick<Call, 'req'>): boolean => req.headers[RELAYED_BY_HEADER] !== undefined
 
-export const relayHeaders = ({ nodeId, configurationRevision }: Relaying): string[] =>
-  [RELAYED_BY_HEADER, nodeId, RELAYED_REVISION_HEADER, String(configurationRevision())]
+/** A peer gets all attempts that are left. Those that it does not use are lost, unless it refuses the request. */
+export const relayHeaders = ({ nodeId, configurationRevision }: Relaying, { attemptsMax, sendCount }: Exchange): string[] => [
+  RELAYED_BY_HEADER, nodeId,
+  RELAYED_REVISION_HEADER, String(configurationRevision()),
+  ...(attemptsMax === Infinity ? [] : [RELAYED_ATTEMPTS_HEADER, String(attemptsMax - sendCount)])
+]
+
+/** Counts the attempts that a peer may make as made, because their number is not known if its answer is lost. */
+export const delegateAttempts = (attempt: Attempt): void => {
+  const { exchange } = attempt
+  if (exchange.attemptsMax === Infinity) return
+  attempt.delegatedCount = exchange.attemptsMax - exchange.sendCount
+  exchange.sendCount = exchange.attemptsMax
+}
+
+/** Takes back the attempts of a peer that has not sent the request to any target. */
+export const reclaimAttempts = (attempt: Attempt): void => {
+  attempt.exchange.sendCount -= attempt.delegatedCount
+  attempt.delegatedCount = 0
+}
+
+/** Number of targets that a request of a caller or a peer may be sent to. */
+export const readAttemptsMax = ({ req }: Call, { attemptsMax = Infinity }: Kind): number => {
+  const given = req.headers[RELAYED_ATTEMPTS_HEADER]
+  const isGiven = isRelayed({ req }) && typeof given === 'string' && /^[1-9]\d{0,2}$/.test(given)
+  return isGiven ? Math.min(attemptsMax, Number(given)) : attemptsMax
+}
 
 /**
  * Whether the node that relays a request has a newer configuration than this one.
@@ -55,8 +80,10 @@
 
 export const isCutOff = ({ relaying: { responses }, clock }: PipelineContext): boolean => responses.isLost(clock.nowMs())
 
-const canRelay = ({ call, relayCount, attempts, body, unknownResult, kind }: Exchange): boolean =>
-  !isRelayed(call) && relayCount < RELAYS_MAX && attempts.length === 0 && body.canOpen() && (unknownResult === undefined || kind.idempotent)
+const canRelay = (exchange: Exchange): boolean => {
+  const { call, relayCount, attempts, body, unknownResult, kind } = exchange
+  return !isRelayed(call) && attemptsLeft(exchange) >= 1 && relayCount < RELAYS_MAX && attempts.length === 0 && body.canOpen() && (unknownResult === undefined || kind.idempotent)
+}
 
 /**
  * Whether this node cannot reach a target for a request: nothing answers it, or
--- a/packages/daemon/src/request-pipeline.ts
+++ b/packages/daemon/src/request-pipeline.ts
@@ -14,7 +14,7 @@
 import { createRequestBody } from './request-body.js'
 import { headIdentity } from './request-identity.js'
 import type { ServiceRuntime } from './service-runtimes.js'
-import { isBehindRelay, isRelayed } from './relaying.js'
+import { isBehindRelay, isRelayed, readAttemptsMax } from './relaying.js'
 import { createStartGate } from './start-gate.js'
 import { failExchange, isolateErrors, onBodyTooLarge, onCallerDisconnected, onDeadline, onNoProgress } from './completion.js'
 
@@ -83,6 +83,7 @@
     attemptCount: 0,
     relayCount: 0,
     connectFailureCount: 0,
+    attemptsMax: readAttemptsMax(call, kind),
     sendCount: 0,
     isHedged: false,
     responder: undefined,
--- a/packages/daemon/src/retrying.ts
+++ b/packages/daemon/src/retrying.ts
@@ -20,7 +20,7 @@
     deadlineMs: exchange.deadlineMs,
     attempts: exchange.attemptCount,
     sendCount: exchange.sendCount,
-    sendCountMax: exchange.kind.attemptsMax ?? Infinity,
+    sendCountMax: exchange.attemptsMax,
     allowance: exchange.retryAllowance
   }, failure, nowMs)
   if (decision !== 'retry') return false
--- a/packages/daemon/test/relayed-attempts.test.ts
+++ b/packages/daemon/test/relayed-attempts.test.ts
@@ -86,3 +86,27 @@
   t.true(arrivals.size > 0, 'no request was relayed')
   assertAttempts(t, arrivals)
 })
+
+test('a peer that refuses a relayed request as not run uses none of its attempts', async t => {
+  const received: string[] = []
+  const startPeer = (respond: RequestListener): Promise<number> => startBackend((req, res) => {
+    received.push(String(req.headers['x-relayed-attempts']))
+    respond(req, res)
+  })
+  const refuse: RequestListener = (_req, res) => { res.writeHead(503, { 'x-result-code': 'WV-1021', 'x-result-class': 'not-run' }).end() }
+  const node = await startDaemon([createService(CLOSED_PORTS, { kinds: [READ] })], { dialect: DIALECT })
+  setPeers(node, [await startPeer(refuse), await startPeer(refuse)])
+  await sleep(PEERS_READ_MS)
+  t.is((await call(node.port)).status, 503)
+  t.deepEqual(received, ['2', '2'])
+})
+
+test('a caller cannot raise the number of attempts of its route', async t => {
+  const arrivals: Arrivals = new Map()
+  const targets = await Promise.all(['t1', 't2', 't3', 't4'].map(name => startTarget(name, arrivals, (_req, res) => { res.writeHead(500).end() })))
+  const node = await startDaemon([createService(targets, { kinds: [READ] })], { dialect: DIALECT })
+  await call(node.port, { headers: { 'x-request-id': 'r-1', 'x-relayed-by': 'x', 'x-relayed-attempts': '9' } })
+  await call(node.port, { headers: { 'x-request-id': 'r-2', 'x-relayed-by': 'x', 'x-relayed-attempts': '1' } })
+  t.is(arrivals.get('r-1')?.length, 2)
+  t.is(arrivals.get('r-2')?.length, 1)
+})
