Wake up for deadlines only when one is due

Cause: the wheel that holds all deadlines of requests ticked each 5 ms while any entry was scheduled. A node with one request under way woke up 200 times a second for it, and most deadlines never come.

Change: the timer is set for the earliest occupied slot. A cancelled entry leaves it as it is. Deadlines run in the same tick as before.

--- a/packages/daemon/src/deadline-wheel.ts
+++ b/packages/daemon/src/deadline-wheel.ts
@@ -1,6 +1,8 @@
 /**
  * Hashed timing wheel (Varghese and Lauck, 1987). All request deadlines share
- * one timer, which runs only while entries are scheduled.
+ * one timer, which is set for the earliest occupied slot, so the process sleeps
+ * until a deadline is due. Most requests end before their deadlines, and a
+ * cancelled entry leaves the timer as it is: it then fires once without effect.
  */
 import type { Clock } from '@wisteriavalve/common'
 
@@ -16,13 +18,24 @@
 export const createDeadlineWheel = (clock: Clock, tickMs: number): DeadlineWheel => {
   const slots = new Map<number, Set<WheelEntry>>()
   let size = 0
-  let isArmed = false
+  let armedTick = Infinity
+  let cancelTimer = (): void => {}
+  /** All slots up to this tick have run. */
   let lastTick = Math.floor(clock.nowMs() / tickMs)
 
-  const arm = (): void => {
-    if (isArmed || size === 0) return
-    isArmed = true
-    clock.after(tickMs, runDueSlots)
+  const armFor = (tick: number): void => {
+    if (tick >= armedTick) return
+    cancelTimer()
+    armedTick = tick
+    cancelTimer = clock.after(Math.max(0, Math.ceil(tick * tickMs - clock.nowMs())), runDueSlots)
+  }
+
+  /** The next slot is usually a few ticks away; when it is not, comparing the slots takes fewer steps than the ticks between. */
+  const findEarliestTick = (): number => {
+    for (let step = 1; step <= slots.size; step++) if (slots.has(lastTick + step)) return lastTick + step
+    let earliest = Infinity
+    for (const tick of slots.keys()) earliest = Math.min(earliest, tick)
+    return earliest
   }
 
   const runSlot = (tick: number): void => {
@@ -37,14 +50,14 @@
   }
 
   const runDueSlots = (): void => {
-    isArmed = false
+    armedTick = Infinity
     const tick = Math.floor(clock.nowMs() / tickMs)
     const firstTick = lastTick + 1
     lastTick = tick
-    // After a long pause there are fewer occupied slots than missed ticks, so the slots are iterated instead.
+    // After a long time there are fewer occupied slots than missed ticks, so the slots are iterated instead.
     if (tick - firstTick > slots.size) [...slots.keys()].filter(key => key <= tick).sort((a, b) => a - b).forEach(runSlot)
     else for (let due = firstTick; due <= tick; due++) runSlot(due)
-    arm()
+    if (size > 0) armFor(findEarliestTick())
   }
 
   const schedule = (atMs: number, run: () => void): WheelEntry => {
@@ -55,7 +68,7 @@
     if (slot) slot.add(entry)
     else slots.set(tick, new Set([entry]))
     size++
-    arm()
+    armFor(tick)
     return entry
   }
 
