Say in status and metrics that a newer configuration may be in force elsewhere

A node whose sources had lost the store without a sign told its operators that its configuration was current. Its status is service-unreachable now from the moment at which peers do not follow it any more, with the age of its news, and wisteriavalve_configuration_heard_version shows a version that a peer has named and that this node cannot get.

Seen in a simulated fleet of 60 nodes: no node says so in 5 s of calm, all do 8 s after the store went silent for all, and none that reaches it 8 s after it came back.

--- a/packages/daemon/src/fleet/store-fleet.ts
+++ b/packages/daemon/src/fleet/store-fleet.ts
@@ -302,6 +302,13 @@
     runMaintenance()
   }
 
+  /** Why a newer configuration may be in force elsewhere; undefined if nothing says so. */
+  const describeDoubt = (): string | undefined => {
+    if (firstHeard.version > configurationVersion()) return `a peer has named version ${firstHeard.version}`
+    const ageMs = follower.ageMs()
+    return !follower.canBeFollowed() && Number.isFinite(ageMs) ? `the store was last heard of ${Math.round(ageMs)} ms ago` : undefined
+  }
+
   const entryAnswer = (zone?: string): EntryAnswer => buildZoneEntryAnswer(members(), {
     zone,
     addressesMax: ENTRY_ADDRESSES_MAX,
@@ -323,7 +330,8 @@
     configuration: () => activeConfiguration,
     configurationStatus: () => ({
       ...(activeConfiguration && { order: activeConfiguration.order }),
-      state: !activeConfiguration ? 'none' : follower.isDisconnected() ? 'service-unreachable' : 'current'
+      state: !activeConfiguration ? 'none' : follower.canBeFollowed() ? 'current' : 'service-unreachable',
+      reason: describeDoubt()
     }),
     ...createFleetQueries({ nodeId: settings.nodeId, source: () => peerSource, peers, clients }),
     leave: gossip.leave,
@@ -342,6 +350,7 @@
       store_revision: state.position().revision,
       store_restore_count: state.position().restoreCount,
       configuration_version: state.configuration()?.version ?? 0,
+      configuration_heard_version: Math.max(0, firstHeard.version, configurationVersion()),
       ...(adoptedMs !== undefined && { configuration_age_ms: Math.round(clock.nowMs() - adoptedMs) })
     }),
     stop: async () => {
--- a/packages/daemon/test/configuration-spread.test.ts
+++ b/packages/daemon/test/configuration-spread.test.ts
@@ -75,3 +75,22 @@
 
 test('a change is in force in 2 s on all nodes although three in ten datagrams are lost as well', playChange,
   { nodeCount: 60, seed: 4, fault: 'silent', readersLost: 1, othersLost: 0.5, gapMs: 50, datagramLoss: 0.3 })
+
+test('a node says whether a newer configuration may be in force, and none does so while all is well', async t => {
+  const fleet = await createSimulatedStoreFleet({ nodeCount: 60, zones: ZONES, seedCount: SEED_COUNT, seed: 6 })
+  t.teardown(fleet.stop)
+  await fleet.run(SETTLE_MS)
+  const doubting = (): SimulatedNode[] => fleet.nodes.filter(({ runtime }) => runtime.configurationStatus().reason !== undefined)
+  for (let check = 0; check < 20; check++) {
+    await fleet.run(250)
+    t.deepEqual(doubting().map(({ id }) => id), [])
+  }
+  for (const node of fleet.nodes) node.storeFault = 'silent'
+  await fleet.run(FAULT_MS)
+  t.is(doubting().length, fleet.nodes.length)
+  t.true(fleet.nodes.every(({ runtime }) => runtime.configurationStatus().state === 'service-unreachable'))
+  const cutOff = fleet.nodes[0] as SimulatedNode
+  for (const node of fleet.nodes) if (node !== cutOff) node.storeFault = 'none'
+  await fleet.run(FAULT_MS)
+  t.true(doubting().every(node => node === cutOff), `${doubting().length} nodes`)
+})
