Let periodic work of a node fall on the same moments

Cause: checks for pauses, gossip ticks and upkeep of the fleet have timers of 50, 100 and 250 ms, each with its own phase, so an idle node woke up for each of them.

Change: each timer is set to the next multiple of its interval, so the process wakes up once for all of them. Each still runs as often as before.

--- a/packages/common/src/clock.ts
+++ b/packages/common/src/clock.ts
@@ -47,3 +47,16 @@
 
   return { nowMs: () => timeMs, after, advance }
 }
+
+/** A timer can fire a little early; its next turn is then a whole interval later. */
+const EARLY_SHARE = 0.25
+
+/**
+ * Delay in ms until the next multiple of the interval. Periodic work with
+ * different intervals then falls on the same moments, and the process wakes up
+ * once for all of it.
+ */
+export const alignedDelayMs = (nowMs: number, intervalMs: number): number => {
+  const delayMs = intervalMs - nowMs % intervalMs
+  return delayMs < EARLY_SHARE * intervalMs ? delayMs + intervalMs : delayMs
+}
--- a/packages/daemon/src/fleet/gossip-driver.ts
+++ b/packages/daemon/src/fleet/gossip-driver.ts
@@ -3,6 +3,7 @@
  * receives datagrams, and counts rejected ones. A datagram is sent in the same
  * turn of the event loop in which membership requested it.
  */
+import { alignedDelayMs } from '@wisteriavalve/common'
 import {
   createMembership, createReplayGuard, PAUSE_GAP_MS, type GossipAddress, type Membership, type MembershipAction
 } from '@wisteriavalve/fleet'
@@ -113,7 +114,7 @@
     if (nowMs - lastTickMs > PAUSE_GAP_MS) backlogEndMs = nowMs + BACKLOG_WINDOW_MS
     lastTickMs = nowMs
     applyActions(membership?.tick(nowMs) ?? [])
-    cancelTick = clock.after(TICK_MS, tick)
+    cancelTick = clock.after(alignedDelayMs(clock.nowMs(), TICK_MS), tick)
   }
 
   const start = async ({ peerPort }: { peerPort: number }): Promise<void> => {
--- a/packages/daemon/src/fleet/store-fleet.ts
+++ b/packages/daemon/src/fleet/store-fleet.ts
@@ -4,6 +4,7 @@
  * follow nodes. A node without contact to the store pulls the state from a
  * random peer. Nodes discover each other through seeds and then by gossip.
  */
+import { alignedDelayMs } from '@wisteriavalve/common'
 import { buildZoneEntryAnswer, chooseStoreSource, compareStorePositions, createChangeLog, createPublishedState, type PublishedConfiguration, type PublishedStateView, type StorePosition } from '@wisteriavalve/fleet'
 import type { ProbeResult } from '@wisteriavalve/policy'
 import type { EntryAnswer, MemberUpdate, TargetNote, VmEntry } from '@wisteriavalve/schema'
@@ -283,7 +284,7 @@
     gossip.addCandidates(seeds())
     if (follower.isDisconnected()) pull()
     publish('time')
-    cancelMaintenance = clock.after(MAINTENANCE_INTERVAL_MS, runMaintenance)
+    cancelMaintenance = clock.after(alignedDelayMs(clock.nowMs(), MAINTENANCE_INTERVAL_MS), runMaintenance)
   }
 
   const start = async (source: PeerSource): Promise<void> => {
--- a/packages/daemon/src/pause-detector.ts
+++ b/packages/daemon/src/pause-detector.ts
@@ -4,7 +4,7 @@
  * stored with its epoch, which is compared before the decision is carried out:
  * after a pause, a socket event may run before any timer.
  */
-import type { Cancel, Clock } from '@wisteriavalve/common'
+import { alignedDelayMs, type Cancel, type Clock } from '@wisteriavalve/common'
 
 export type PauseDetector = {
   /** Current epoch. Also detects a pause that has just ended. */
@@ -23,9 +23,9 @@
 
 export const createPauseDetector = ({ clock, intervalMs, thresholdMs, onPause, onTick }: PauseDetectorOptions): PauseDetector => {
   let lastTickMs = clock.nowMs()
-  let dueMs = lastTickMs + intervalMs
+  let dueMs = lastTickMs
   let epoch = 0
-  let cancel: Cancel
+  let cancel: Cancel = () => {}
 
   const check = (nowMs: number): number => {
     const elapsedMs = nowMs - lastTickMs
@@ -41,11 +41,16 @@
     const lateMs = Math.max(0, nowMs - dueMs)
     check(nowMs)
     lastTickMs = nowMs
-    dueMs = nowMs + intervalMs
     onTick(nowMs, lateMs)
-    cancel = clock.after(intervalMs, tick)
+    schedule(nowMs)
   }
 
-  cancel = clock.after(intervalMs, tick)
+  const schedule = (nowMs: number): void => {
+    const delayMs = alignedDelayMs(nowMs, intervalMs)
+    dueMs = nowMs + delayMs
+    cancel = clock.after(delayMs, tick)
+  }
+
+  schedule(lastTickMs)
   return { epoch: check, stop: () => cancel() }
 }
