Check for pauses less often while no request is in flight

Cause: an idle node woke up each 50 ms to see whether its process had been paused, to share notes and to look for silent connections, with no request to which any of this could matter.

Change: without a request in flight the checks come each 200 ms. Each decision asks for the pause epoch, which ends that; a pause is found by the decision itself, as before.

--- a/packages/daemon/src/constants.ts
+++ b/packages/daemon/src/constants.ts
@@ -83,6 +83,8 @@
 /** Resolution of deadlines. */
 export const WHEEL_TICK_MS = 5
 export const MAINTENANCE_INTERVAL_MS = 50
+/** The same while no request is in flight. */
+export const IDLE_MAINTENANCE_INTERVAL_MS = 200
 export const PAUSE_MS_MIN = 500
 /** Minimum time without progress before a connection counts as silent. */
 export const SILENT_MS_MIN = 250
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -10,7 +10,7 @@
 import type { ExplainQuery } from './admin-api.js'
 import { createAdminServer } from './admin-server.js'
 import { createBurnBuckets } from './burn-buckets.js'
-import { MAINTENANCE_INTERVAL_MS, CALLER_LIMITS, PAUSE_MS_MIN, REPLAY_BYTES_MAX, WHEEL_TICK_MS } from './constants.js'
+import { CALLER_LIMITS, IDLE_MAINTENANCE_INTERVAL_MS, MAINTENANCE_INTERVAL_MS, PAUSE_MS_MIN, REPLAY_BYTES_MAX, WHEEL_TICK_MS } from './constants.js'
 import { createCrashWatch, isCrashNote } from './crash-watch.js'
 import { createDeadlineWheel } from './deadline-wheel.js'
 import { sendEndMs, shutDownGracefully } from './graceful-shutdown.js'
@@ -149,7 +149,15 @@
     fleet.setLoadPercent(announcedLoadPercent(nowMs))
   }
 
-  const pauseDetector = createPauseDetector({ clock, intervalMs: MAINTENANCE_INTERVAL_MS, thresholdMs: PAUSE_MS_MIN, onPause, onTick })
+  const pauseDetector = createPauseDetector({
+    clock,
+    intervalMs: MAINTENANCE_INTERVAL_MS,
+    idleIntervalMs: IDLE_MAINTENANCE_INTERVAL_MS,
+    isIdle: () => pipeline.inFlightCount() === 0,
+    thresholdMs: PAUSE_MS_MIN,
+    onPause,
+    onTick
+  })
   const recorder = createRequestRecorder({
     clock, events, log, metrics, burnBuckets, configurationRevision
   })
--- a/packages/daemon/src/pause-detector.ts
+++ b/packages/daemon/src/pause-detector.ts
@@ -2,7 +2,8 @@
  * Detects periods in which the process did not run, because it was stopped,
  * got no CPU time or was blocked. Each pause starts a new epoch. A decision is
  * stored with its epoch, which is compared before the decision is carried out:
- * after a pause, a socket event may run before any timer.
+ * after a pause, a socket event may run before any timer. A process without work
+ * checks less often; each decision asks for the epoch, which ends that.
  */
 import { alignedDelayMs, type Cancel, type Clock } from '@wisteriavalve/common'
 
@@ -15,15 +16,19 @@
 export type PauseDetectorOptions = {
   clock: Clock
   intervalMs: number
+  /** Interval while the process is idle; must be below the threshold. */
+  idleIntervalMs: number
+  isIdle: () => boolean
   thresholdMs: number
   onPause: (gapMs: number, nowMs: number) => void
   /** Called at each interval, with the delay against the schedule. */
   onTick: (nowMs: number, lateMs: number) => void
 }
 
-export const createPauseDetector = ({ clock, intervalMs, thresholdMs, onPause, onTick }: PauseDetectorOptions): PauseDetector => {
+export const createPauseDetector = ({ clock, intervalMs, idleIntervalMs, isIdle, thresholdMs, onPause, onTick }: PauseDetectorOptions): PauseDetector => {
   let lastTickMs = clock.nowMs()
   let dueMs = lastTickMs
+  let scheduledIntervalMs = intervalMs
   let epoch = 0
   let cancel: Cancel = () => {}
 
@@ -42,15 +47,25 @@
     check(nowMs)
     lastTickMs = nowMs
     onTick(nowMs, lateMs)
-    schedule(nowMs)
+    schedule(nowMs, isIdle() ? idleIntervalMs : intervalMs)
   }
 
-  const schedule = (nowMs: number): void => {
-    const delayMs = alignedDelayMs(nowMs, intervalMs)
+  const schedule = (nowMs: number, nextIntervalMs: number): void => {
+    const delayMs = alignedDelayMs(nowMs, nextIntervalMs)
+    scheduledIntervalMs = nextIntervalMs
     dueMs = nowMs + delayMs
     cancel = clock.after(delayMs, tick)
   }
 
-  schedule(lastTickMs)
-  return { epoch: check, stop: () => cancel() }
+  const readEpoch = (nowMs: number): number => {
+    const current = check(nowMs)
+    if (scheduledIntervalMs !== intervalMs) {
+      cancel()
+      schedule(nowMs, intervalMs)
+    }
+    return current
+  }
+
+  schedule(lastTickMs, intervalMs)
+  return { epoch: readEpoch, stop: () => cancel() }
 }
