Measure the age of news before the response that is being applied

Cause: store_age_ms of configuration_adopted left out a response of the same moment, which the clock of a test shows and the system clock never does, so a real node logged 0.

Change: the time of the response before is kept while a response is applied. The new test of daemon/store-follower, with a clock that never stands still, read 0 where 700 ms had passed, and passes now.

--- a/packages/daemon/src/fleet/store-follower.ts
+++ b/packages/daemon/src/fleet/store-follower.ts
@@ -63,7 +63,7 @@
   isDisconnected: () => boolean
   /** Time since the last response of the store, to this node or through a peer; Infinity before the first one. */
   ageMs: () => number
-  /** The same, but leaves out a response that has arrived at this moment. */
+  /** The same, but leaves out a response that is being applied. */
   ageBeforeResponseMs: () => number
   /** Whether the last contact with the store is recent enough for peers to follow this node. */
   canBeFollowed: () => boolean
@@ -110,15 +110,14 @@
   let isFirstSnapshot = true
   /** Time of the last response of the store, to this node or through a peer. */
   let lastContactMs = -Infinity
-  /** The last contact but one, and when the last one was recorded. */
-  let previousContact = { contactMs: -Infinity, recordedMs: -Infinity }
+  /** Time of the response before the one that is being applied; undefined between responses. */
+  let previousContactMs: number | undefined
   let isDisconnected = true
   let isFirstFailure = true
   /** Whether the last read failed. */
   let isUncertain = false
 
   const recordContact = (ageMs: number): void => {
-    previousContact = { contactMs: lastContactMs, recordedMs: clock.nowMs() }
     lastContactMs = Math.max(lastContactMs, clock.nowMs() - ageMs)
     isUncertain = false
     backoff.reset()
@@ -128,6 +127,13 @@
     onReconnected()
   }
 
+  const applyResponse = (ageMs: number, apply: () => void): void => {
+    previousContactMs = lastContactMs
+    recordContact(ageMs)
+    apply()
+    previousContactMs = undefined
+  }
+
   const recordFailure = (message: string): void => {
     if (isDisconnected && !isFirstFailure) return
     isDisconnected = true
@@ -154,17 +160,17 @@
     const delayMs = isFirstSnapshot ? MEMBER_DISCOVERY_MS : 0
     isFirstSnapshot = false
     position = { restoreCount: read.value.restoreCount, revision: read.value.revision }
-    recordContact(0)
-    onSnapshot(read.value, STORE_SOURCE)
+    applyResponse(0, () => onSnapshot(read.value, STORE_SOURCE))
     return delayMs
   }
 
   /** @returns whether the read contained changes */
   const applyRead = ({ view, ageMs = 0, ...changes }: StoreChanges, after: StorePosition, from: string): boolean => {
     position = laterStorePosition(after, { restoreCount: changes.restoreCount, revision: changes.revision })
-    recordContact(ageMs)
-    if (view) onSnapshot(view, from)
-    else if (changes.changes.length > 0) onChanges(changes, from)
+    applyResponse(ageMs, () => {
+      if (view) onSnapshot(view, from)
+      else if (changes.changes.length > 0) onChanges(changes, from)
+    })
     return changes.changes.length > 0
   }
 
@@ -217,7 +223,7 @@
     start: () => { run().catch(error => { setImmediate(() => { throw error }) }) },
     isDisconnected: () => isDisconnected,
     ageMs: () => clock.nowMs() - lastContactMs,
-    ageBeforeResponseMs: () => clock.nowMs() - (previousContact.recordedMs === clock.nowMs() ? previousContact.contactMs : lastContactMs),
+    ageBeforeResponseMs: () => clock.nowMs() - (previousContactMs ?? lastContactMs),
     canBeFollowed: () => !isDisconnected && clock.nowMs() - lastContactMs <= (isUncertain ? UNCERTAIN_AGE_MAX_MS : FOLLOWABLE_AGE_MAX_MS),
     stop: () => stopController.abort()
   }
--- a/packages/daemon/test/store-follower.test.ts
+++ b/packages/daemon/test/store-follower.test.ts
@@ -57,6 +57,44 @@
   stop()
 })
 
+test('the age of the news before a change leaves out the response that brings it', async t => {
+  let nowMs = 1_000
+  // Like the system clock, it never shows the same time twice.
+  const clock = { nowMs: () => (nowMs += 0.001), after: (delayMs: number, run: () => void) => clockOfTimers.after(delayMs, run) }
+  const clockOfTimers = createManualClock()
+  const ages: number[] = []
+  let respond = (_value: unknown): void => {}
+  const store: PlatformStore = {
+    readSnapshot: async () => ({ ok: true, value: { restoreCount: 0, revision: 5, targets: [] } }),
+    watch: () => new Promise(resolve => { respond = value => resolve(value as Awaited<ReturnType<PlatformStore['watch']>>) }),
+    callCount: () => 0,
+    close: async () => {}
+  }
+  const context = { clock, random: createRandom(1), log: () => {} } as unknown as DaemonContext
+  const follower = createStoreFollower({
+    context,
+    store,
+    source: () => 'store',
+    knownPosition: () => ({ restoreCount: 0, revision: 0 }),
+    onSnapshot: () => {},
+    onChanges: () => { ages.push(follower.ageBeforeResponseMs()) },
+    onStoreFailed: () => {},
+    onDisconnected: () => {},
+    onReconnected: () => {}
+  })
+  follower.start()
+  for (let step = 0; step < 100; step++) {
+    clockOfTimers.advance(10)
+    await nextEventLoopTurn()
+  }
+  nowMs += 700
+  respond({ ok: true, value: { restoreCount: 0, revision: 6, changes: [{ type: 'target-removed', targetId: 'a' }] } })
+  await nextEventLoopTurn()
+  t.is(Math.round(ages[0] as number), 700)
+  t.is(Math.round(follower.ageBeforeResponseMs()), 0)
+  follower.stop()
+})
+
 test('a node without a source makes no further calls to the store and counts as disconnected from it', async t => {
   const { calls, advance, follower, stop } = startFollower(() => 'none')
   await advance(3000)
