--- a/packages/daemon/src/fleet/store-fleet.ts
+++ b/packages/daemon/src/fleet/store-fleet.ts
@@ -22,6 +22,7 @@
 import { createPermits } from './permits.js'
 import { toActiveConfiguration } from './published-configuration.js'
 import { createCatchUp } from './catch-up.js'
+import { createConfigurationNews } from './configuration-news.js'
 import { createChangeWaiters } from './change-waiters.js'
 import { createPeerWatch, withRestoreCount, type ChangesQuery, type PeerChanges, type PublishedQuery, type PublishedUpdate } from './peer-watch.js'
 import { createSuspectSync } from './suspect-sync.js'
@@ -84,32 +85,26 @@
   let peerSource: PeerSource | undefined
   let cancelMaintenance = (): void => {}
   let lastPullMs = -Infinity
-  /** Newest version of the configuration that a peer named by gossip. */
-  let firstHeard = { version: -1, atMs: 0 }
   let isStopped = false
 
   /** -1 before the first configuration. */
   const configurationVersion = (): number => state.configuration()?.version ?? -1
+  const news = createConfigurationNews({ clock, version: configurationVersion, follower: () => follower })
   const members = (): MemberUpdate[] => gossip.membership()?.members() ?? []
   const peers = (): MemberUpdate[] => members().filter(({ nodeId }) => nodeId !== settings.nodeId)
   const permits = createPermits({ context, members, clients })
   const suspectSync = createSuspectSync({ clock, random, peers, clients, onNotes: onNotes.emit })
   const reportMember = createMemberReporter(context)
 
-  const logAdopted = ({ version, routes }: PublishedConfiguration, source: string): void => {
-    const ageMs = follower.ageBeforeResponseMs()
-    const heardMs = firstHeard.version === version ? Math.round(clock.nowMs() - firstHeard.atMs) : -1
-    log('configuration_adopted', {
-      revision: version,
-      store_revision: state.position().revision,
-      restore_count: state.position().restoreCount,
-      source,
-      routes: routes.length,
-      store_age_ms: Number.isFinite(ageMs) ? Math.round(ageMs) : -1,
-      heard_ms: heardMs,
-      members: members().length
-    })
-  }
+  const logAdopted = ({ version, routes }: PublishedConfiguration, source: string): void => log('configuration_adopted', {
+    revision: version,
+    store_revision: state.position().revision,
+    restore_count: state.position().restoreCount,
+    source,
+    routes: routes.length,
+    ...news.describeAdoption(version),
+    members: members().length
+  })
 
   /** @param source logged origin of the change: the store, a peer's node id, or time for time-driven changes */
   const publish = (source: string): void => {
@@ -219,7 +214,7 @@
     onNotes: notes => onNotes.emit(notes),
     onConfigurationSeen: (from, order) => {
       if (order.revision <= configurationVersion()) return
-      if (order.revision > firstHeard.version) firstHeard = { version: order.revision, atMs: clock.nowMs() }
+      news.recordHeard(order.revision)
       catchUp.recordSeen(from, order.revision)
     }
   }, network.openGossipSocket)
@@ -303,13 +298,6 @@
     runMaintenance()
   }
 
-  /** Why a newer configuration may be in force elsewhere; undefined if nothing says so. */
-  const describeDoubt = (): string | undefined => {
-    if (firstHeard.version > configurationVersion()) return `a peer has named version ${firstHeard.version}`
-    const ageMs = follower.ageMs()
-    return !follower.canBeFollowed() && Number.isFinite(ageMs) ? `the store was last heard of ${Math.round(ageMs)} ms ago` : undefined
-  }
-
   const entryAnswer = (zone?: string): EntryAnswer => buildZoneEntryAnswer(members(), {
     zone,
     addressesMax: ENTRY_ADDRESSES_MAX,
@@ -332,7 +320,7 @@
     configurationStatus: () => ({
       ...(activeConfiguration && { order: activeConfiguration.order }),
       state: !activeConfiguration ? 'none' : follower.canBeFollowed() ? 'current' : 'service-unreachable',
-      reason: describeDoubt()
+      reason: news.describeDoubt()
     }),
     ...createFleetQueries({ nodeId: settings.nodeId, source: () => peerSource, peers, clients }),
     leave: gossip.leave,
@@ -351,7 +339,7 @@
       store_revision: state.position().revision,
       store_restore_count: state.position().restoreCount,
       configuration_version: state.configuration()?.version ?? 0,
-      configuration_heard_version: Math.max(0, firstHeard.version, configurationVersion()),
+      configuration_heard_version: news.newestVersion(),
       ...(adoptedMs !== undefined && { configuration_age_ms: Math.round(clock.nowMs() - adoptedMs) })
     }),
     stop: async () => {
