Lengthen the watches at the store, whose calls are paid for

Cause: with watches of 800 ms in place of 1.2 s the calls to the store rose by half.

Change: a watch waits 1 s, so a silent loss shows within 1.4 s.

--- a/packages/daemon/src/fleet/store-follower.ts
+++ b/packages/daemon/src/fleet/store-follower.ts
@@ -75,7 +75,7 @@
  * until the watch ends. It must therefore be shorter than the 2 s within which
  * a change must be in force on all nodes.
  */
-const STORE_WATCH_MS = 800
+const STORE_WATCH_MS = 1_000
 /** Wait of one watch at a peer, which limits the delay by a peer that is cut off: the next watch uses another peer. */
 const PEER_WATCH_MS = 700
 /** Delay before the next attempt when no source is available. */
