--- a/packages/daemon/test/configuration-spread.test.ts
+++ b/packages/daemon/test/configuration-spread.test.ts
@@ -76,6 +76,9 @@
 test('a change is in force in 2 s on all nodes although three in ten datagrams are lost as well', playChange,
   { nodeCount: 60, seed: 4, fault: 'silent', readersLost: 1, othersLost: 0.5, gapMs: 50, datagramLoss: 0.3 })
 
+test('a change is in force in 2 s on all nodes although the store is silent for the first five readers of each zone', playChange,
+  { nodeCount: 60, seed: 27, fault: 'silent', readersLost: 5, othersLost: 0.5, gapMs: 50 })
+
 test('a node says whether a newer configuration may be in force, and none does so while all is well', async t => {
   const fleet = await createSimulatedStoreFleet({ nodeCount: 60, zones: ZONES, seedCount: SEED_COUNT, seed: 6 })
   t.teardown(fleet.stop)
