Say in the lines of a request where the bytes of its body went

Cause: the lines of an upload did not tell how many bytes came from its caller, how many each attempt passed on, or whether the body had ended, so a request whose target had got a part of the body looked like a sound one.

--- a/packages/daemon/src/adapters/backend-http.ts
+++ b/packages/daemon/src/adapters/backend-http.ts
@@ -69,8 +69,8 @@
   /** Final check, made in the same turn of the event loop as the first write. */
   canWrite: () => boolean
   onWritten: () => void
-  /** Called when the socket has accepted bytes of the request body, and when bytes of a response arrive that are held. */
-  onBodyProgress: () => void
+  /** Called with the number of bytes of the request body that the socket has accepted, and with 0 when bytes of a response arrive that are held. */
+  onBodyProgress: (sentBytes: number) => void
   onHead: (status: number, rawHeaders: string[], statusText: string) => void
   /**
    * Returns false to stop reading until resume is called. The bytes that were
@@ -279,10 +279,11 @@
     else fail({ kind: hasHead ? 'broken' : 'lost', message: error.message })
   }
 
-  const onBodySent = (): void => { if (!isFinished) handler.onBodyProgress() }
+  // undici passes the bytes here, although its types announce their number.
+  const onBodySent = (chunk: unknown): void => { if (!isFinished) handler.onBodyProgress(Buffer.isBuffer(chunk) ? chunk.length : 0) }
   const body = createChunkJoiner(chunk => {
     if (isFinished) return
-    if (held?.add(chunk)) handler.onBodyProgress()
+    if (held?.add(chunk)) handler.onBodyProgress(0)
     else passOn(chunk)
   })
   const onData = (chunk: Buffer): boolean => {
--- a/packages/daemon/src/attempts.ts
+++ b/packages/daemon/src/attempts.ts
@@ -215,6 +215,8 @@
 
 const createSendHandler = (context: PipelineContext, attempt: Attempt): SendHandler => {
   const { exchange } = attempt
+  const bodySend = { targetId: attempt.targetId, sentBytes: 0 }
+  if (exchange.body.isPresent) exchange.bodySends.push(bodySend)
   const recordProgress = (): number => {
     const nowMs = context.clock.nowMs()
     exchange.lastProgressMs = nowMs
@@ -236,7 +238,10 @@
         onStalled: () => onSilent(context, attempt)
       })
     },
-    onBodyProgress: recordProgress,
+    onBodyProgress: sentBytes => {
+      bodySend.sentBytes += sentBytes
+      recordProgress()
+    },
     onHead: (status, headers, statusText) => isolateErrors(context, exchange, () => {
       const head = { status, headers, statusText, atMs: recordProgress() }
       const step = onResponseHead(context, attempt, head, () => tryTakeRetryAfterStatus(context, attempt))
--- a/packages/daemon/src/exchange.ts
+++ b/packages/daemon/src/exchange.ts
@@ -8,6 +8,7 @@
 import type { Call } from './adapters/caller-http.js'
 import type { OutgoingRequest } from './adapters/backend-http.js'
 import type { BackendConnection, ConnectionWaiter, TargetConnections } from './backend-connections.js'
+import type { BodySend } from './body-sends.js'
 import type { AttemptPurpose } from './pipeline-context.js'
 import type { WheelEntry } from './deadline-wheel.js'
 import type { RequestBody } from './request-body.js'
@@ -40,6 +41,8 @@
   /** Whether the connection of an attempt broke after the request was sent. */
   hasLostTarget: boolean
   triedTargetIds: Set<string>
+  /** What each attempt passed on of the body, in the order of the attempts. */
+  bodySends: BodySend[]
   attempts: Attempt[]
   attemptCount: number
   /** Number of peers that the request was relayed to. */
--- a/packages/daemon/src/request-body.ts
+++ b/packages/daemon/src/request-body.ts
@@ -9,12 +9,16 @@
 import { createBodyHash, hashBytes, type BodyHash } from './body-hash.js'
 
 export type RequestBody = {
+  /** Whether the request has a body at all. */
+  isPresent: boolean
   /** Calls onReady when the body may be sent; immediately if there is nothing to collect. */
   prepare: (onReady: () => void) => void
   /** Body for one attempt; a streamed body can be opened only once. */
   open: () => Buffer | Readable | null
   canOpen: () => boolean
   isComplete: () => boolean
+  /** Number of bytes that came from the caller so far. */
+  receivedBytes: () => number
   /** The larger of the announced size and the bytes received so far. */
   sizeBytes: () => number
   /** True while all bytes received from the caller are consumed and more are expected. */
@@ -41,10 +45,12 @@
 const EMPTY_HASH = hashBytes('')
 
 const NO_BODY: RequestBody = {
+  isPresent: false,
   prepare: onReady => onReady(),
   open: () => null,
   canOpen: () => true,
   isComplete: () => true,
+  receivedBytes: () => 0,
   sizeBytes: () => 0,
   isWaitingForCaller: () => false,
   hash: () => EMPTY_HASH,
@@ -128,6 +134,7 @@
   }
 
   return {
+    isPresent: true,
     prepare: ready => {
       onReady = ready
       if (isSmall) start()
@@ -136,6 +143,7 @@
     open: () => collectedBody ?? openStream(),
     canOpen: () => collectedBody !== undefined || stream === undefined,
     isComplete: () => isEnded,
+    receivedBytes: () => receivedBytes,
     sizeBytes: () => Math.max(receivedBytes, Number(req.headers['content-length'] ?? 0)),
     hash: () => {
       bodyHash ??= startHash()
--- a/packages/daemon/src/request-pipeline.ts
+++ b/packages/daemon/src/request-pipeline.ts
@@ -79,6 +79,7 @@
     isAnswered: false,
     hasLostTarget: false,
     triedTargetIds: new Set(),
+    bodySends: [],
     attempts: [],
     attemptCount: 0,
     relayCount: 0,
--- a/packages/daemon/src/request-recorder.ts
+++ b/packages/daemon/src/request-recorder.ts
@@ -7,6 +7,7 @@
 import { resultCode, type EventEntry, type LogEventName, type ResultName } from '@wisteriavalve/schema'
 import type { Call } from './adapters/caller-http.js'
 import type { BurnBuckets } from './burn-buckets.js'
+import { bodyFields, countShortSends } from './body-sends.js'
 import { FAILURE_LINES_PER_S, RELAYED_BY_HEADER, ROUTE_EVENTS_PER_S, SAMPLE_LINES_PER_S } from './constants.js'
 import type { Attempt, Exchange } from './exchange.js'
 import type { Metrics } from './metrics.js'
@@ -44,10 +45,14 @@
 
 const PURPOSE_TEXT: Record<AttemptPurpose, string> = { first: 'was sent', retry: 'was sent again', hedge: 'was also sent' }
 
-/** The peer that relayed the request, if any, and how many of its attempts were written to a target as far as this node knows. */
-const sendFields = ({ call, sendCount }: Exchange): Record<string, string | number> => {
+/**
+ * The peer that relayed the request, if any, how many of its attempts were written to a
+ * target as far as this node knows, and what they passed on of its body.
+ */
+const sendFields = (exchange: Exchange): Record<string, string | number | boolean> => {
+  const { call, sendCount } = exchange
   const relayedBy = call.req.headers[RELAYED_BY_HEADER]
-  return { ...(relayedBy !== undefined && { relayed_by: String(relayedBy).slice(0, NODE_ID_LENGTH_MAX) }), sent: sendCount }
+  return { ...(relayedBy !== undefined && { relayed_by: String(relayedBy).slice(0, NODE_ID_LENGTH_MAX) }), sent: sendCount, ...bodyFields(exchange) }
 }
 
 const describeRequest = ({ method, path, runtime }: Exchange): string => `${method} ${path.split('?', 1)[0]} of ${runtime.configuration.name}`
@@ -94,12 +99,17 @@
     })
   }
 
+  const countShortBodies = (exchange: Exchange): void => {
+    for (let count = countShortSends(exchange); count > 0; count--) metrics.increment('short_bodies')
+  }
+
   const causeOf = (exchange: Exchange, status: number, nowMs: number): string | undefined =>
     status >= 500 ? `status-${status}` : nowMs > exchange.deadlineMs ? 'late' : undefined
 
   const answered = (exchange: Exchange, attempt: Attempt, nowMs: number): void => {
     const { configuration } = exchange.runtime
     metrics.countResult(configuration.name, exchange.kind, 'answered')
+    countShortBodies(exchange)
     metrics.recordDuration(configuration.name, exchange.kind, 'answered', nowMs - exchange.arrivedMs)
     metrics.recordDispatch(configuration.name, exchange.kind, (attempt.writtenMs ?? nowMs) - exchange.arrivedMs)
     burnBuckets.count(configuration.name, exchange.kind, causeOf(exchange, attempt.status, nowMs), attempt.targetId, Date.now())
@@ -109,7 +119,7 @@
   const logResponse = (exchange: Exchange, attempt: Attempt, nowMs: number): void => {
     const durationMs = nowMs - exchange.arrivedMs
     const objectiveMs = exchange.kind.objectiveMs ?? exchange.kind.deadlineMs
-    const isNotable = durationMs > objectiveMs || exchange.attemptCount > 1 || attempt.status >= 400 || attempt.isRelay
+    const isNotable = durationMs > objectiveMs || exchange.attemptCount > 1 || attempt.status >= 400 || attempt.isRelay || countShortSends(exchange) > 0
     const fields = {
       request_id: exchange.id,
       service: exchange.runtime.configuration.name,
@@ -133,6 +143,7 @@
     const { code, class: resultClass } = resultCode(result)
     const service = exchange.runtime.configuration.name
     metrics.countResult(service, exchange.kind, code)
+    countShortBodies(exchange)
     metrics.recordDuration(service, exchange.kind, resultClass, nowMs - exchange.arrivedMs)
     burnBuckets.count(service, exchange.kind, code, targetId, Date.now())
     const text = failureText(exchange, result, targetId, detail)
