--- /dev/null
+++ b/packages/daemon/test/uploads.ts
@@ -0,0 +1,140 @@
+/**
+ * Support for tests of uploads: bodies that show where their bytes belong,
+ * callers that send them in pieces, and a record of what targets read of them.
+ */
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
+import { connect, type AddressInfo, type Socket } from 'node:net'
+import type { ExecutionContext } from 'ava'
+
+/** Number of bytes after which the text of a body changes. */
+const LINE_BYTES = 16
+const HALF_CHUNK_BYTES = 100
+
+/** Body of which each line names the request and the place of the line. */
+export const createUploadBody = (id: string, sizeBytes: number): Buffer => {
+  const lineCount = Math.ceil(sizeBytes / LINE_BYTES)
+  const lines = Array.from({ length: lineCount }, (_, line) => `${id}:${line}`.padEnd(LINE_BYTES - 1, '.') + '\n')
+  return Buffer.from(lines.join('')).subarray(0, sizeBytes)
+}
+
+/** What one target read of the body of one request. */
+export type BodyRead = { id: string, target: string, bytes: Buffer, isWhole: boolean }
+
+export type Upload = { id: string, body: Buffer, isSentWhole: boolean }
+
+/** Describes each body that a target took for whole and that was not sent like that, or that is no beginning of what was sent. */
+export const findChangedBodies = (uploads: readonly Upload[], reads: readonly BodyRead[]): string[] => {
+  const byId = new Map(uploads.map(upload => [upload.id, upload]))
+  return reads.flatMap(({ id, target, bytes, isWhole }) => {
+    const upload = byId.get(id)
+    if (!upload) return [`${id} at ${target}: nobody sent it`]
+    const { body, isSentWhole } = upload
+    const isBeginning = body.subarray(0, bytes.length).equals(bytes)
+    const text = `${id} at ${target}: ${bytes.length} of ${body.length} bytes`
+    if (!isBeginning) return [`${text}, not its beginning, ${isWhole ? 'whole' : 'broken off'}`]
+    if (isWhole && (!isSentWhole || bytes.length < body.length)) return [`${text}, taken for whole`]
+    return []
+  })
+}
+
+export type UploadTarget = { name: string, port: number, server: ReturnType<typeof createServer> }
+
+export type RespondToUpload = (req: IncomingMessage, res: ServerResponse, read: BodyRead) => void
+
+/** Target that records what it reads of each body, and leaves reading and answering to `respond`. */
+export const startUploadTarget = async (t: ExecutionContext, name: string, reads: BodyRead[], respond: RespondToUpload): Promise<UploadTarget> => {
+  const server = createServer((req, res) => {
+    // A probe.
+    if (req.method === 'GET') {
+      res.end()
+      return
+    }
+    const id = String(req.headers['x-request-id'])
+    res.setHeader('x-request-id', id)
+    const read: BodyRead = { id, target: name, bytes: Buffer.alloc(0), isWhole: false }
+    const chunks: Buffer[] = []
+    const update = (): void => { read.bytes = Buffer.concat(chunks) }
+    reads.push(read)
+    req.on('data', (chunk: Buffer) => chunks.push(chunk)).on('error', update).on('close', update).on('end', () => {
+      update()
+      read.isWhole = req.complete
+    })
+    res.on('error', () => undefined)
+    respond(req, res, read)
+  })
+  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+  t.teardown(() => {
+    server.close()
+    server.closeAllConnections()
+  })
+  return { name, port: (server.address() as AddressInfo).port, server }
+}
+
+/** Target that answers each request when it has read its body. */
+export const respondAfterBody: RespondToUpload = (req, res) => { req.on('end', () => { res.end('stored') }) }
+
+export type UploadFraming = 'length' | 'chunked'
+
+export type UploadPlan = {
+  id: string
+  method: string
+  path: string
+  sizeBytes: number
+  framing: UploadFraming
+  pieceBytes: number
+  gapMs: number
+  /** Time between the head and the first piece. */
+  waitMs?: number
+  /** Number of bytes after which the caller leaves, and how; a body that is sent whole has none. */
+  cut?: { afterBytes: number, how: 'end' | 'reset' | 'malformed' | 'half-chunk' }
+  headers?: readonly string[]
+}
+
+export type UploadResult = Upload & { received: string }
+
+export const sleep = (durationMs: number): Promise<void> => new Promise(resolve => { setTimeout(resolve, durationMs) })
+
+const frame = (piece: Buffer, framing: UploadFraming): Buffer =>
+  framing === 'length' ? piece : Buffer.concat([Buffer.from(`${piece.length.toString(16)}\r\n`), piece, Buffer.from('\r\n')])
+
+const write = (socket: Socket, bytes: Buffer | string): Promise<void> => new Promise(resolve => {
+  if (socket.destroyed || !socket.writable) resolve()
+  else socket.write(bytes, () => resolve())
+})
+
+/** @param rest bytes that the caller does not send, or not as a whole chunk */
+const breakOff = async (socket: Socket, how: NonNullable<UploadPlan['cut']>['how'], rest: Buffer): Promise<void> => {
+  if (how === 'malformed') await write(socket, 'zz\r\n')
+  if (how === 'half-chunk') await write(socket, Buffer.concat([Buffer.from('ffff\r\n'), rest.subarray(0, HALF_CHUNK_BYTES)]))
+  if (how === 'reset') socket.resetAndDestroy()
+  else socket.end()
+}
+
+const sendPieces = async (socket: Socket, plan: UploadPlan, body: Buffer): Promise<void> => {
+  const { framing, pieceBytes, gapMs, cut } = plan
+  const endBytes = cut?.afterBytes ?? body.length
+  for (let place = 0; place < endBytes && !socket.destroyed; place += pieceBytes) {
+    await write(socket, frame(body.subarray(place, Math.min(place + pieceBytes, endBytes)), framing))
+    if (gapMs > 0) await sleep(gapMs)
+  }
+  if (cut) await breakOff(socket, cut.how, body.subarray(endBytes))
+  else if (framing === 'chunked') await write(socket, '0\r\n\r\n')
+}
+
+/** Sends one upload on a connection of its own; ends with the connection. */
+export const sendUpload = async (port: number, plan: UploadPlan, timeoutMs: number): Promise<UploadResult> => {
+  const body = createUploadBody(plan.id, plan.sizeBytes)
+  const framing = plan.framing === 'length' ? `content-length: ${body.length}` : 'transfer-encoding: chunked'
+  const lines = [`${plan.method} ${plan.path} HTTP/1.1`, 'host: a', `x-request-id: ${plan.id}`, `x-request-timeout-ms: ${timeoutMs}`, 'connection: close', framing, ...plan.headers ?? []]
+  const socket = connect(port, '127.0.0.1')
+  let received = ''
+  const closed = new Promise<void>(resolve => { socket.once('close', () => resolve()) })
+  const timer = setTimeout(() => socket.destroy(), 2 * timeoutMs)
+  socket.on('error', () => undefined).on('data', chunk => { received += chunk.toString('latin1') })
+  await write(socket, `${lines.join('\r\n')}\r\n\r\n`)
+  if (plan.waitMs !== undefined) await sleep(plan.waitMs)
+  await sendPieces(socket, plan, body)
+  await closed
+  clearTimeout(timer)
+  return { id: plan.id, body, isSentWhole: plan.cut === undefined, received }
+}
