Give a streamed body to one attempt at a time, from its beginning

What callers saw: an upload was answered with 200, and the target had worked on an empty body or on the end of the one that was sent. Cause: after a peer had refused a relayed upload, or its relay was lost, the next attempt opened the body a second time and sent what had not been read yet. In chunks, its end was written like that of a whole body. Each way to a further attempt had to ask whether the body could be opened, and two did not. Change: open returns the whole body or a typed refusal. The sender resets the connection if the beginning is missing or a part was not passed on. Why this works: no path reaches a stream without open, which knows whether all bytes are still there, and the end of a body is written only for all bytes.

--- a/packages/daemon/src/adapters/backend-http.ts
+++ b/packages/daemon/src/adapters/backend-http.ts
@@ -36,12 +36,24 @@
 /** Smallest status that a response can have. */
 const STATUS_MIN = 100
 
+/** Body that is still being received. */
+export type StreamedBody = {
+  /** Holds all bytes that were received so far and gets the others; nothing was read from it yet. */
+  stream: Readable
+  /** Number of bytes that were received so far. */
+  receivedBytes: () => number
+  /** Whether all bytes were received. */
+  isEnded: () => boolean
+}
+
+export type OutgoingBody = Buffer | StreamedBody | null
+
 export type BackendRequest = {
   method: string
   path: string
   /** Raw header list; includes content-length when the length of the body is known. */
   headers: string[]
-  body: Buffer | Readable | null
+  body: OutgoingBody
   /** Whether a response without a length may end with the connection. */
   allowsEndByClose?: boolean
 }
@@ -177,7 +189,9 @@
   let isFinished = false
   /** Ends undici's parsing of the response; without it, undici goes on with what it has read. */
   let abortParsing: (error?: Error) => void = () => undefined
-  const stream = request.body !== null && !Buffer.isBuffer(request.body) ? request.body : undefined
+  const streamed = request.body !== null && !Buffer.isBuffer(request.body) ? request.body : undefined
+  const stream = streamed?.stream
+  let sentBytes = 0
 
   const finish = (): void => {
     isFinished = true
@@ -224,13 +238,25 @@
     return true
   }
 
+  /** undici sends a stream that has ended and is empty as no body, and writes before the stream emits any event. */
+  const prepareStream = ({ stream: source, receivedBytes, isEnded }: StreamedBody): void => {
+    if (source.readableLength !== receivedBytes()) fail({ kind: 'not-sent', message: 'the beginning of the body is missing' })
+    else if (isEnded() && receivedBytes() === 0) allowWrite()
+    // undici writes the head of a streamed request together with its first
+    // chunk. These listeners run directly before undici's own listeners.
+    else source.on('data', allowWrite).on('end', allowEnd).pause()
+  }
+
+  /** Keeps undici from writing the end of a body of which the target did not get everything. */
+  const allowEnd = (): void => {
+    if (allowWrite() && sentBytes !== streamed?.receivedBytes()) fail({ kind: 'lost', message: 'a part of the body was not passed on' })
+  }
+
   const onConnect = (abort: (error?: Error) => void): void => {
     startCount++
     abortParsing = abort
     if (startCount > 1) fail({ kind: 'second-start', message: 'the HTTP client started the request a second time' })
-    // undici writes the head of a streamed request together with its first
-    // chunk. These listeners run directly before undici's own listeners.
-    else if (stream) stream.on('data', allowWrite).on('end', allowWrite).pause()
+    else if (streamed) prepareStream(streamed)
     else allowWrite()
     if (isFinished) abort(new Error('the request was aborted'))
   }
@@ -280,7 +306,11 @@
   }
 
   // undici passes the bytes here, although its types announce their number.
-  const onBodySent = (chunk: unknown): void => { if (!isFinished) handler.onBodyProgress(Buffer.isBuffer(chunk) ? chunk.length : 0) }
+  const onBodySent = (chunk: unknown): void => {
+    const sizeBytes = Buffer.isBuffer(chunk) ? chunk.length : 0
+    sentBytes += sizeBytes
+    if (!isFinished) handler.onBodyProgress(sizeBytes)
+  }
   const body = createChunkJoiner(chunk => {
     if (isFinished) return
     if (held?.add(chunk)) handler.onBodyProgress(0)
@@ -295,7 +325,7 @@
   }
 
   backend.client.dispatch(
-    { method: request.method as 'GET', path: request.path, headers: request.headers, body: request.body },
+    { method: request.method as 'GET', path: request.path, headers: request.headers, body: streamed ? streamed.stream : request.body as Buffer | null },
     { onConnect, onHeaders, onData, onComplete, onError, onBodySent }
   )
   return { resume: () => { if (!isFinished) backend.readGate.release() }, abort: () => { if (!isFinished) destroy() } }
--- a/packages/daemon/src/attempts.ts
+++ b/packages/daemon/src/attempts.ts
@@ -54,6 +54,10 @@
     refuseSuspect(context, exchange)
     return
   }
+  if (!exchange.body.canOpen()) {
+    failConsumedBody(context, exchange, lastResult)
+    return
+  }
   if (!canAttempt(exchange)) {
     failWithoutAttempt(context, exchange, lastResult)
     return
@@ -92,6 +96,12 @@
   if (exchange.attempts.length === 0) failExchange(context, exchange, exchange.unknownResult ?? lastResult ?? 'no-target')
 }
 
+/** Ends a request of which only a part could be sent again, unless one of its attempts is still running. */
+const failConsumedBody = (context: PipelineContext, exchange: Exchange, lastResult: ResultName | undefined): void => {
+  if (exchange.attempts.length > 0) return
+  failExchange(context, exchange, exchange.unknownResult ?? lastResult ?? 'body-consumed', { retryAfterMs: RETRY_AFTER_REFUSAL_MS })
+}
+
 const REFUSAL_RESULTS = { late: 'deadline-unreachable', 'rate-limited': 'target-rate-limited', paused: 'targets-paused' } as const
 
 /**
@@ -202,13 +212,19 @@
 const send = (context: PipelineContext, attempt: Attempt, connection: BackendConnection): void => {
   const { exchange } = attempt
   attempt.connection = connection
+  const opened = exchange.body.open()
+  if (!opened.ok) {
+    abandonAttempt(attempt, 'cancelled', context.clock.nowMs())
+    failConsumedBody(context, exchange, undefined)
+    return
+  }
   connection.onSilent = () => isolateErrors(context, exchange, () => onSilent(context, attempt))
   connection.isWaitingForCaller = () => exchange.body.isWaitingForCaller() || exchange.call.res.writableNeedDrain
   attempt.outgoingRequest = sendRequest(connection, {
     method: exchange.method,
     path: exchange.path,
     headers: exchange.headers.concat(controlHeaders(context, attempt, context.clock.nowMs())),
-    body: exchange.body.open(),
+    body: opened.content,
     allowsEndByClose: context.dialect.allowsEndByClose
   }, createSendHandler(context, attempt))
 }
--- a/packages/daemon/src/request-body.ts
+++ b/packages/daemon/src/request-body.ts
@@ -1,10 +1,15 @@
 /**
  * Body of a caller's request. A small body is collected before the request is
  * sent. A broken upload then counts as not run, the request is written in one
- * piece, and the bytes are available for further attempts. Larger bodies are
- * streamed and can be sent only once.
+ * piece, and the bytes are available for further attempts.
+ *
+ * Larger bodies are streamed, to one attempt at a time. Their beginning is kept, so
+ * that a further attempt can still send all of it after a target or peer refused the
+ * request on its head. Once more has been received than is kept, the body cannot be
+ * opened again: a further attempt could send the rest only.
  */
 import { Readable } from 'node:stream'
+import type { OutgoingBody } from './adapters/backend-http.js'
 import { hasBody, type Call } from './adapters/caller-http.js'
 import { createBodyHash, hashBytes, type BodyHash } from './body-hash.js'
 
@@ -13,9 +18,11 @@
   isPresent: boolean
   /** Calls onReady when the body may be sent; immediately if there is nothing to collect. */
   prepare: (onReady: () => void) => void
-  /** Body for one attempt; a streamed body can be opened only once. */
-  open: () => Buffer | Readable | null
+  /** The whole body for one attempt, or the reason why there is none. */
+  open: () => OpenedBody
   canOpen: () => boolean
+  /** Whether an attempt still reads the body as a stream. */
+  isStreaming: () => boolean
   isComplete: () => boolean
   /** Number of bytes that came from the caller so far. */
   receivedBytes: () => number
@@ -29,9 +36,14 @@
   close: () => void
 }
 
+export type OpenedBody =
+  | { ok: true, content: OutgoingBody }
+  /** Another attempt is reading the body, or has read bytes that are not kept. */
+  | { ok: false, error: 'body-consumed' }
+
 export type RequestBodyOptions = {
   call: Call
-  /** Bodies up to this size are collected before they are sent. */
+  /** Bodies up to this size are collected before they are sent, and as much of larger ones is kept. */
   collectBytesMax: number
   /** Whether a body of unknown size is collected up to the limit. */
   collectsUnknownSize: boolean
@@ -47,8 +59,9 @@
 const NO_BODY: RequestBody = {
   isPresent: false,
   prepare: onReady => onReady(),
-  open: () => null,
+  open: () => ({ ok: true, content: null }),
   canOpen: () => true,
+  isStreaming: () => false,
   isComplete: () => true,
   receivedBytes: () => 0,
   sizeBytes: () => 0,
@@ -71,7 +84,8 @@
 
 const createReceivedBody = ({ call, collectBytesMax, bytesMax, onTooLarge, onProgress }: RequestBodyOptions, isSmall: boolean): RequestBody => {
   const { req } = call
-  const chunks: Buffer[] = []
+  /** All bytes that were received, or nothing once they are more than is kept. */
+  let keptChunks: Buffer[] | undefined = []
   let receivedBytes = 0
   let isCollecting = isSmall
   let isStarted = false
@@ -91,18 +105,23 @@
     receivedBytes += chunk.length
     onProgress()
     bodyHash?.add(chunk)
+    // Without a reader all bytes are kept, and reading stops when they are too many.
+    if (isStreaming() && receivedBytes > collectBytesMax) keptChunks = undefined
+    keptChunks?.push(chunk)
     if (receivedBytes > bytesMax) onTooLarge()
-    else if (stream) { if (!stream.push(chunk)) req.pause() } else {
-      chunks.push(chunk)
-      if (isCollecting && receivedBytes > collectBytesMax) stopCollecting()
-    }
+    else if (isStreaming()) passOn(chunk)
+    else if (!isCollecting) req.pause()
+    else if (receivedBytes > collectBytesMax) stopCollecting()
   }
 
+  const passOn = (chunk: Buffer): void => { if (!stream?.push(chunk)) req.pause() }
+
   const onEnd = (): void => {
     isEnded = true
-    if (stream) stream.push(null)
+    if (isStreaming()) stream?.push(null)
     else if (isCollecting) {
-      collectedBody = chunks.length === 1 ? chunks[0] as Buffer : Buffer.concat(chunks)
+      collectedBody = Buffer.concat(keptChunks ?? [])
+      keptChunks = [collectedBody]
       isCollecting = false
       onReady()
     }
@@ -118,7 +137,7 @@
   /** Hashes what has arrived, and from now on what arrives. */
   const startHash = (): BodyHash => {
     const started = createBodyHash(collectBytesMax)
-    for (const chunk of chunks) started.add(chunk)
+    for (const chunk of keptChunks ?? []) started.add(chunk)
     return started
   }
 
@@ -127,12 +146,23 @@
     stream = new Readable({ read: () => { req.resume() } })
     // The request is informed of errors through its connection. Without a listener they would crash the process.
     stream.on('error', () => undefined)
-    for (const chunk of chunks.splice(0)) stream.push(chunk)
+    for (const chunk of keptChunks ?? []) stream.push(chunk)
+    if (receivedBytes > collectBytesMax) keptChunks = undefined
     if (isEnded) stream.push(null)
     else start()
     return stream
   }
 
+  const isStreaming = (): boolean => stream !== undefined && !stream.destroyed
+
+  const canOpen = (): boolean => collectedBody !== undefined || (keptChunks !== undefined && !isStreaming())
+
+  const open = (): OpenedBody => {
+    if (collectedBody) return { ok: true, content: collectedBody }
+    if (!canOpen()) return { ok: false, error: 'body-consumed' }
+    return { ok: true, content: { stream: openStream(), receivedBytes: () => receivedBytes, isEnded: () => isEnded } }
+  }
+
   return {
     isPresent: true,
     prepare: ready => {
@@ -140,8 +170,9 @@
       if (isSmall) start()
       else ready()
     },
-    open: () => collectedBody ?? openStream(),
-    canOpen: () => collectedBody !== undefined || stream === undefined,
+    open,
+    canOpen,
+    isStreaming,
     isComplete: () => isEnded,
     receivedBytes: () => receivedBytes,
     sizeBytes: () => Math.max(receivedBytes, Number(req.headers['content-length'] ?? 0)),
--- a/packages/daemon/src/response-relay.ts
+++ b/packages/daemon/src/response-relay.ts
@@ -80,7 +80,7 @@
  */
 const dropResponse = (context: PipelineContext, attempt: Attempt, outcome: AttemptFailure): void => {
   const nowMs = context.clock.nowMs()
-  if (!attempt.exchange.body.isComplete()) {
+  if (!attempt.exchange.body.isComplete() || attempt.exchange.body.isStreaming()) {
     abandonAttempt(attempt, outcome, nowMs)
     return
   }
