Take targets that are merely late not for unreachable

What callers saw: uploads were relayed to a peer, and refused there, although the targets were sound. Cause: four failures at two targets, 250 ms after the first one, counted as the loss of all targets. Questions for load without an answer in 30 ms are failures, and targets that read long uploads answer late and send no responses between. One failure could also be seconds older than the others. Change: a connection to a target that opens ends a series that is not complete yet, a time of more than a second in which nothing was tried does not count, and targets_unreachable names the failures that showed it. Once the targets are lost, only a response ends that, as before. Why this works: a network that lets no packet through opens no connection.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -99,8 +99,11 @@
     onRequestLimit: nodeEvents.recordRequestLimit,
     onTargetPause: nodeEvents.recordTargetPause,
     onOpenResult: (targetId, isOpen) => {
-      if (isOpen) relaying.connections.recordSuccess()
-      else relaying.connections.recordFailure(targetId, clock.nowMs())
+      const nowMs = clock.nowMs()
+      if (isOpen) {
+        relaying.connections.recordSuccess()
+        relaying.responses.recordContact(nowMs)
+      } else relaying.connections.recordFailure(targetId, nowMs)
     },
     onSilent: (service, targetId, retired) => {
       for (let count = 0; count < retired.length; count++) metrics.increment('retired_connections')
--- a/packages/daemon/src/node-events.ts
+++ b/packages/daemon/src/node-events.ts
@@ -3,7 +3,7 @@
  * and recorded as a sentence for explain.
  */
 import type { Clock, EventRecord } from '@wisteriavalve/common'
-import type { TargetHealth } from '@wisteriavalve/policy'
+import type { FailureSeries, TargetHealth } from '@wisteriavalve/policy'
 import type { EventEntry } from '@wisteriavalve/schema'
 import type { ExplainQuery } from './admin-api.js'
 import type { SuspectEvent } from './crash-watch.js'
@@ -19,7 +19,7 @@
   recordTargetPause: (service: string, targetId: string, pauseMs: number) => void
   recordConnectionsRetired: (service: string, targetId: string, count: number) => void
   recordProcessPause: (gapMs: number) => void
-  recordReachability: (kind: ReachabilityKind, isLost: boolean) => void
+  recordReachability: (kind: ReachabilityKind, isLost: boolean, series: FailureSeries) => void
   recordSuspect: (event: SuspectEvent) => void
   find: (query: ExplainQuery) => EventEntry[]
 }
@@ -78,9 +78,9 @@
       log('process_paused', { gap_ms: Math.round(gapMs) })
       add({ event: 'process_paused', text: `This process did not run for ${Math.round(gapMs)} ms; requests that were routed before and not sent are routed again.` })
     },
-    recordReachability: (kind, isLost) => {
+    recordReachability: (kind, isLost, { failureCount, targetCount, durationMs }) => {
       const event = isLost ? 'targets_unreachable' : 'targets_reachable'
-      log(event, { kind })
+      log(event, { kind, ...(isLost && { failures: failureCount, targets: targetCount, series_ms: Math.round(durationMs) }) })
       add({ event, text: isLost ? `No target gives this node a ${kind}; requests are relayed to peers.` : `Targets give this node a ${kind} again.` })
     },
     recordSuspect: ({ identity, service, targetId, requestId, caller, crashCount }) => {
--- a/packages/daemon/src/relaying.ts
+++ b/packages/daemon/src/relaying.ts
@@ -126,16 +126,17 @@
 export const createReachabilityLog = ({ responses, connections }: Relaying, report: NodeEvents['recordReachability']): { update: (nowMs: number) => void } => {
   const lost = { response: false, connection: false }
 
-  const updateKind = (kind: ReachabilityKind, isLost: boolean): void => {
+  const updateKind = (kind: ReachabilityKind, reachability: Reachability, nowMs: number): void => {
+    const isLost = reachability.isLost(nowMs)
     if (lost[kind] === isLost) return
     lost[kind] = isLost
-    report(kind, isLost)
+    report(kind, isLost, reachability.series(nowMs))
   }
 
   return {
     update: nowMs => {
-      updateKind('response', responses.isLost(nowMs))
-      updateKind('connection', connections.isLost(nowMs))
+      updateKind('response', responses, nowMs)
+      updateKind('connection', connections, nowMs)
     }
   }
 }
--- a/packages/daemon/test/relayed-uploads.test.ts
+++ b/packages/daemon/test/relayed-uploads.test.ts
@@ -20,6 +20,8 @@
 /** Larger than what is kept of a body for further attempts. */
 const LARGE_BYTES = 900_000
 const PIECE_BYTES = 10_000
+/** Later than a node waits for the load report of a target. */
+const LATE_PROBE_MS = 80
 /** Sent so slowly that a refusal comes before more than what is kept. */
 const SLOW_UPLOAD = { sizeBytes: 200_000, gapMs: 60 }
 
@@ -50,7 +52,7 @@
 const createPlan = (fields: Partial<UploadPlan>): UploadPlan =>
   ({ id: 'u-1', method: 'POST', path: '/shop/u', sizeBytes: LARGE_BYTES, framing: 'chunked', pieceBytes: PIECE_BYTES, gapMs: 2, ...fields })
 
-const refuse: RespondToUpload = (_req, res) => { res.writeHead(503, { 'x-result-code': 'WV-1021', 'x-result-class': 'not-run', connection: 'close' }).end('{}') }
+const refuse: RespondToUpload = (_req, res) => { res.writeHead(503, { 'x-result-code': 'WV-1021', 'x-result-class': 'not-run' }).end('{}') }
 const refuseAfterBody: RespondToUpload = (req, res, read) => { req.on('end', () => refuse(req, res, read)) }
 const reset: RespondToUpload = req => { req.once('data', () => req.socket.resetAndDestroy()) }
 
@@ -95,3 +97,19 @@
   t.regex(upload.received, /^HTTP\/1\.1 200/)
   t.deepEqual(reads.map(({ bytes, isWhole }) => ({ isWhole, isSame: bytes.equals(createUploadBody('u-1', SLOW_UPLOAD.sizeBytes)) })), [{ isWhole: true, isSame: true }])
 })
+
+test('a node whose targets read long uploads and answer its questions late relays nothing', async t => {
+  const reads: BodyRead[] = []
+  const targets = await Promise.all(['t1', 't2', 't3'].map(name => startUploadTarget(t, name, reads, respondAfterBody, { probeDelayMs: LATE_PROBE_MS })))
+  const peer = await startUploadTarget(t, 'peer', [], respondAfterBody)
+  const daemon = await startDaemon([createService(targets.map(({ port }) => port), { kinds: KINDS })], { probesBeforeAttempt: true, probesPerTargetPerS: 60 })
+  daemon.fleet.members = () => peersOf([peer])
+  await sleep(PEERS_READ_MS)
+  const uploads = await Promise.all(Array.from({ length: 12 }, async (_, index) => {
+    await sleep(50 * index)
+    return sendUpload(daemon.port, createPlan({ id: `u-${index}`, sizeBytes: 200_000, gapMs: 30 }), TIMEOUT_MS)
+  }))
+  t.deepEqual(daemon.lines.filter(line => line.includes('event=targets_unreachable')), [])
+  t.deepEqual(uploads.filter(({ received }) => !received.startsWith('HTTP/1.1 200')).map(({ received }) => received), [])
+  t.is(reads.filter(({ isWhole }) => isWhole).length, uploads.length)
+})
--- a/packages/daemon/test/uploads.ts
+++ b/packages/daemon/test/uploads.ts
@@ -9,6 +9,7 @@
 /** Number of bytes after which the text of a body changes. */
 const LINE_BYTES = 16
 const HALF_CHUNK_BYTES = 100
+const LOAD_REPORT = 'TEXT named_metrics.in_flight=1,named_metrics.slots=4'
 
 /** Body of which each line names the request and the place of the line. */
 export const createUploadBody = (id: string, sizeBytes: number): Buffer => {
@@ -42,11 +43,13 @@
 export type RespondToUpload = (req: IncomingMessage, res: ServerResponse, read: BodyRead) => void
 
 /** Target that records what it reads of each body, and leaves reading and answering to `respond`. */
-export const startUploadTarget = async (t: ExecutionContext, name: string, reads: BodyRead[], respond: RespondToUpload): Promise<UploadTarget> => {
+export const startUploadTarget = async (
+  t: ExecutionContext, name: string, reads: BodyRead[], respond: RespondToUpload, { probeDelayMs = 0 } = {}
+): Promise<UploadTarget> => {
   const server = createServer((req, res) => {
     // A probe.
     if (req.method === 'GET') {
-      res.end()
+      setTimeout(() => res.setHeader('endpoint-load-metrics', LOAD_REPORT).end(), probeDelayMs)
       return
     }
     const id = String(req.headers['x-request-id'])
--- a/packages/policy/test/reachability.test.ts
+++ b/packages/policy/test/reachability.test.ts
@@ -47,6 +47,35 @@
   t.false(reachability.isLost(60_300))
 })
 
+test('a failure of seconds ago and a few within a moment are no loss', t => {
+  const reachability = createReachability(() => 12)
+  fail(reachability, ['a'], 1_000, 0)
+  fail(reachability, ['b', 'c', 'd'], 5_400, 5)
+  t.false(reachability.isLost(5_420))
+  fail(reachability, ['a', 'b', 'c'], 5_500, 100)
+  t.true(reachability.isLost(5_700))
+})
+
+test('the loss is noticed by a node that tries a target every two seconds only', t => {
+  const reachability = createReachability(() => 12)
+  for (let nowMs = 1_000; nowMs <= 5_000; nowMs += 2_000) fail(reachability, ['a', 'b'], nowMs, 150)
+  t.true(reachability.isLost(5_150))
+})
+
+test('targets that are late while connections to them open are not lost, but those that were lost stay so until one answers', t => {
+  const reachability = createReachability(() => 12)
+  for (let nowMs = 1_000; nowMs < 3_000; nowMs += 100) {
+    fail(reachability, ['a', 'b'], nowMs, 30)
+    reachability.recordContact(nowMs + 50)
+    t.false(reachability.isLost(nowMs + 60))
+  }
+  fail(reachability, ['a', 'b', 'c', 'd'], 3_000, 100)
+  reachability.recordContact(3_300)
+  t.true(reachability.isLost(3_300))
+  reachability.recordSuccess()
+  t.false(reachability.isLost(3_300))
+})
+
 test('a target is tried at most once in 250 ms while all are lost', t => {
   const reachability = createReachability(() => 12)
   const trials = Array.from({ length: 1_000 }, (_, nowMs) => reachability.takeTrial(nowMs)).filter(Boolean).length
