Pass an upload on to its end when the target reports success early

What callers saw: an upload was answered with 200, and its target had only the beginning of the body. Cause: undici closes a connection whose response is complete while its request is still being written. A target that answers before it has read the body, and reads on, lost the rest. Change: a success on a connection that stays open is held back at the socket until the request is written, for at most 250 ms without progress of the body and until 50 ms before the deadline. Other early responses are passed on at once. Why this works: undici sees no response before it has written the request, so it has no reason to close the connection.

--- a/packages/daemon/src/adapters/backend-http.ts
+++ b/packages/daemon/src/adapters/backend-http.ts
@@ -18,17 +18,20 @@
  * line. A response that exceeds the limits of response-limits.ts counts as
  * broken, and its connection is closed at once.
  *
- * Reading is held back at the socket and not in undici; see read-gate.ts.
+ * Reading is held back at the socket and not in undici; see read-gate.ts. It is held
+ * back as well while a target that has reported success early still gets the body; see
+ * early-response.ts.
  */
 import { connect, type Socket } from 'node:net'
 import type { Readable } from 'node:stream'
 import { resetSocket } from '@wisteriavalve/common'
-import { Client } from 'undici'
+import { Client, type Dispatcher } from 'undici'
 import {
   BACKEND_IDLE_MS, CONNECT_TIMEOUT_MS, INFORMATIONAL_HEADS_MAX, RESPONSE_HEADER_BYTES_MAX, UNSIZED_RESPONSE_BYTES_MAX
 } from '../constants.js'
 import { rawHeader } from '../headers.js'
 import { createChunkJoiner } from './chunk-joiner.js'
+import { createEarlyResponseHold } from './early-response.js'
 import { createHeldResponse, type HeldResponse } from './held-response.js'
 import { createReadGate, type ReadGate, type ReadPace } from './read-gate.js'
 import { createResponseLimits } from './response-limits.js'
@@ -56,6 +59,8 @@
   body: OutgoingBody
   /** Whether a response without a length may end with the connection. */
   allowsEndByClose?: boolean
+  /** Longest time for which a success that comes early may wait for the rest of the body; without a limit by default. */
+  earlyResponseMsMax?: number
 }
 
 export type BackendSocket = {
@@ -193,8 +198,12 @@
   const stream = streamed?.stream
   let sentBytes = 0
 
+  const earlyResponse = createEarlyResponseHold(request.earlyResponseMsMax, backend.readGate.passHeldPiece)
+  if (!streamed) earlyResponse.end()
+
   const finish = (): void => {
     isFinished = true
+    earlyResponse.end()
     held?.drop()
     backend.readGate.setPacing(undefined)
     backend.readGate.release()
@@ -233,7 +242,7 @@
       return false
     }
     isWritten = true
-    backend.readGate.setPacing({ choosePace, onPiece: limits.recordPiece })
+    backend.readGate.setPacing({ choosePace, onPiece: limits.recordPiece, holdsBack: piece => !hasHead && earlyResponse.tryHold(piece) })
     handler.onWritten()
     return true
   }
@@ -309,6 +318,7 @@
   const onBodySent = (chunk: unknown): void => {
     const sizeBytes = Buffer.isBuffer(chunk) ? chunk.length : 0
     sentBytes += sizeBytes
+    earlyResponse.recordProgress()
     if (!isFinished) handler.onBodyProgress(sizeBytes)
   }
   const body = createChunkJoiner(chunk => {
@@ -324,9 +334,12 @@
     return true
   }
 
+  // undici calls onRequestSent when it has written all of the request; its types leave that out.
+  const undiciHandler: Dispatcher.DispatchHandler & { onRequestSent: () => void } =
+    { onConnect, onHeaders, onData, onComplete, onError, onBodySent, onRequestSent: earlyResponse.end }
   backend.client.dispatch(
     { method: request.method as 'GET', path: request.path, headers: request.headers, body: streamed ? streamed.stream : request.body as Buffer | null },
-    { onConnect, onHeaders, onData, onComplete, onError, onBodySent }
+    undiciHandler
   )
   return { resume: () => { if (!isFinished) backend.readGate.release() }, abort: () => { if (!isFinished) destroy() } }
 }
--- a/packages/daemon/src/adapters/read-gate.ts
+++ b/packages/daemon/src/adapters/read-gate.ts
@@ -11,6 +11,9 @@
  * undici also parses all bytes that it gets at once. Bytes that cost more time
  * than others are therefore handed out in small pieces, within a share of the
  * processor that all connections have together.
+ *
+ * A piece can also be held back before undici has seen any of it, with all that
+ * follows it, until `passHeldPiece` or the end of the connection.
  */
 import type { Socket } from 'node:net'
 import { PIECE_BYTES, SLOW_PIECE_BYTES, SLOW_READING_MS, SLOW_READING_PAUSE_MS } from '../constants.js'
@@ -24,6 +27,8 @@
   choosePace: () => ReadPace
   /** Called with each piece before it is parsed. */
   onPiece: (piece: Buffer, pace: ReadPace) => void
+  /** Called with each piece before it is handed out; returns true to hold it back. */
+  holdsBack?: (piece: Buffer) => boolean
 }
 
 export type ReadGate = {
@@ -31,6 +36,8 @@
   hold: () => void
   /** Continues reading, after the current call stack. */
   release: () => void
+  /** Hands out a piece that is held back, after the current call stack. */
+  passHeldPiece: () => void
   /** Sets the pace of the running request; undefined removes it. */
   setPacing: (pacing: ReadPacing | undefined) => void
 }
@@ -47,6 +54,8 @@
   let isHeld = false
   let isWaiting = false
   let pacing: ReadPacing | undefined
+  let heldPiece: Buffer | undefined
+  let isHoldingPiece = false
 
   const continueReading = (): void => { if (!isHeld && !socket.destroyed) socket.emit('readable') }
 
@@ -65,7 +74,27 @@
     if (pace === 'stop' || (pace === 'slow' && socket.readableLength > 0 && !startSlowPiece())) return null
     const bytesMax = pace === 'slow' ? SLOW_PIECE_BYTES : pace === 'piecewise' ? PIECE_BYTES : Infinity
     const piece: Buffer | null = socket.readableLength > bytesMax ? read(bytesMax) : read()
-    if (piece) pacing?.onPiece(piece, pace)
+    if (!piece) return null
+    if (pacing?.holdsBack?.(piece)) {
+      heldPiece = piece
+      isHoldingPiece = true
+      return null
+    }
+    pacing?.onPiece(piece, pace)
+    return piece
+  }
+
+  // Runs before undici's own listener, which takes the end for that of a response that it has not seen.
+  socket.prependListener('end', () => {
+    if (!isHoldingPiece) return
+    isHoldingPiece = false
+    continueReading()
+  })
+
+  const takeHeldPiece = (): Buffer | undefined => {
+    const piece = heldPiece
+    heldPiece = undefined
+    if (piece) pacing?.onPiece(piece, 'free')
     return piece
   }
 
@@ -73,7 +102,8 @@
   socket.read = size => {
     if (size === 0) return read(0)
     slowReading.end()
-    return isHeld ? null : readPiece(pacing?.choosePace() ?? 'free')
+    if (isHeld || isHoldingPiece) return null
+    return takeHeldPiece() ?? readPiece(pacing?.choosePace() ?? 'free')
   }
 
   return {
@@ -84,6 +114,11 @@
       // undici's parser must not be entered again from one of its own callbacks.
       queueMicrotask(continueReading)
     },
+    passHeldPiece: () => {
+      if (!isHoldingPiece) return
+      isHoldingPiece = false
+      queueMicrotask(continueReading)
+    },
     setPacing: next => { pacing = next }
   }
 }
--- a/packages/daemon/src/attempts.ts
+++ b/packages/daemon/src/attempts.ts
@@ -11,7 +11,7 @@
 import { abandonAttempt, attemptsLeft, isWritten, type Attempt, type Exchange } from './exchange.js'
 import type { AttemptPurpose, PipelineContext } from './pipeline-context.js'
 import { permitWaitMaxMs, place, type PlacementOutcome } from './placement.js'
-import { LEAVING_RETRY_AFTER_MS } from './constants.js'
+import { EARLY_RESPONSE_MARGIN_MS, LEAVING_RETRY_AFTER_MS } from './constants.js'
 import { scheduleHedge } from './hedging.js'
 import { cannotReachTargets, CUT_OFF_RETRY_AFTER_MS, delegateAttempts, isCutOff, isRelayed, reclaimAttempts, selectRelayPeer, tryTargetAgain } from './relaying.js'
 import { excludedTargets, isTaken, reserveTarget } from './suspect-isolation.js'
@@ -225,7 +225,8 @@
     path: exchange.path,
     headers: exchange.headers.concat(controlHeaders(context, attempt, context.clock.nowMs())),
     body: opened.content,
-    allowsEndByClose: context.dialect.allowsEndByClose
+    allowsEndByClose: context.dialect.allowsEndByClose,
+    earlyResponseMsMax: exchange.deadlineMs - context.clock.nowMs() - EARLY_RESPONSE_MARGIN_MS
   }, createSendHandler(context, attempt))
 }
 
--- a/packages/daemon/src/constants.ts
+++ b/packages/daemon/src/constants.ts
@@ -60,6 +60,10 @@
 /** Limits for holding a response without a length until its end is known. */
 export const HELD_RESPONSE_BYTES_MAX = 65_536
 export const HELD_RESPONSE_MS_MAX = 250
+/** Time without progress of a request's body after which a success of its target waits no longer for the rest. */
+export const EARLY_RESPONSE_IDLE_MS = 250
+/** Time that is left to pass such a response on before the deadline. */
+export const EARLY_RESPONSE_MARGIN_MS = 50
 /** Time for which a target that sent a response for another request gets a new connection for each request. */
 export const FOREIGN_RESPONSE_HOLD_MS = 10_000
 
