Keep the order of delayed bytes in the proxy of the tests

Cause: bytes that came when the delay of those before them had just passed, but their timer had not fired, were forwarded at once and overtook them. Change: one queue a direction; steps run in their order when they are due. Result: the test of numbered pieces fails on the code before and passes now.

--- a/packages/testbench/src/proxy/tcp.ts
+++ b/packages/testbench/src/proxy/tcp.ts
@@ -80,12 +80,19 @@
 
   const relay = (connection: ProxiedConnection, direction: Direction, from: net.Socket, to: net.Socket): void => {
     let nextStepMs = 0
-    const scheduleStep = (step: () => void): void => {
+    const delayedSteps: { dueMs: number, step: () => void }[] = []
+    /** Runs the steps that are due. Those that are not, and those behind them, stay in their order. */
+    const runDueSteps = (): void => {
       const nowMs = performance.now()
+      while (delayedSteps[0] && delayedSteps[0].dueMs <= nowMs) runOrHold(connection, direction, (delayedSteps.shift() as typeof delayedSteps[0]).step)
+      if (delayedSteps[0]) setTimeout(runDueSteps, delayedSteps[0].dueMs - nowMs)
+    }
+    const scheduleStep = (step: () => void): void => {
       const stallMs = lossShare > 0 && random.next() < lossShare ? LOSS_STALL_MS : 0
-      nextStepMs = Math.max(nextStepMs, nowMs + delayMs + stallMs)
-      if (nextStepMs <= nowMs) runOrHold(connection, direction, step)
-      else setTimeout(() => runOrHold(connection, direction, step), nextStepMs - nowMs)
+      nextStepMs = Math.max(nextStepMs, performance.now() + delayMs + stallMs)
+      delayedSteps.push({ dueMs: nextStepMs, step })
+      // Otherwise a timer is set already.
+      if (delayedSteps.length === 1) runDueSteps()
     }
     const forward = (chunk: Buffer): void => {
       if (to.destroyed) return
--- a/packages/testbench/test/proxy.test.ts
+++ b/packages/testbench/test/proxy.test.ts
@@ -46,6 +46,24 @@
   t.false(hasReceived)
 })
 
+test('delayed bytes keep their order, also when the delay changes and timers are late', async t => {
+  const proxy = await setUp(t)
+  const socket = await connect(proxy)
+  socket.setNoDelay(true)
+  const numbers = Array.from({ length: 600 }, (_, index) => `${index} `)
+  let received = ''
+  socket.on('data', chunk => { received += String(chunk) })
+  for (const [index, text] of numbers.entries()) {
+    proxy.setDelayMs(index % 50 < 25 ? 0.4 : 0)
+    socket.write(text)
+    await new Promise(resolve => { setImmediate(resolve) })
+  }
+  proxy.setDelayMs(0)
+  const sent = numbers.join('')
+  while (received.length < sent.length) await once(socket, 'data')
+  t.is(received, sent)
+})
+
 test('bytes held back in a blocked direction arrive when it is unblocked', async t => {
   const proxy = await setUp(t)
   const socket = await connect(proxy)
