--- a/packages/daemon/src/adapters/backend-http.ts
+++ b/packages/daemon/src/adapters/backend-http.ts
@@ -23,7 +23,6 @@
  * early-response.ts.
  */
 import { connect, type Socket } from 'node:net'
-import type { Readable } from 'node:stream'
 import { resetSocket } from '@wisteriavalve/common'
 import { Client, type Dispatcher } from 'undici'
 import {
@@ -35,22 +34,11 @@
 import { createHeldResponse, type HeldResponse } from './held-response.js'
 import { createReadGate, type ReadGate, type ReadPace } from './read-gate.js'
 import { createResponseLimits } from './response-limits.js'
+import { createStreamedBodyChecks, type OutgoingBody } from './streamed-body.js'
 
 /** Smallest status that a response can have. */
 const STATUS_MIN = 100
 
-/** Body that is still being received. */
-export type StreamedBody = {
-  /** Holds all bytes that were received so far and gets the others; nothing was read from it yet. */
-  stream: Readable
-  /** Number of bytes that were received so far. */
-  receivedBytes: () => number
-  /** Whether all bytes were received. */
-  isEnded: () => boolean
-}
-
-export type OutgoingBody = Buffer | StreamedBody | null
-
 export type BackendRequest = {
   method: string
   path: string
@@ -194,9 +182,8 @@
   let isFinished = false
   /** Ends undici's parsing of the response; without it, undici goes on with what it has read. */
   let abortParsing: (error?: Error) => void = () => undefined
+  const collectedBody = Buffer.isBuffer(request.body) ? request.body : null
   const streamed = request.body !== null && !Buffer.isBuffer(request.body) ? request.body : undefined
-  const stream = streamed?.stream
-  let sentBytes = 0
 
   const earlyResponse = createEarlyResponseHold(request.earlyResponseMsMax, backend.readGate.passHeldPiece)
   if (!streamed) earlyResponse.end()
@@ -212,7 +199,7 @@
   const destroy = (): void => {
     finish()
     closeBackendSocket(backend)
-    stream?.destroy()
+    streamed?.stream.destroy()
   }
 
   const fail = (failure: SendFailure): void => {
@@ -247,25 +234,13 @@
     return true
   }
 
-  /** undici sends a stream that has ended and is empty as no body, and writes before the stream emits any event. */
-  const prepareStream = ({ stream: source, receivedBytes, isEnded }: StreamedBody): void => {
-    if (source.readableLength !== receivedBytes()) fail({ kind: 'not-sent', message: 'the beginning of the body is missing' })
-    else if (isEnded() && receivedBytes() === 0) allowWrite()
-    // undici writes the head of a streamed request together with its first
-    // chunk. These listeners run directly before undici's own listeners.
-    else source.on('data', allowWrite).on('end', allowEnd).pause()
-  }
-
-  /** Keeps undici from writing the end of a body of which the target did not get everything. */
-  const allowEnd = (): void => {
-    if (allowWrite() && sentBytes !== streamed?.receivedBytes()) fail({ kind: 'lost', message: 'a part of the body was not passed on' })
-  }
+  const bodyChecks = streamed && createStreamedBodyChecks(streamed, allowWrite, fail)
 
   const onConnect = (abort: (error?: Error) => void): void => {
     startCount++
     abortParsing = abort
     if (startCount > 1) fail({ kind: 'second-start', message: 'the HTTP client started the request a second time' })
-    else if (streamed) prepareStream(streamed)
+    else if (bodyChecks) bodyChecks.start()
     else allowWrite()
     if (isFinished) abort(new Error('the request was aborted'))
   }
@@ -317,7 +292,7 @@
   // undici passes the bytes here, although its types announce their number.
   const onBodySent = (chunk: unknown): void => {
     const sizeBytes = Buffer.isBuffer(chunk) ? chunk.length : 0
-    sentBytes += sizeBytes
+    bodyChecks?.recordSent(sizeBytes)
     earlyResponse.recordProgress()
     if (!isFinished) handler.onBodyProgress(sizeBytes)
   }
@@ -338,7 +313,7 @@
   const undiciHandler: Dispatcher.DispatchHandler & { onRequestSent: () => void } =
     { onConnect, onHeaders, onData, onComplete, onError, onBodySent, onRequestSent: earlyResponse.end }
   backend.client.dispatch(
-    { method: request.method as 'GET', path: request.path, headers: request.headers, body: streamed ? streamed.stream : request.body as Buffer | null },
+    { method: request.method as 'GET', path: request.path, headers: request.headers, body: streamed?.stream ?? collectedBody },
     undiciHandler
   )
   return { resume: () => { if (!isFinished) backend.readGate.release() }, abort: () => { if (!isFinished) destroy() } }
--- a/packages/daemon/src/attempts.ts
+++ b/packages/daemon/src/attempts.ts
@@ -5,6 +5,7 @@
 import { selectTarget, splitRetryAllowance, type AttemptFailure } from '@wisteriavalve/policy'
 import type { ResultName, Target } from '@wisteriavalve/schema'
 import { sendRequest, type SendFailure, type SendHandler } from './adapters/backend-http.js'
+import { failConsumedBody, failWithoutAttempt, refuseSuspect, RETRY_AFTER_REFUSAL_MS } from './attempt-refusals.js'
 import { canWrite, controlHeaders, isTargetClosed } from './attempt-writes.js'
 import type { BackendConnection } from './backend-connections.js'
 import { relayDestination, targetDestination, type Destination } from './destination.js'
@@ -20,12 +21,6 @@
 import { dropData, endResponse, onResponseHead, relayData } from './response-relay.js'
 import { failExchange, isolateErrors, onDeadline } from './completion.js'
 
-/**
- * Retry-After for a request that the tried targets refused or could not accept.
- * It is short because the caller's next try goes to other targets.
- */
-const RETRY_AFTER_REFUSAL_MS = 40
-
 /** Maximum number of further connections per attempt after one was lost before the write. */
 const REACQUIRE_MAX = 2
 
@@ -43,12 +38,6 @@
   return forwarded
 }
 
-/** Keeps a request under which targets ended from the next target. An attempt that is running goes on. */
-const refuseSuspect = (context: PipelineContext, exchange: Exchange): void => {
-  exchange.isHedged = true
-  if (exchange.attempts.length === 0) failExchange(context, exchange, exchange.unknownResult ?? 'request-crashes-targets', { detail: context.crashWatch.describe(exchange) })
-}
-
 export const startAttempt = (context: PipelineContext, exchange: Exchange, purpose: AttemptPurpose, lastResult?: ResultName): void => {
   if (context.crashWatch.isRefused(exchange, purpose)) {
     refuseSuspect(context, exchange)
@@ -91,17 +80,6 @@
 
 const canAttempt = (exchange: Exchange): boolean => attemptsLeft(exchange) >= 1
 
-/** Ends a request that may not be sent again, unless one of its attempts is still running. */
-const failWithoutAttempt = (context: PipelineContext, exchange: Exchange, lastResult: ResultName | undefined): void => {
-  if (exchange.attempts.length === 0) failExchange(context, exchange, exchange.unknownResult ?? lastResult ?? 'no-target')
-}
-
-/** Ends a request of which only a part could be sent again, unless one of its attempts is still running. */
-const failConsumedBody = (context: PipelineContext, exchange: Exchange, lastResult: ResultName | undefined): void => {
-  if (exchange.attempts.length > 0) return
-  failExchange(context, exchange, exchange.unknownResult ?? lastResult ?? 'body-consumed', { retryAfterMs: RETRY_AFTER_REFUSAL_MS })
-}
-
 const REFUSAL_RESULTS = { late: 'deadline-unreachable', 'rate-limited': 'target-rate-limited', paused: 'targets-paused' } as const
 
 /**
--- a/packages/daemon/src/request-body.ts
+++ b/packages/daemon/src/request-body.ts
@@ -9,8 +9,8 @@
  * opened again: a further attempt could send the rest only.
  */
 import { Readable } from 'node:stream'
-import type { OutgoingBody } from './adapters/backend-http.js'
 import { hasBody, type Call } from './adapters/caller-http.js'
+import type { OutgoingBody } from './adapters/streamed-body.js'
 import { createBodyHash, hashBytes, type BodyHash } from './body-hash.js'
 
 export type RequestBody = {
