Leave out of a datagram what only a later release knows

Cause: one note with an observation, or one update with a state, that a release does not know made it reject the whole datagram, with the membership messages in it. A release that adds one could not run beside an earlier one. Change: such notes and updates are left out, the rest is applied. Result: the test fails on the code before and passes now.

--- a/packages/daemon/src/fleet/datagram-codec.ts
+++ b/packages/daemon/src/fleet/datagram-codec.ts
@@ -74,6 +74,10 @@
   return omitAbsent({ service, targetId, observation: OBSERVATIONS[observation as number], ageMs, inFlight, byProbe, limitPerS, pauseMs, isStated, crashedRequest })
 }
 
+/** Leaves out what only a later release knows, so that it does not spoil the rest of the datagram. */
+const unpackKnown = (values: unknown, unpack: (value: unknown) => Record<string, unknown>, kindField: string): Record<string, unknown>[] =>
+  asArray(values).map(unpack).filter(fields => kindField in fields)
+
 const unpackOrder = (value: unknown): Record<string, unknown> => {
   const [restoreCount, revision, hash] = asArray(value)
   return { restoreCount, revision, headHash: hash instanceof Uint8Array ? Buffer.from(hash).toString('hex') : undefined }
@@ -86,8 +90,8 @@
     nonce,
     subject,
     sender: unpackUpdate(sender),
-    updates: asArray(updates).map(unpackUpdate),
-    notes: asArray(notes).map(unpackNote),
+    updates: unpackKnown(updates, unpackUpdate, 'state'),
+    notes: unpackKnown(notes, unpackNote, 'observation'),
     configuration: configuration === null ? null : unpackOrder(configuration)
   })
 }
--- a/packages/daemon/test/recorded-messages.test.ts
+++ b/packages/daemon/test/recorded-messages.test.ts
@@ -24,6 +24,15 @@
   })
 }
 
+test('a state and an observation that only a later release knows spoil nothing else in the datagram', t => {
+  const { message } = RECORDED_DATAGRAMS.find(({ kind }) => kind === 'ack') as typeof RECORDED_DATAGRAMS[number]
+  const [update] = message.updates
+  const [note] = message.notes
+  const later = { ...message, updates: [{ ...update, state: 'later' }, ...message.updates], notes: [{ ...note, observation: 'later' }, ...message.notes] }
+  const decoded = codec.decode(codec.encode(later as typeof message, 1))
+  t.deepEqual(decoded.ok && decoded.value.message, message)
+})
+
 /** Inputs of calls of landed releases; those of the first ones name neither a restore count nor a configuration. */
 const RECORDED_CALLS: Record<'values' | 'vmList' | 'published' | 'changes' | 'permit', unknown[]> = {
   values: [['ab'.repeat(32)]],
