List in body_sent only the attempts that were written

Cause: an attempt that found its connection closed before the write counted as one that passed on too little of the body. Change: an attempt is listed with its first byte.

--- a/packages/daemon/src/attempts.ts
+++ b/packages/daemon/src/attempts.ts
@@ -211,7 +211,6 @@
 const createSendHandler = (context: PipelineContext, attempt: Attempt): SendHandler => {
   const { exchange } = attempt
   const bodySend = { targetId: attempt.targetId, sentBytes: 0 }
-  if (exchange.body.isPresent) exchange.bodySends.push(bodySend)
   const recordProgress = (): number => {
     const nowMs = context.clock.nowMs()
     exchange.lastProgressMs = nowMs
@@ -223,6 +222,7 @@
     onWritten: () => {
       const nowMs = context.clock.nowMs()
       attempt.writtenMs = nowMs
+      if (exchange.body.isPresent) exchange.bodySends.push(bodySend)
       if (attempt.isRelay) delegateAttempts(attempt)
       else exchange.sendCount++
       exchange.firstWrittenMs ??= nowMs
--- a/packages/daemon/src/exchange.ts
+++ b/packages/daemon/src/exchange.ts
@@ -41,7 +41,7 @@
   /** Whether the connection of an attempt broke after the request was sent. */
   hasLostTarget: boolean
   triedTargetIds: Set<string>
-  /** What each attempt passed on of the body, in the order of the attempts. */
+  /** What each attempt that was written passed on of the body, in their order. */
   bodySends: BodySend[]
   attempts: Attempt[]
   attemptCount: number
