--- a/packages/daemon/src/load-probes.ts
+++ b/packages/daemon/src/load-probes.ts
@@ -5,7 +5,6 @@
  */
 import { sendRequest, type OutgoingRequest } from './adapters/backend-http.js'
 import type { BackendConnection, ConnectionWaiter, TargetConnections } from './backend-connections.js'
-import { WHEEL_TICK_MS } from './constants.js'
 import { rawHeader } from './headers.js'
 import type { PipelineContext } from './pipeline-context.js'
 import type { ServiceRuntime } from './service-runtimes.js'
@@ -13,8 +12,6 @@
 /** Responses normally take a few ms; a later one is of no use for the selection. */
 const PROBE_TIMEOUT_MS = 30
 const BODY_BYTES_MAX = 16_384
-/** Delay of a timer above which this process was busy; timers are late by up to one tick of the wheel. */
-const TIMER_DELAY_MS_MAX = 2 * WHEEL_TICK_MS
 
 /**
  * @param done called once: with true if the target answered or is no longer
@@ -38,13 +35,12 @@
     done(isAnswered)
   }
 
-  /** @param countsAsUnreachable whether the target may be out of reach */
-  const fail = (countsAsUnreachable = true): void => {
+  const fail = (): void => {
     if (isFinished) return
     if (connection) pool.discard(connection)
     const nowMs = context.clock.nowMs()
     runtime.table.recordLoadProbeFailure(targetId, nowMs)
-    if (countsAsUnreachable) context.relaying.responses.recordFailure(targetId, nowMs)
+    context.relaying.responses.recordFailure(targetId, nowMs)
     finish(false)
   }
 
@@ -86,7 +82,7 @@
         // The connection is available to the request only after the deferred part of the release.
         queueMicrotask(() => finish(true))
       },
-      onFailure: () => fail()
+      onFailure: fail
     })
   }
 
@@ -96,16 +92,14 @@
       if (isFinished) pool.release(opened)
       else send(opened)
     },
-    fail: () => fail()
+    fail
   }
 
-  const timeoutMs = context.clock.nowMs() + PROBE_TIMEOUT_MS
-  const timer = context.wheel.schedule(timeoutMs, () => {
+  const timer = context.wheel.schedule(context.clock.nowMs() + PROBE_TIMEOUT_MS, () => {
     if (isFinished) return
     pool.cancel(waiter)
     outgoingRequest?.abort()
-    // When this process was busy, the answer may have come and not been read.
-    fail(context.clock.nowMs() - timeoutMs <= TIMER_DELAY_MS_MAX)
+    fail()
   })
   context.recorder.probed()
   pool.acquire(waiter)
