--- a/packages/daemon/test/uploads.ts
+++ b/packages/daemon/test/uploads.ts
@@ -44,7 +44,7 @@
 
 /** Target that records what it reads of each body, and leaves reading and answering to `respond`. */
 export const startUploadTarget = async (
-  t: ExecutionContext, name: string, reads: BodyRead[], respond: RespondToUpload, { probeDelayMs = 0 } = {}
+  t: ExecutionContext, name: string, reads: BodyRead[], respond: RespondToUpload, { probeDelayMs = 0, host = '127.0.0.1' } = {}
 ): Promise<UploadTarget> => {
   const server = createServer((req, res) => {
     // A probe.
@@ -65,7 +65,7 @@
     res.on('error', () => undefined)
     respond(req, res, read)
   })
-  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+  await new Promise<void>(resolve => { server.listen(0, host, resolve) })
   t.teardown(() => {
     server.close()
     server.closeAllConnections()
@@ -91,6 +91,12 @@
   /** Number of bytes after which the caller leaves, and how; a body that is sent whole has none. */
   cut?: { afterBytes: number, how: 'end' | 'reset' | 'malformed' | 'half-chunk' }
   headers?: readonly string[]
+  /** Text behind the size of each chunk. */
+  chunkExtension?: string
+  /** Header line behind the last chunk. */
+  trailer?: string
+  /** Whether the body waits for a first answer of the node, for a limited time. */
+  expectsContinue?: boolean
 }
 
 export type UploadResult = Upload & {
@@ -101,8 +107,8 @@
 
 export const sleep = (durationMs: number): Promise<void> => new Promise(resolve => { setTimeout(resolve, durationMs) })
 
-const frame = (piece: Buffer, framing: UploadFraming): Buffer =>
-  framing === 'length' ? piece : Buffer.concat([Buffer.from(`${piece.length.toString(16)}\r\n`), piece, Buffer.from('\r\n')])
+const frame = (piece: Buffer, { framing, chunkExtension = '' }: UploadPlan): Buffer =>
+  framing === 'length' ? piece : Buffer.concat([Buffer.from(`${piece.length.toString(16)}${chunkExtension}\r\n`), piece, Buffer.from('\r\n')])
 
 const write = (socket: Socket, bytes: Buffer | string): Promise<void> => new Promise(resolve => {
   if (socket.destroyed || !socket.writable) resolve()
@@ -118,35 +124,61 @@
 }
 
 const sendPieces = async (socket: Socket, plan: UploadPlan, body: Buffer): Promise<void> => {
-  const { framing, pieceBytes, gapMs, cut } = plan
+  const { framing, pieceBytes, gapMs, cut, trailer } = plan
   const endBytes = cut?.afterBytes ?? body.length
   for (let place = 0; place < endBytes && !socket.destroyed; place += pieceBytes) {
-    await write(socket, frame(body.subarray(place, Math.min(place + pieceBytes, endBytes)), framing))
+    await write(socket, frame(body.subarray(place, Math.min(place + pieceBytes, endBytes)), plan))
     if (gapMs > 0) await sleep(gapMs)
   }
   if (cut) await breakOff(socket, cut.how, body.subarray(endBytes))
-  else if (framing === 'chunked') await write(socket, '0\r\n\r\n')
+  else if (framing === 'chunked') await write(socket, `0\r\n${trailer === undefined ? '' : `${trailer}\r\n`}\r\n`)
 }
 
-/** Sends one upload on a connection of its own; ends with the connection. */
-export const sendUpload = async (port: number, plan: UploadPlan, timeoutMs: number): Promise<UploadResult> => {
-  const body = createUploadBody(plan.id, plan.sizeBytes)
-  const framing = plan.framing === 'length' ? `content-length: ${body.length}` : 'transfer-encoding: chunked'
-  const lines = [`${plan.method} ${plan.path} HTTP/1.1`, 'host: a', `x-request-id: ${plan.id}`, `x-request-timeout-ms: ${timeoutMs}`, 'connection: close', framing, ...plan.headers ?? []]
+const headOf = (plan: UploadPlan, timeoutMs: number, isLast: boolean): string => [
+  `${plan.method} ${plan.path} HTTP/1.1`,
+  'host: a',
+  `x-request-id: ${plan.id}`,
+  `x-request-timeout-ms: ${timeoutMs}`,
+  plan.framing === 'length' ? `content-length: ${plan.sizeBytes}` : 'transfer-encoding: chunked',
+  ...isLast ? ['connection: close'] : [],
+  ...plan.expectsContinue ? ['expect: 100-continue'] : [],
+  ...plan.headers ?? []
+].join('\r\n') + '\r\n\r\n'
+
+const nextData = (socket: Socket): Promise<void> => new Promise(resolve => { socket.once('data', () => resolve()) })
+
+/** Time for which a caller waits for the node to ask for a body. */
+const CONTINUE_WAIT_MS = 100
+
+/**
+ * Sends uploads behind each other on a connection of their own, without waiting for
+ * answers between them; ends with the connection. Only the last one may break off.
+ */
+export const sendPipelinedUploads = async (port: number, plans: readonly UploadPlan[], timeoutMs: number): Promise<UploadResult[]> => {
+  const bodies = plans.map(({ id, sizeBytes }) => createUploadBody(id, sizeBytes))
   const socket = connect(port, '127.0.0.1')
   const startMs = performance.now()
   let received = ''
   let answeredAfterMs = Infinity
   const closed = new Promise<void>(resolve => { socket.once('close', () => resolve()) })
-  const timer = setTimeout(() => socket.destroy(), 2 * timeoutMs)
+  const timer = setTimeout(() => socket.destroy(), 2 * timeoutMs * plans.length)
   socket.on('error', () => undefined).on('data', chunk => {
     received += chunk.toString('latin1')
     answeredAfterMs = Math.min(answeredAfterMs, performance.now() - startMs)
   })
-  await write(socket, `${lines.join('\r\n')}\r\n\r\n`)
-  if (plan.waitMs !== undefined) await sleep(plan.waitMs)
-  await sendPieces(socket, plan, body)
+  for (const [index, plan] of plans.entries()) {
+    await write(socket, headOf(plan, timeoutMs, index === plans.length - 1))
+    if (plan.expectsContinue) await Promise.race([nextData(socket), closed, sleep(CONTINUE_WAIT_MS)])
+    if (plan.waitMs !== undefined) await sleep(plan.waitMs)
+    await sendPieces(socket, plan, bodies[index] as Buffer)
+  }
   await closed
   clearTimeout(timer)
-  return { id: plan.id, body, isSentWhole: plan.cut === undefined, received, answeredAfterMs }
+  return plans.map(({ id, cut }, index) => ({ id, body: bodies[index] as Buffer, isSentWhole: cut === undefined, received, answeredAfterMs }))
+}
+
+/** Sends one upload on a connection of its own; ends with the connection. */
+export const sendUpload = async (port: number, plan: UploadPlan, timeoutMs: number): Promise<UploadResult> => {
+  const [result] = await sendPipelinedUploads(port, [plan], timeoutMs)
+  return result as UploadResult
 }
