Log how long a failed request had waited before it was sent

Cause: request_failed did not tell a request that waited in this node, whose caller's leaving was not seen, from one that was read late.

Change: sent_after_ms of the first attempt, as in request_answered.

Test: daemon/departed-uploads; the line had no such field before.

--- a/packages/daemon/src/request-recorder.ts
+++ b/packages/daemon/src/request-recorder.ts
@@ -158,6 +158,7 @@
       attempts: exchange.attemptCount,
       ...sendFields(exchange),
       duration_ms: Math.round(nowMs - exchange.arrivedMs),
+      ...(exchange.firstWrittenMs !== undefined && { sent_after_ms: Math.round(exchange.firstWrittenMs - exchange.arrivedMs) }),
       ...(retryAfterMs !== undefined && { retry_after_ms: Math.round(retryAfterMs) }),
       configuration: configurationRevision(),
       message: text
