Read an upload while it waits for a target, so that its caller's leaving is seen

What callers and targets saw: a target got an upload 1.76 s after its caller had closed the connection, with an end or a reset, although the request had only waited for a free target (GONE).

Cause: a body that is not collected was read only when an attempt opened it. node:http pauses a socket whose body nobody reads, and the end of the connection comes behind the bytes of the body, so the node could not see it. On the users' platform this concerned uploads in chunks, which are collected only if they are idempotent; elsewhere all uploads above 64 KiB.

Change: a body is also read while it waits, up to 1 MiB a body and 16 MiB in all (read-ahead.ts). A caller that asks with Expect is still asked for its body only when there is a target.

--- a/packages/daemon/src/constants.ts
+++ b/packages/daemon/src/constants.ts
@@ -12,6 +12,10 @@
 export const BODY_IDLE_MS = 15_000
 /** Bodies up to this size are collected before they are sent, and kept for further attempts. */
 export const REPLAY_BYTES_MAX = 65_536
+/** Bytes of one body that are read before an attempt reads them, so that the end of its caller's connection is seen. */
+export const READ_AHEAD_BYTES_MAX = 1_048_576
+/** The same for all bodies of a node together; an entry VM has a few hundred MB of memory. */
+export const READ_AHEAD_TOTAL_BYTES_MAX = 16_777_216
 /**
  * Part of a refused request's body that is still read. Without it the caller
  * sees a reset instead of the refusal.
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -10,7 +10,7 @@
 import type { ExplainQuery } from './admin-api.js'
 import { createAdminServer } from './admin-server.js'
 import { createBurnBuckets } from './burn-buckets.js'
-import { CALLER_LIMITS, IDLE_MAINTENANCE_INTERVAL_MS, MAINTENANCE_INTERVAL_MS, PAUSE_MS_MIN, REPLAY_BYTES_MAX, WHEEL_TICK_MS } from './constants.js'
+import { CALLER_LIMITS, IDLE_MAINTENANCE_INTERVAL_MS, MAINTENANCE_INTERVAL_MS, PAUSE_MS_MIN, READ_AHEAD_BYTES_MAX, READ_AHEAD_TOTAL_BYTES_MAX, REPLAY_BYTES_MAX, WHEEL_TICK_MS } from './constants.js'
 import { createCrashWatch, isCrashNote } from './crash-watch.js'
 import { createDeadlineWheel } from './deadline-wheel.js'
 import { sendEndMs, shutDownGracefully } from './graceful-shutdown.js'
@@ -22,6 +22,7 @@
 import { createPauseDetector } from './pause-detector.js'
 import { createPeerTargets } from './peer-targets.js'
 import type { PipelineContext } from './pipeline-context.js'
+import { createReadAhead } from './read-ahead.js'
 import { createReachabilityLog, type Relaying } from './relaying.js'
 import { createRequestIds } from './request-ids.js'
 import { createRequestPipeline } from './request-pipeline.js'
@@ -174,6 +175,7 @@
     dialect,
     headers: createHeaderRules(dialect),
     collectBytesMax,
+    readAhead: createReadAhead({ bodyBytesMax: READ_AHEAD_BYTES_MAX, totalBytesMax: READ_AHEAD_TOTAL_BYTES_MAX }),
     probesBeforeAttempt,
     serviceTimes: createServiceTimes(),
     probeAllowance: createProbeAllowance(probesPerTargetPerS, fleetSize),
--- a/packages/daemon/src/pipeline-context.ts
+++ b/packages/daemon/src/pipeline-context.ts
@@ -10,6 +10,7 @@
 import type { Attempt, Exchange } from './exchange.js'
 import type { HeaderRules } from './headers.js'
 import type { PauseDetector } from './pause-detector.js'
+import type { ReadAhead } from './read-ahead.js'
 import type { Relaying } from './relaying.js'
 import type { ServiceRuntimes } from './service-runtimes.js'
 import type { HttpDialect } from './http-dialect.js'
@@ -52,6 +53,8 @@
   headers: HeaderRules
   /** Bodies up to this size are collected before they are sent, and kept for further attempts. */
   collectBytesMax: number
+  /** Memory for bodies of requests that wait for a target. */
+  readAhead: ReadAhead
   wheel: DeadlineWheel
   pauseDetector: PauseDetector
   runtimes: ServiceRuntimes
--- a/packages/daemon/src/request-body.ts
+++ b/packages/daemon/src/request-body.ts
@@ -7,11 +7,16 @@
  * that a further attempt can still send all of it after a target or peer refused the
  * request on its head. Once more has been received than is kept, the body cannot be
  * opened again: a further attempt could send the rest only.
+ *
+ * A larger body is also read while it waits for a target, within the limits of
+ * read-ahead.ts: the end of the caller's connection comes behind its bytes, and a
+ * request whose caller has left must not be sent.
  */
 import { Readable } from 'node:stream'
 import { hasBody, type Call } from './adapters/caller-http.js'
 import type { OutgoingBody } from './adapters/streamed-body.js'
 import { createBodyHash, hashBytes, type BodyHash } from './body-hash.js'
+import type { ReadAhead } from './read-ahead.js'
 
 export type RequestBody = {
   /** Whether the request has a body at all. */
@@ -50,6 +55,7 @@
   /** Whether any body is collected up to the limit, because its beginning decides whether the request may be sent. */
   collectsAny: boolean
   bytesMax: number
+  readAhead: ReadAhead
   onTooLarge: () => void
   onProgress: () => void
 }
@@ -82,11 +88,13 @@
   return createReceivedBody(options, isSmall)
 }
 
-const createReceivedBody = ({ call, collectBytesMax, bytesMax, onTooLarge, onProgress }: RequestBodyOptions, isSmall: boolean): RequestBody => {
+const createReceivedBody = ({ call, collectBytesMax, bytesMax, readAhead, onTooLarge, onProgress }: RequestBodyOptions, isSmall: boolean): RequestBody => {
   const { req } = call
   /** All bytes that were received, or nothing once they are more than is kept. */
   let keptChunks: Buffer[] | undefined = []
   let receivedBytes = 0
+  /** Bytes that are counted as read ahead. */
+  let aheadBytes = 0
   let isCollecting = isSmall
   let isStarted = false
   let isEnded = false
@@ -95,9 +103,20 @@
   let bodyHash: BodyHash | undefined
   let onReady: () => void = () => undefined
 
+  /** Goes on reading without a reader while there is memory for it. */
+  const readOn = (sizeBytes: number): void => {
+    if (readAhead.tryTake(aheadBytes, sizeBytes)) aheadBytes += sizeBytes
+    else req.pause()
+  }
+
+  const endReadAhead = (): void => {
+    readAhead.release(aheadBytes)
+    aheadBytes = 0
+  }
+
   const stopCollecting = (): void => {
     isCollecting = false
-    req.pause()
+    readOn(receivedBytes)
     onReady()
   }
 
@@ -110,7 +129,7 @@
     keptChunks?.push(chunk)
     if (receivedBytes > bytesMax) onTooLarge()
     else if (isStreaming()) passOn(chunk)
-    else if (!isCollecting) req.pause()
+    else if (!isCollecting) readOn(chunk.length)
     else if (receivedBytes > collectBytesMax) stopCollecting()
   }
 
@@ -142,6 +161,7 @@
   }
 
   const openStream = (): Readable => {
+    endReadAhead()
     bodyHash ??= startHash()
     stream = new Readable({ read: () => { req.resume() } })
     // The request is informed of errors through its connection. Without a listener they would crash the process.
@@ -167,8 +187,9 @@
     isPresent: true,
     prepare: ready => {
       onReady = ready
-      if (isSmall) start()
-      else ready()
+      // A caller that waits to be asked for the body is not asked before there is a target.
+      if (isSmall || !call.expectsContinue) start()
+      if (!isSmall) ready()
     },
     open,
     canOpen,
@@ -183,6 +204,7 @@
     isWaitingForCaller: () => !isEnded && (isCollecting || (stream !== undefined && stream.readableLength === 0)),
     close: () => {
       req.off('data', onData).off('end', onEnd)
+      endReadAhead()
       stream?.destroy()
     }
   }
--- a/packages/daemon/src/request-pipeline.ts
+++ b/packages/daemon/src/request-pipeline.ts
@@ -62,6 +62,7 @@
     body: createRequestBody({
       call,
       collectBytesMax: context.collectBytesMax,
+      readAhead: context.readAhead,
       collectsAny: context.crashWatch.hasSuspectHead(head),
       collectsUnknownSize: kind.idempotent && kind.boundedBy === 'deadline',
       bytesMax: kind.bodyBytesMax,
--- a/packages/daemon/test/body-ownership.test.ts
+++ b/packages/daemon/test/body-ownership.test.ts
@@ -8,6 +8,7 @@
 import { openBackendSocket, sendRequest, type BackendSocket, type SendFailure } from '../src/adapters/backend-http.js'
 import type { Call } from '../src/adapters/caller-http.js'
 import type { OutgoingBody } from '../src/adapters/streamed-body.js'
+import { createReadAhead } from '../src/read-ahead.js'
 import { createRequestBody, type RequestBody } from '../src/request-body.js'
 import { startRawBackend } from './support.js'
 import './exit.js'
@@ -17,10 +18,10 @@
 type ReceivedBody = { body: RequestBody, source: PassThrough }
 
 /** A body whose bytes the test writes. */
-const receiveBody = (headers: Record<string, string> = { 'transfer-encoding': 'chunked' }): ReceivedBody => {
+const receiveBody = (readAhead = createReadAhead({ bodyBytesMax: 10_000, totalBytesMax: 10_000 }), headers: Record<string, string> = { 'transfer-encoding': 'chunked' }): ReceivedBody => {
   const source = Object.assign(new PassThrough(), { headers })
   const call = { req: source as unknown as IncomingMessage, expectsContinue: false } as Call
-  const body = createRequestBody({ call, collectBytesMax: KEPT_BYTES, collectsUnknownSize: false, collectsAny: false, bytesMax: 1_000_000, onTooLarge: () => undefined, onProgress: () => undefined })
+  const body = createRequestBody({ call, collectBytesMax: KEPT_BYTES, collectsUnknownSize: false, collectsAny: false, bytesMax: 1_000_000, readAhead, onTooLarge: () => undefined, onProgress: () => undefined })
   body.prepare(() => undefined)
   return { body, source }
 }
@@ -69,6 +70,35 @@
   t.deepEqual(body.open(), { ok: false, error: 'body-consumed' })
 })
 
+const LIMITS = { 'of one body': { bodyBytesMax: 2 * KEPT_BYTES, totalBytesMax: 100_000 }, 'of all bodies': { bodyBytesMax: 100_000, totalBytesMax: 2 * KEPT_BYTES } }
+
+for (const [name, limits] of Object.entries(LIMITS)) {
+  test(`a body that no attempt reads is read up to the limit ${name}, and whole when one does`, async t => {
+    const readAhead = createReadAhead(limits)
+    const { body, source } = receiveBody(readAhead)
+    const text = '.'.repeat(KEPT_BYTES / 2)
+    for (let count = 0; count < 20; count++) {
+      source.write(text)
+      await settle()
+    }
+    t.true(body.receivedBytes() >= 2 * KEPT_BYTES && body.receivedBytes() <= 2 * KEPT_BYTES + text.length)
+    const stream = openStream(body)
+    source.end()
+    t.is(await readAll(stream), text.repeat(20))
+    t.true(readAhead.tryTake(0, 2 * KEPT_BYTES), 'the memory is free again')
+  })
+}
+
+test('a body whose request ends before an attempt frees its memory', async t => {
+  const readAhead = createReadAhead({ bodyBytesMax: KEPT_BYTES, totalBytesMax: KEPT_BYTES })
+  const { body, source } = receiveBody(readAhead)
+  source.write('.'.repeat(KEPT_BYTES))
+  await settle()
+  t.false(readAhead.tryTake(0, 1))
+  body.close()
+  t.true(readAhead.tryTake(0, KEPT_BYTES))
+})
+
 const openTo = (port: number): Promise<BackendSocket> => new Promise((resolve, reject) => {
   openBackendSocket({ host: '127.0.0.1', port }, resolve, message => reject(new Error(message)))
 })
