Give the requests of a test of relayed attempts paths of their own

Cause: "a request that a node relays after an attempt of its own ..." failed in 2 of 12 runs ("no request was relayed after an own attempt"). Traced by the lines of the node: its twelve requests were the same one, three targets had closed their connections under it, so the node refused it to further targets as a request that crashes them, before it took itself for cut off.

Change: each request has its own path; what is checked is the same.

--- a/packages/daemon/test/relayed-attempts.test.ts
+++ b/packages/daemon/test/relayed-attempts.test.ts
@@ -48,8 +48,9 @@
   }
 }
 
+/** Requests with paths of their own: the same one at several targets that end would be taken for a request that crashes them. */
 const sendRequests = (port: number): Promise<unknown> =>
-  Promise.all(Array.from({ length: REQUEST_COUNT }, (_, index) => call(port, { headers: { 'x-request-id': `r-${index}` } })))
+  Promise.all(Array.from({ length: REQUEST_COUNT }, (_, index) => call(port, { path: `/shop/${index}`, headers: { 'x-request-id': `r-${index}` } })))
 
 const assertAttempts = (t: ExecutionContext, arrivals: Arrivals): void => {
   const tooMany = [...arrivals].filter(([, names]) => names.length > ATTEMPTS_MAX).map(([id, names]) => `${id}: ${names.join(', ')}`)
