Send the body of a test of lost relays only after the relay was lost

Change: the caller sends the body 50 ms after the peer has closed the connection. What is checked is the same.

--- a/packages/daemon/test/relayed-uploads.test.ts
+++ b/packages/daemon/test/relayed-uploads.test.ts
@@ -83,10 +83,15 @@
   daemon.fleet.members = () => []
   await sleep(PEERS_READ_MS)
   const peer = await startUploadTarget(t, 'closing', [], refuse)
-  peer.server.on('connection', socket => { setTimeout(() => socket.destroy(), 5) })
+  const relayLost = new Promise(resolve => {
+    peer.server.on('connection', socket => {
+      socket.once('close', resolve)
+      setTimeout(() => socket.destroy(), 5)
+    })
+  })
   daemon.fleet.members = () => peersOf([peer])
   await sleep(PEERS_READ_MS)
-  const upload = await sendUpload(daemon.port, createPlan({ waitMs: 50 }), TIMEOUT_MS)
+  const upload = await sendUpload(daemon.port, createPlan({ waitFor: relayLost, waitMs: 50 }), TIMEOUT_MS)
   t.deepEqual(findChangedBodies([upload], reads), [])
   t.regex(upload.received, /^HTTP\/1\.1 (200|503)/)
 })
--- a/packages/daemon/test/uploads.ts
+++ b/packages/daemon/test/uploads.ts
@@ -88,6 +88,8 @@
   gapMs: number
   /** Time between the head and the first piece. */
   waitMs?: number
+  /** What the first piece waits for. */
+  waitFor?: Promise<unknown>
   /** Number of bytes after which the caller leaves, and how; a body that is sent whole has none. */
   cut?: { afterBytes: number, how: 'end' | 'reset' | 'malformed' | 'half-chunk' }
   headers?: readonly string[]
@@ -169,6 +171,7 @@
   for (const [index, plan] of plans.entries()) {
     await write(socket, headOf(plan, timeoutMs, index === plans.length - 1))
     if (plan.expectsContinue) await Promise.race([nextData(socket), closed, sleep(CONTINUE_WAIT_MS)])
+    await plan.waitFor
     if (plan.waitMs !== undefined) await sleep(plan.waitMs)
     await sendPieces(socket, plan, bodies[index] as Buffer)
   }
