Send no request of a caller that left while this process was busy

What callers and targets saw: requests whose callers had left meanwhile were sent by a process that had been busy for 250 to 700 ms.

Cause: a request is handled as soon as it is read, and the end of the caller's connection is read one turn of the event loop later; the close of the socket, on which requests were cancelled, comes some turns after that.

Change: while the event loop is 25 ms late or more, a first attempt starts after the sockets have been read once more. Validation, admission and their refusals stay where they are. Requests are cancelled at the end of the caller's side already.

What a half-closed caller gets is unchanged: the end of the connection.

--- a/packages/daemon/src/adapters/caller-http.ts
+++ b/packages/daemon/src/adapters/caller-http.ts
@@ -284,10 +284,13 @@
     const isAccepted = acceptConnection(address)
     const calls = new Set<Call>()
     openCalls.set(socket, calls)
+    // node:http does not close the responses of pipelined requests that wait for an earlier response, and
+    // the socket closes some turns of the event loop after the end of the caller's side.
+    const closeCalls = (): void => { for (const call of [...calls]) close(call) }
+    socket.once('end', closeCalls)
     socket.once('close', () => {
       connectionCount--
-      // node:http does not close the responses of pipelined requests that wait for an earlier response.
-      for (const call of calls) close(call)
+      closeCalls()
       if (isAccepted) onConnectionClosed(address)
     })
     if (isAccepted) return
--- a/packages/daemon/src/constants.ts
+++ b/packages/daemon/src/constants.ts
@@ -94,6 +94,8 @@
 /** The same while no request is in flight. */
 export const IDLE_MAINTENANCE_INTERVAL_MS = 200
 export const PAUSE_MS_MIN = 500
+/** Delay of the event loop from which callers may have left before their requests were read. */
+export const LATE_MS_MIN = 25
 /** Minimum time without progress before a connection counts as silent. */
 export const SILENT_MS_MIN = 250
 
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -10,7 +10,7 @@
 import type { ExplainQuery } from './admin-api.js'
 import { createAdminServer } from './admin-server.js'
 import { createBurnBuckets } from './burn-buckets.js'
-import { CALLER_LIMITS, IDLE_MAINTENANCE_INTERVAL_MS, MAINTENANCE_INTERVAL_MS, PAUSE_MS_MIN, READ_AHEAD_BYTES_MAX, READ_AHEAD_TOTAL_BYTES_MAX, REPLAY_BYTES_MAX, WHEEL_TICK_MS } from './constants.js'
+import { CALLER_LIMITS, IDLE_MAINTENANCE_INTERVAL_MS, LATE_MS_MIN, MAINTENANCE_INTERVAL_MS, PAUSE_MS_MIN, READ_AHEAD_BYTES_MAX, READ_AHEAD_TOTAL_BYTES_MAX, REPLAY_BYTES_MAX, WHEEL_TICK_MS } from './constants.js'
 import { createCrashWatch, isCrashNote } from './crash-watch.js'
 import { createDeadlineWheel } from './deadline-wheel.js'
 import { sendEndMs, shutDownGracefully } from './graceful-shutdown.js'
@@ -188,6 +188,7 @@
     crashWatch,
     nextRequestId: createRequestIds(),
     isLeaving,
+    isLate: () => pauseDetector.delayMs() >= LATE_MS_MIN,
     isTooLateToSend: () => clock.nowMs() >= lastSendMs
   }
   const pipeline = createRequestPipeline(context, createCallerLimits(callerLimits))
--- a/packages/daemon/src/pause-detector.ts
+++ b/packages/daemon/src/pause-detector.ts
@@ -10,6 +10,8 @@
 export type PauseDetector = {
   /** Current epoch. Also detects a pause that has just ended. */
   epoch: (nowMs: number) => number
+  /** How late the last timer of this process ran, or the next one already is, in ms. */
+  delayMs: () => number
   stop: () => void
 }
 
@@ -30,6 +32,7 @@
   let dueMs = lastTickMs
   let scheduledIntervalMs = intervalMs
   let epoch = 0
+  let lastDelayMs = 0
   let cancel: Cancel = () => {}
 
   const check = (nowMs: number): number => {
@@ -44,6 +47,7 @@
   const tick = (): void => {
     const nowMs = clock.nowMs()
     const lateMs = Math.max(0, nowMs - dueMs)
+    lastDelayMs = lateMs
     check(nowMs)
     lastTickMs = nowMs
     onTick(nowMs, lateMs)
@@ -67,5 +71,5 @@
   }
 
   schedule(lastTickMs, intervalMs)
-  return { epoch: readEpoch, stop: () => cancel() }
+  return { epoch: readEpoch, delayMs: () => Math.max(lastDelayMs, clock.nowMs() - dueMs), stop: () => cancel() }
 }
--- a/packages/daemon/src/pipeline-context.ts
+++ b/packages/daemon/src/pipeline-context.ts
@@ -64,6 +64,8 @@
   crashWatch: CrashWatch
   nextRequestId: () => string
   isLeaving: () => boolean
+  /** Whether this process handles events so late that callers may have left meanwhile. */
+  isLate: () => boolean
   /** Whether a request that is not sent yet comes too late in the shutdown of this node. */
   isTooLateToSend: () => boolean
 }
--- a/packages/daemon/src/request-pipeline.ts
+++ b/packages/daemon/src/request-pipeline.ts
@@ -115,10 +115,20 @@
   if (exchange.kind.boundedBy === 'progress') scheduleProgressCheck(context, exchange)
 }
 
+/**
+ * Runs a step after the event loop has read all sockets once more. If the caller has
+ * left, the end of its connection is read by then.
+ */
+const runAfterReads = (context: PipelineContext, exchange: Exchange, step: () => void): void => {
+  setImmediate(() => setImmediate(() => isolateErrors(context, exchange, () => { if (exchange.phase === 'running') step() })))
+}
+
 const run = (context: PipelineContext, exchange: Exchange): void => {
   exchange.phase = 'running'
   exchange.admittedMs = context.clock.nowMs()
-  startAttempt(context, exchange, 'first')
+  const start = (): void => startAttempt(context, exchange, 'first')
+  if (context.isLate()) runAfterReads(context, exchange, start)
+  else start()
 }
 
 /** The queue needs a deadline. A request without one waits at most as long as it may be without progress. */
