Keep what was read ahead of an upload for a further attempt

Cause: since uploads are read while they wait for a target, more than 64 KiB can have been received when the first attempt opens the body, and the second opening was refused.

Change: the bytes that were read ahead stay until more is received, within the memory for reading ahead.

Test: daemon/body-ownership "a second opening of a body that was read ahead ..." failed before; 50 tests of uploads pass.

--- a/packages/daemon/src/request-body.ts
+++ b/packages/daemon/src/request-body.ts
@@ -114,6 +114,12 @@
     aheadBytes = 0
   }
 
+  /** More was received than may be kept for a further attempt. */
+  const dropKept = (): void => {
+    keptChunks = undefined
+    endReadAhead()
+  }
+
   const stopCollecting = (): void => {
     isCollecting = false
     readOn(receivedBytes)
@@ -125,7 +131,7 @@
     onProgress()
     bodyHash?.add(chunk)
     // Without a reader all bytes are kept, and reading stops when they are too many.
-    if (isStreaming() && receivedBytes > collectBytesMax) keptChunks = undefined
+    if (isStreaming() && receivedBytes > collectBytesMax) dropKept()
     keptChunks?.push(chunk)
     if (receivedBytes > bytesMax) onTooLarge()
     else if (isStreaming()) passOn(chunk)
@@ -161,13 +167,12 @@
   }
 
   const openStream = (): Readable => {
-    endReadAhead()
     bodyHash ??= startHash()
     stream = new Readable({ read: () => { req.resume() } })
     // The request is informed of errors through its connection. Without a listener they would crash the process.
     stream.on('error', () => undefined)
     for (const chunk of keptChunks ?? []) stream.push(chunk)
-    if (receivedBytes > collectBytesMax) keptChunks = undefined
+    if (receivedBytes > Math.max(collectBytesMax, aheadBytes)) dropKept()
     if (isEnded) stream.push(null)
     else start()
     return stream
--- a/packages/daemon/test/body-ownership.test.ts
+++ b/packages/daemon/test/body-ownership.test.ts
@@ -89,6 +89,20 @@
   })
 }
 
+test('a second opening of a body that was read ahead has all of it while nothing more was received', async t => {
+  const readAhead = createReadAhead({ bodyBytesMax: 10_000, totalBytesMax: 10_000 })
+  const { body, source } = receiveBody(readAhead)
+  const text = 'a'.repeat(2 * KEPT_BYTES)
+  source.write(text)
+  await settle()
+  openStream(body).destroy()
+  const second = openStream(body)
+  source.end('b')
+  t.is(await readAll(second), `${text}b`)
+  t.deepEqual(body.open(), { ok: false, error: 'body-consumed' })
+  t.true(readAhead.tryTake(0, 10_000), 'the memory is free again')
+})
+
 test('a body whose request ends before an attempt frees its memory', async t => {
   const readAhead = createReadAhead({ bodyBytesMax: KEPT_BYTES, totalBytesMax: KEPT_BYTES })
   const { body, source } = receiveBody(readAhead)
