Show where a request would go now without sending it

Operators could see why an earlier request went to its target, but not what a node would decide now. The new command preview asks a daemon's admin address; the daemon runs the decision code of the request path on its current state.

--- a/packages/cli/test/admin-commands.test.ts
+++ b/packages/cli/test/admin-commands.test.ts
@@ -137,6 +137,28 @@
   t.deepEqual(JSON.parse(json.stdout).events.map(({ nodeIds }: { nodeIds: string[] }) => nodeIds), [['entry-1', 'entry-2'], ['entry-1']])
 })
 
+test('preview shows where a request would go and why, and invalid arguments exit with 2', async t => {
+  const preview = {
+    nodeId: 'entry-1',
+    zone: 'lagos-a',
+    isConfigured: true,
+    services: [{
+      service: 'stockview', kind: 'stock-check', share: 0.9, idempotent: true, weight: 40, objectiveMs: 400, deadlineMs: 1_000, probesFirst: ['stock-2'], decision: { outcome: 'send' as const, targetId: 'stock-1', reason: 'load 1 of 4 slots' }, targets: [EJECTED, createTarget()]
+    }]
+  }
+  const address = await serveFleet(t, { preview })
+  const { code, stdout } = await runBinary(['preview', '/stockview/stock/1', '--admin', address])
+  t.is(code, 0)
+  t.true(stdout.split('\n').every(line => line.length <= 80))
+  t.regex(stdout, /service stockview, 90% of the requests: kind stock-check, idempotent/)
+  t.regex(stdout.replace(/\n +/g, ' '), /after stock-2 was asked for its load; without an answer: sent to stock-1 \(load 1 of 4 slots\)/)
+  t.regex(stdout, /2 targets:\n {4}stock-1 in lagos-a: ready, 1 in flight from this node\n {4}stock-2 in lagos-a: ejected/)
+  t.regex((await runBinary(['preview', '/nowhere', '--admin', await serveFleet(t, {})])).stdout, /no service matches: refused with 404/)
+  for (const args of [['preview'], ['preview', 'stock'], ['preview', '/stock', '--method', 'get'], ['preview', '/stock', '--body-bytes', '-1']]) {
+    t.is((await runBinary(args)).code, 2, args.join(' '))
+  }
+})
+
 test('report shows burn rates, causes and a recovered incident, and writes a self-contained HTML page', async t => {
   const address = await serveFleet(t, { reports: reports() })
   const html = join(createFolder(), 'report.html')
--- a/packages/cli/test/fleet-double.ts
+++ b/packages/cli/test/fleet-double.ts
@@ -5,7 +5,7 @@
 import type { AddressInfo } from 'node:net'
 import { createHTTPHandler } from '@trpc/server/adapters/standalone'
 import type { ExecutionContext } from 'ava'
-import { createAdminRouter, type AdminSource, type ExplainQuery, type MissingNode } from '@wisteriavalve/daemon/admin-api'
+import { createAdminRouter, type AdminSource, type ExplainQuery, type MissingNode, type RequestPreview } from '@wisteriavalve/daemon/admin-api'
 import type { BurnBucket, EventEntry, NodeReport, NodeStatus, TargetStatus } from '@wisteriavalve/schema'
 
 export const MINUTE_MS = 60_000
@@ -48,9 +48,9 @@
 export const createReport = (nodeId: string, sinceWallMs: number, buckets: BurnBucket[], events: EventEntry[] = []): NodeReport =>
   ({ nodeId, zone: 'lagos-a', sinceWallMs, buckets, events })
 
-export type FleetData = { statuses?: NodeStatus[], reports?: NodeReport[], events?: Record<string, EventEntry[]>, missing?: MissingNode[] }
+export type FleetData = { statuses?: NodeStatus[], reports?: NodeReport[], events?: Record<string, EventEntry[]>, missing?: MissingNode[], preview?: RequestPreview }
 
-const createSource = ({ statuses = [], reports = [], events = {}, missing = [] }: FleetData): AdminSource => {
+const createSource = ({ statuses = [], reports = [], events = {}, missing = [], preview }: FleetData): AdminSource => {
   const find = (query: ExplainQuery) => (entry: EventEntry): boolean =>
     (['requestId', 'service', 'targetId'] as const).every(field => query[field] === undefined || query[field] === entry[field]) && (!query.automaticOnly || entry.automatic === true)
   return {
@@ -58,7 +58,8 @@
     explain: () => [],
     fleetStatus: async () => ({ nodes: statuses, missing }),
     fleetExplain: async query => ({ nodes: Object.entries(events).map(([nodeId, list]) => ({ nodeId, events: list.filter(find(query)) })), missing }),
-    fleetReport: async () => ({ nodes: reports, missing })
+    fleetReport: async () => ({ nodes: reports, missing }),
+    preview: () => preview ?? { nodeId: 'entry-1', zone: 'lagos-a', isConfigured: true, services: [] }
   }
 }
 
--- a/packages/daemon/src/admin-api.ts
+++ b/packages/daemon/src/admin-api.ts
@@ -4,7 +4,7 @@
  * and list the nodes that did not respond.
  */
 import { initTRPC } from '@trpc/server'
-import type { EventEntry, NodeReport, NodeStatus } from '@wisteriavalve/schema'
+import type { EventEntry, NodeReport, NodeStatus, TargetStatus } from '@wisteriavalve/schema'
 
 /** Filter for `explain`. An event must match every field that is present. */
 export type ExplainQuery = {
@@ -17,6 +17,43 @@
   automaticOnly?: boolean
 }
 
+/** A request whose way is asked for without sending it. */
+export type PreviewQuery = { method: string, path: string, host?: string, bodyBytes?: number }
+
+export type PreviewDecision = {
+  outcome: 'send' | 'wait' | 'refuse' | 'none'
+  /** Present if the request would be sent. */
+  targetId?: string
+  reason: string
+  /** Present if the request would be refused. */
+  retryAfterMs?: number
+}
+
+export type ServicePreview = {
+  service: string
+  kind: string
+  /** Share of the requests of this kind that go to the service, from 0 to 1. */
+  share: number
+  idempotent: boolean
+  weight: number
+  objectiveMs: number
+  deadlineMs: number
+  /** Targets that would be asked for their load before the decision. */
+  probesFirst: string[]
+  /** The decision by what the node knows now, as if no probe were answered. */
+  decision: PreviewDecision
+  targets: TargetStatus[]
+}
+
+export type RequestPreview = {
+  nodeId: string
+  zone: string
+  /** False before the first configuration; every request is then refused as not run. */
+  isConfigured: boolean
+  /** Empty if no route or service matches. */
+  services: ServicePreview[]
+}
+
 export type MissingNode = { nodeId: string, reason: string }
 
 export type NodeResults<T> = { nodes: T[], missing: MissingNode[] }
@@ -28,6 +65,7 @@
   fleetStatus: () => Promise<NodeResults<NodeStatus>>
   fleetExplain: (query: ExplainQuery) => Promise<NodeResults<{ nodeId: string, events: EventEntry[] }>>
   fleetReport: () => Promise<NodeResults<NodeReport>>
+  preview: (query: PreviewQuery) => RequestPreview
 }
 
 const STRING_FIELDS = ['requestId', 'service', 'targetId'] as const
@@ -46,6 +84,16 @@
   return input
 }
 
+/** @throws Error when a field is missing or has the wrong type */
+export const parsePreviewQuery = (input: unknown): PreviewQuery => {
+  if (!isRecord(input)) throw new Error('the preview query must be an object')
+  const { method, path, host, bodyBytes } = input
+  if (typeof method !== 'string' || typeof path !== 'string') throw new Error('method and path must be strings')
+  if (host !== undefined && typeof host !== 'string') throw new Error('host must be a string')
+  if (bodyBytes !== undefined && (typeof bodyBytes !== 'number' || !(bodyBytes >= 0))) throw new Error('bodyBytes must be a number of at least 0')
+  return { method, path, ...(host !== undefined && { host }), ...(bodyBytes !== undefined && { bodyBytes }) }
+}
+
 export const createAdminRouter = (source: AdminSource) => {
   const { router, procedure } = initTRPC.create()
   return router({
@@ -53,7 +101,8 @@
     explain: procedure.input(parseExplainQuery).query(({ input }) => source.explain(input)),
     fleetStatus: procedure.query(() => source.fleetStatus()),
     fleetExplain: procedure.input(parseExplainQuery).query(({ input }) => source.fleetExplain(input)),
-    fleetReport: procedure.query(() => source.fleetReport())
+    fleetReport: procedure.query(() => source.fleetReport()),
+    preview: procedure.input(parsePreviewQuery).query(({ input }) => source.preview(input))
   })
 }
 
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -23,6 +23,7 @@
 import { createPeerTargets } from './peer-targets.js'
 import type { PipelineContext } from './pipeline-context.js'
 import { createReadAhead } from './read-ahead.js'
+import { previewRequest } from './request-preview.js'
 import { createReachabilityLog, type Relaying } from './relaying.js'
 import { createRequestIds } from './request-ids.js'
 import { createRequestPipeline } from './request-pipeline.js'
@@ -243,13 +244,15 @@
     events: nodeEvents.find({ automaticOnly: true, withinMs: REPORT_WINDOW_MS })
   })
 
+  const previewContext = { ...context, nodeId: settings.nodeId, random: createRandom(settings.seed) }
   const peerSource: PeerSource = { status, explain: (query: ExplainQuery) => nodeEvents.find(query), report, crashNotes: crashWatch.notes }
   const admin = createAdminServer({
     status,
     explain: peerSource.explain,
     fleetStatus: fleet.queryFleetStatus,
     fleetExplain: fleet.queryFleetExplain,
-    fleetReport: fleet.queryFleetReport
+    fleetReport: fleet.queryFleetReport,
+    preview: query => previewRequest(previewContext, query)
   }, metrics.text)
 
   const start = async (): Promise<void> => {
--- a/packages/daemon/src/placement.ts
+++ b/packages/daemon/src/placement.ts
@@ -24,8 +24,10 @@
  */
 const UNANSWERED_PROBES_MAX = 6
 
+type PlacedRequest = Pick<Exchange, 'kind' | 'arrivedMs' | 'deadlineMs'>
+
 /** Time for which a request can wait for a permit and still be answered within its objective. */
-export const permitWaitMaxMs = ({ clock, serviceTimes }: PipelineContext, { kind, arrivedMs, deadlineMs }: Exchange): number => {
+export const permitWaitMaxMs = ({ clock, serviceTimes }: Pick<PipelineContext, 'clock' | 'serviceTimes'>, { kind, arrivedMs, deadlineMs }: PlacedRequest): number => {
   const objectiveMs = (kind.objectiveMs ?? kind.deadlineMs) * OBJECTIVE_SHARE
   return Math.max(0, Math.min(arrivedMs + objectiveMs, deadlineMs) - clock.nowMs() - serviceTimes.usualMs(kind.name, objectiveMs))
 }
@@ -34,22 +36,20 @@
  * A hedge does not wait, since it would be sent too late. Retries and hedges
  * are not refused, since a refusal would hide the result of the first attempt.
  */
-const placementRequest = (
-  context: PipelineContext, exchange: Exchange, purpose: AttemptPurpose, { probed, canProbe }: Pick<PlacementRequest, 'probed' | 'canProbe'>
+export const createPlacementRequest = (
+  context: Pick<PipelineContext, 'clock' | 'serviceTimes' | 'zone'>, request: PlacedRequest, purpose: AttemptPurpose,
+  fields: Pick<PlacementRequest, 'probed' | 'canProbe' | 'exclude' | 'bodyBytes'>
 ): PlacementRequest => {
-  const { kind, arrivedMs, deadlineMs } = exchange
+  const { kind, arrivedMs, deadlineMs } = request
   const objectiveMs = (kind.objectiveMs ?? kind.deadlineMs) * OBJECTIVE_SHARE
   return {
+    ...fields,
     zone: context.zone,
-    exclude: excludedTargets(context, exchange),
     idempotent: kind.idempotent,
-    bodyBytes: exchange.body.sizeBytes(),
     serviceTimeMs: context.serviceTimes.usualMs(kind.name, objectiveMs),
     objectiveEndMs: arrivedMs + objectiveMs,
     deadlineMs,
-    permitWaitMaxMs: purpose === 'hedge' ? 0 : permitWaitMaxMs(context, exchange),
-    probed,
-    canProbe,
+    permitWaitMaxMs: purpose === 'hedge' ? 0 : permitWaitMaxMs(context, request),
     canWait: purpose !== 'hedge',
     canRefuse: purpose === 'first',
     requiresFreeAndFast: purpose === 'hedge'
@@ -85,7 +85,8 @@
 
   const step = (): void => {
     const nowMs = context.clock.nowMs()
-    const placement = planPlacement(runtime.table.routing(nowMs), placementRequest(context, exchange, purpose, { probed, canProbe }), nowMs, context.random)
+    const request = createPlacementRequest(context, exchange, purpose, { probed, canProbe, exclude: excludedTargets(context, exchange), bodyBytes: exchange.body.sizeBytes() })
+    const placement = planPlacement(runtime.table.routing(nowMs), request, nowMs, context.random)
     if (placement.step === 'probe') sendProbes(placement.targetIds)
     else if (placement.step === 'wait') {
       exchange.placementTimer = context.wheel.schedule(placement.untilMs, () => {
--- a/packages/policy/src/classification.ts
+++ b/packages/policy/src/classification.ts
@@ -4,7 +4,7 @@
  * of the configuration, and the first match is used.
  */
 import type { Kind, ServiceConfiguration } from '@wisteriavalve/schema'
-import type { Classified, ServiceIndex, RequestHead } from './types.js'
+import type { Classified, Destination, ServiceIndex, RequestHead } from './types.js'
 
 /** Body limit of an unknown kind. */
 const UNKNOWN_BODY_BYTES_MAX = 1024 * 1024
@@ -65,7 +65,12 @@
       : { ok: true, service, kind: unknownKinds.get(service.name) ?? unknownKind(service), isKnown: false }
   }
 
-  return { classify }
+  const destinations = (head: RequestHead): Destination[] => {
+    const classified = classify(head)
+    return classified.ok ? [{ service: classified.service, kind: classified.kind, share: 1 }] : []
+  }
+
+  return { classify, destinations }
 }
 
 export const classifyRequest = (index: ServiceIndex, head: RequestHead): Classified => index.classify(head)
--- a/packages/policy/src/routes.ts
+++ b/packages/policy/src/routes.ts
@@ -5,7 +5,7 @@
 import type { Random, Route } from '@wisteriavalve/common'
 import type { ServiceConfiguration } from '@wisteriavalve/schema'
 import { hostOf, pathOf } from './classification.js'
-import type { Classified, ServiceIndex } from './types.js'
+import type { Classified, Destination, RequestHead, ServiceIndex } from './types.js'
 
 type TrafficSplitter = { next: () => string | undefined }
 
@@ -44,12 +44,26 @@
   }
   for (const list of byHost.values()) list.sort((a, b) => b.route.pathPrefix.length - a.route.pathPrefix.length)
 
-  const classify: ServiceIndex['classify'] = ({ host, path }): Classified => {
+  const findRoute = ({ host, path }: RequestHead): IndexedRoute | undefined => {
     const plainPath = pathOf(path)
-    const found = byHost.get(hostOf(host ?? ''))?.find(({ route }) => plainPath.startsWith(route.pathPrefix))
+    return byHost.get(hostOf(host ?? ''))?.find(({ route }) => plainPath.startsWith(route.pathPrefix))
+  }
+
+  const classify: ServiceIndex['classify'] = (head): Classified => {
+    const found = findRoute(head)
     const service = found && services.get(found.splitter.next() ?? '')
     return service ? { ok: true, service, kind: found.route.kind, isKnown: true } : { ok: false, error: 'service-unknown' }
   }
 
-  return { classify }
+  const destinations: ServiceIndex['destinations'] = (head): Destination[] => {
+    const route = findRoute(head)?.route
+    if (!route) return []
+    const total = route.destinations.reduce((sum, { weight }) => sum + weight, 0)
+    return route.destinations.flatMap(({ service: name, weight }) => {
+      const service = services.get(name)
+      return service ? [{ service, kind: route.kind, share: weight / total }] : []
+    })
+  }
+
+  return { classify, destinations }
 }
--- a/packages/policy/src/types/classification.ts
+++ b/packages/policy/src/types/classification.ts
@@ -6,7 +6,14 @@
 export type RequestHead = { method: string, path: string, host?: string }
 
 /** Services of a configuration, indexed for the request path. */
-export type ServiceIndex = { classify: (head: RequestHead) => Classified }
+export type ServiceIndex = {
+  classify: (head: RequestHead) => Classified
+  /** Where requests with this head go, without counting one; empty if no service matches. */
+  destinations: (head: RequestHead) => Destination[]
+}
+
+/** A service to which requests of one kind go, and its share of them, from 0 to 1. */
+export type Destination = { service: ServiceConfiguration, kind: Kind, share: number }
 
 export type Classified =
   | { ok: true, service: ServiceConfiguration, kind: Kind, isKnown: boolean }
