Confine exceptions of libraries to the connection that they concern

Change: the socket is closed with an error, so undici does not complete the request. Listeners that undici and node:http put on a socket, and undici on the stream of a body, are wrapped: an exception closes that connection, fails its request, is counted and written as library_exception. undici's listener of the close runs again after an exception, since its client would otherwise never send again.

--- a/packages/daemon/src/adapters/backend-http.ts
+++ b/packages/daemon/src/adapters/backend-http.ts
@@ -32,6 +32,7 @@
 import { createChunkJoiner } from './chunk-joiner.js'
 import { createEarlyResponseHold } from './early-response.js'
 import { createHeldResponse, type HeldResponse } from './held-response.js'
+import { guardBody, guardClient, guardConnection } from './library-guard.js'
 import { createReadGate, type ReadGate, type ReadPace } from './read-gate.js'
 import { createResponseLimits } from './response-limits.js'
 import { createStreamedBodyChecks, type OutgoingBody } from './streamed-body.js'
@@ -57,6 +58,9 @@
   readGate: ReadGate
   /** Whether the connection ended with an error. */
   hasFailed: () => boolean
+  address: string
+  /** Sets what ends the running request when undici throws an exception; undefined removes it. */
+  setExceptionHandler: (handler: ((error: Error) => void) | undefined) => void
 }
 
 export type SendFailure =
@@ -96,9 +100,13 @@
 /** Shared by all connections, because undici would otherwise create an error with a stack trace for each closed one. */
 export const CLOSED_ERROR = new Error('the connection was closed by this node')
 
-/** Resets a connection. The backend server then cannot mistake a partial request for a complete one. */
+/**
+ * Resets a connection. The backend server then cannot mistake a partial request for a complete one.
+ * Without an error, undici takes the end of a socket for the end of a response without a length, also of
+ * one whose request was aborted, which fails an assertion.
+ */
 export const closeBackendSocket = ({ client, socket }: Pick<BackendSocket, 'client' | 'socket'>): void => {
-  resetSocket(socket)
+  resetSocket(socket, CLOSED_ERROR)
   client.destroy(CLOSED_ERROR, () => undefined)
 }
 
@@ -106,6 +114,7 @@
 export const openBackendSocket = (
   target: { host: string, port: number }, onOpen: (opened: BackendSocket) => void, onFail: (message: string) => void
 ): void => {
+  const address = `${target.host}:${target.port}`
   const socket = connect({ host: target.host, port: target.port, noDelay: true, keepAlive: true, keepAliveInitialDelay: 10_000 })
   const fail = (message: string): void => {
     socket.removeAllListeners()
@@ -125,12 +134,19 @@
     // undici listens for errors only from the first request on; an unhandled error before it would end the process.
     let hadError = false
     socket.off('error', onError).on('error', () => { hadError = true })
+    let onException: ((error: Error) => void) | undefined
+    const connection = { side: 'target', address } as const
+    const client = createClient(target, socket)
+    guardConnection(socket, connection, error => onException?.(error))
+    guardClient(client, connection, error => onException?.(error))
     onOpen({
-      client: createClient(target, socket),
+      client,
       socket,
       readGate: createReadGate(socket),
       // remoteAddress must be read only at the end of a response, because node:net caches the first result.
-      hasFailed: () => hadError || socket.remoteAddress === undefined
+      hasFailed: () => hadError || socket.remoteAddress === undefined,
+      address,
+      setExceptionHandler: handler => { onException = handler }
     })
   })
 }
@@ -194,6 +210,7 @@
     held?.drop()
     backend.readGate.setPacing(undefined)
     backend.readGate.release()
+    backend.setExceptionHandler(undefined)
   }
 
   const destroy = (): void => {
@@ -208,6 +225,8 @@
     handler.onFailure(failure)
   }
 
+  const onException = (error: Error): void => fail({ kind: hasHead ? 'broken' : isWritten ? 'lost' : 'not-sent', message: `the HTTP client threw an exception: ${error.message}` })
+
   const choosePace = (): ReadPace => {
     const exceeded = limits.exceeded()
     if (exceeded === undefined) return limits.pace()
@@ -229,11 +248,13 @@
       return false
     }
     isWritten = true
+    backend.setExceptionHandler(onException)
     backend.readGate.setPacing({ choosePace, onPiece: limits.recordPiece, holdsBack: piece => !hasHead && earlyResponse.tryHold(piece) })
     handler.onWritten()
     return true
   }
 
+  if (streamed) guardBody(streamed.stream, { side: 'target', address: backend.address }, onException)
   const bodyChecks = streamed && createStreamedBodyChecks(streamed, allowWrite, fail)
 
   const onConnect = (abort: (error?: Error) => void): void => {
--- a/packages/daemon/src/adapters/caller-http.ts
+++ b/packages/daemon/src/adapters/caller-http.ts
@@ -11,6 +11,7 @@
 import { resultCode, type FailureBody, type ResultName } from '@wisteriavalve/schema'
 import { CALLER_IDLE_MS, HEADER_BYTES_MAX, HEAD_TIMEOUT_MS, LINGER_BYTES_MAX, LINGER_MS } from '../constants.js'
 import type { HttpDialect } from '../http-dialect.js'
+import { guardConnection } from './library-guard.js'
 
 /** A caller's request together with its response. */
 export type Call = {
@@ -274,6 +275,8 @@
     for (const call of calls) handle(call)
   }
 
+  // Runs before node:http adds its own listeners.
+  server.prependListener('connection', (socket: Socket) => guardConnection(socket, { side: 'caller', address: socket.remoteAddress ?? '' }))
   server.on('request', (req, res) => accept(req, res, false))
   server.on('checkContinue', (req, res) => accept(req, res, true))
   server.on('checkExpectation', (req, res) => sendFailureResponse(createCall(req, res, false), 'request-malformed', { detail: 'the expectation is not supported' }))
--- a/packages/daemon/src/adapters/peer-rpc.ts
+++ b/packages/daemon/src/adapters/peer-rpc.ts
@@ -4,7 +4,7 @@
  * status 401 before their content is parsed.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import type { AddressInfo } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
 import { initTRPC } from '@trpc/server'
 import { fetchRequestHandler } from '@trpc/server/adapters/fetch'
 import type { LimitStatement } from '@wisteriavalve/common'
@@ -13,6 +13,7 @@
 import { parseExplainQuery, type ExplainQuery } from '../admin-api.js'
 import type { ChangesQuery, PeerChanges, PublishedQuery, PublishedUpdate } from '../fleet/peer-watch.js'
 import type { ListenAddress } from '../types.js'
+import { guardConnection } from './library-guard.js'
 import { AUTHENTICATION_HEADER, isSameMac, REQUEST_NONCE_HEADER, type PeerAuth } from './peer-auth.js'
 
 export type PeerHead = { restoreCount: number, revision: number, bytesBase64: string }
@@ -184,6 +185,7 @@
 
   const server = createServer({ requestTimeout: REQUEST_TIMEOUT_MS, headersTimeout: REQUEST_TIMEOUT_MS, maxHeaderSize: 16_384 },
     (request, response) => { handleRequest(request, response).catch(() => response.destroy()) })
+  server.prependListener('connection', (socket: Socket) => guardConnection(socket, { side: 'peer', address: socket.remoteAddress ?? '' }))
   server.maxConnections = 256
   await listen(server, address)
   server.on('error', () => {})
--- a/packages/daemon/src/adapters/small-request.ts
+++ b/packages/daemon/src/adapters/small-request.ts
@@ -9,6 +9,7 @@
 import { Agent, buildConnector, type Dispatcher } from 'undici'
 import { rawHeader } from '../headers.js'
 import { createChunkJoiner } from './chunk-joiner.js'
+import { guardConnection } from './library-guard.js'
 import { createReadGate } from './read-gate.js'
 
 export type SmallRequest = {
@@ -47,7 +48,10 @@
   const connect = buildConnector({ timeout: timeoutMs })
   return (options, callback) => connect(options, (...result) => {
     const [error, socket] = result
-    if (error === null) createReadGate(socket).setPacing({ choosePace: () => socket.destroyed ? 'stop' : 'piecewise', onPiece: () => undefined })
+    if (error === null) {
+      guardConnection(socket, { side: 'client', address: `${options.hostname}:${options.port}` })
+      createReadGate(socket).setPacing({ choosePace: () => socket.destroyed ? 'stop' : 'piecewise', onPiece: () => undefined })
+    }
     callback(...result)
   })
 }
--- a/packages/daemon/src/backend-connections.ts
+++ b/packages/daemon/src/backend-connections.ts
@@ -116,6 +116,8 @@
       socket: opened.socket,
       readGate: opened.readGate,
       hasFailed: opened.hasFailed,
+      address: opened.address,
+      setExceptionHandler: opened.setExceptionHandler,
       id: nextId(),
       openedMs: nowMs,
       lastProgressMs: nowMs,
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -7,6 +7,7 @@
 import { createCallerLimits, createFleetSize, createProbeAllowance, createReachability, createServiceTimes, shareRetryLimits, type CallerLimitsOptions, type PolicyName } from '@wisteriavalve/policy'
 import type { NodeReport, NodeStatus } from '@wisteriavalve/schema'
 import { createCallerServer } from './adapters/caller-http.js'
+import { onLibraryException } from './adapters/library-guard.js'
 import type { ExplainQuery } from './admin-api.js'
 import { createAdminServer } from './admin-server.js'
 import { createBurnBuckets } from './burn-buckets.js'
@@ -271,6 +272,11 @@
     })
   }
 
+  const stopReportingExceptions = onLibraryException(({ side, address, error }) => {
+    metrics.increment('library_exceptions')
+    log('library_exception', { side, address, message: error instanceof Error ? error.stack ?? error.message : String(error) })
+  })
+
   const leave = async (): Promise<void> => {
     lifecycle.send('stop-requested')
     lastSendMs = sendEndMs(clock.nowMs(), settings.stopTimeoutMs)
@@ -289,6 +295,7 @@
     await fleet.stop()
     admin.close()
     admin.closeAllConnections()
+    stopReportingExceptions()
     lifecycle.send('finished')
     log('daemon_stopped', { uptime_ms: Math.round(clock.nowMs() - startedMs) })
   }
--- a/packages/daemon/src/metrics.ts
+++ b/packages/daemon/src/metrics.ts
@@ -15,7 +15,7 @@
 /** How a request ended: answered, or whether a failed request was run. */
 export type RequestOutcome = 'answered' | ResultClass
 
-export type CounterName = 'retries' | 'hedges' | 'refused' | 'pauses' | 'retired_connections' | 'load_probes' | 'limited_target_requests' | 'relayed_requests' | 'refused_relays' | 'short_bodies'
+export type CounterName = 'retries' | 'hedges' | 'refused' | 'pauses' | 'retired_connections' | 'load_probes' | 'limited_target_requests' | 'relayed_requests' | 'refused_relays' | 'short_bodies' | 'library_exceptions'
 
 export type Metrics = {
   /** @param result answered, or a result code */
@@ -51,7 +51,7 @@
 export const createMetrics = (sources: GaugeSources): Metrics => {
   const registry = new Registry()
   const results = new Map<string, KindCounts>()
-  const counts: Record<CounterName, number> = { retries: 0, hedges: 0, refused: 0, pauses: 0, retired_connections: 0, load_probes: 0, limited_target_requests: 0, relayed_requests: 0, refused_relays: 0, short_bodies: 0 }
+  const counts: Record<CounterName, number> = { retries: 0, hedges: 0, refused: 0, pauses: 0, retired_connections: 0, load_probes: 0, limited_target_requests: 0, relayed_requests: 0, refused_relays: 0, short_bodies: 0, library_exceptions: 0 }
   registerResults(registry, results)
   const durations = new Histogram({
     name: 'wisteriavalve_request_duration_ms',
--- a/packages/daemon/test/at-most-once.test.ts
+++ b/packages/daemon/test/at-most-once.test.ts
@@ -81,7 +81,7 @@
       const handler = { onConnect: () => undefined, onHeaders: () => true, onData: () => true, onComplete: () => undefined, onError: () => resolve(undefined) }
       if (!isGuarded) client.dispatch({ method: 'GET', path: '/shop/x' }, handler)
       else {
-        sendRequest({ client, socket: first, hasFailed: () => false, readGate: { hold: () => undefined, release: () => undefined, passHeldPiece: () => undefined, setPacing: () => undefined } }, { method: 'POST', path: '/shop/x', headers: [], body: Buffer.from('x') }, {
+        sendRequest({ client, socket: first, hasFailed: () => false, address: '', setExceptionHandler: () => undefined, readGate: { hold: () => undefined, release: () => undefined, passHeldPiece: () => undefined, setPacing: () => undefined } }, { method: 'POST', path: '/shop/x', headers: [], body: Buffer.from('x') }, {
           canWrite: () => true, onWritten: () => undefined, onBodyProgress: () => undefined, onHead: () => undefined, onData: () => true, onEnd: () => undefined, onFailure: ({ kind: name }) => resolve(name)
         })
       }
