Treat a status above 599 as an invalid response

Cause: only statuses below 100 counted as invalid, so 600 and 999 of a target reached callers, who cannot interpret them (RFC 9110, section 15).

Change: a status outside 100 to 599 breaks the response, at targets and in documents of the platform, of peers and of probes.

--- a/packages/daemon/src/adapters/backend-http.ts
+++ b/packages/daemon/src/adapters/backend-http.ts
@@ -34,12 +34,9 @@
 import { createHeldResponse, type HeldResponse } from './held-response.js'
 import { guardBody, guardClient, guardConnection } from './library-guard.js'
 import { createReadGate, type ReadGate, type ReadPace } from './read-gate.js'
-import { createResponseLimits } from './response-limits.js'
+import { createResponseLimits, isResponseStatus } from './response-limits.js'
 import { createStreamedBodyChecks, type OutgoingBody } from './streamed-body.js'
 
-/** Smallest status that a response can have. */
-const STATUS_MIN = 100
-
 export type BackendRequest = {
   method: string
   path: string
@@ -270,7 +267,7 @@
 
   const onHeaders = (status: number, raw: Buffer[], _resume: () => void, statusText: string): boolean => {
     if (isFinished) return true
-    if (status < STATUS_MIN) {
+    if (!isResponseStatus(status)) {
       fail({ kind: 'broken', message: `the response has the status ${status}` })
       abortParsing()
       return true
--- a/packages/daemon/src/adapters/response-limits.ts
+++ b/packages/daemon/src/adapters/response-limits.ts
@@ -1,3 +1,9 @@
+const STATUS_MIN = 100
+const STATUS_MAX = 599
+
+/** Whether the status has a class; a response with any other one is invalid (RFC 9110, section 15). */
+export const isResponseStatus = (status: number): boolean => status >= STATUS_MIN && status <= STATUS_MAX
+
 /**
  * Limits on the bytes of a response that are not part of its body, and the pace
  * at which a response is parsed. Bytes outside of the body cost more time and
--- a/packages/daemon/src/adapters/small-request.ts
+++ b/packages/daemon/src/adapters/small-request.ts
@@ -1,3 +1,4 @@
+import { isResponseStatus } from './response-limits.js'
 /**
  * Sends a request with undici and collects its response, which is small: the
  * documents of the platform, calls between nodes and health probes. undici's
@@ -42,8 +43,6 @@
   keepAliveMs?: number
 }
 
-const STATUS_MIN = 100
-
 const createPacedConnector = (timeoutMs: number): buildConnector.connector => {
   const connect = buildConnector({ timeout: timeoutMs })
   return (options, callback) => connect(options, (...result) => {
@@ -91,7 +90,7 @@
       if (signal.aborted) abortRequest(new Error('the request was aborted'))
     },
     onHeaders: (code, raw) => {
-      if (code < STATUS_MIN) stop(`the response has the status ${code}`)
+      if (!isResponseStatus(code)) stop(`the response has the status ${code}`)
       status = code
       headers = raw.map(value => value.toString('latin1'))
       return true
