--- a/packages/daemon/src/adapters/small-request.ts
+++ b/packages/daemon/src/adapters/small-request.ts
@@ -1,3 +1,4 @@
+import { isResponseStatus } from './response-limits.js'
 /**
  * Sends a request with undici and collects its response, which is small: the
  * documents of the platform, calls between nodes and health probes. undici's
@@ -9,6 +10,7 @@
 import { Agent, buildConnector, type Dispatcher } from 'undici'
 import { rawHeader } from '../headers.js'
 import { createChunkJoiner } from './chunk-joiner.js'
+import { guardConnection } from './library-guard.js'
 import { createReadGate } from './read-gate.js'
 
 export type SmallRequest = {
@@ -41,13 +43,14 @@
   keepAliveMs?: number
 }
 
-const STATUS_MIN = 100
-
 const createPacedConnector = (timeoutMs: number): buildConnector.connector => {
   const connect = buildConnector({ timeout: timeoutMs })
   return (options, callback) => connect(options, (...result) => {
     const [error, socket] = result
-    if (error === null) createReadGate(socket).setPacing({ choosePace: () => socket.destroyed ? 'stop' : 'piecewise', onPiece: () => undefined })
+    if (error === null) {
+      guardConnection(socket, { side: 'client', address: `${options.hostname}:${options.port}` })
+      createReadGate(socket).setPacing({ choosePace: () => socket.destroyed ? 'stop' : 'piecewise', onPiece: () => undefined })
+    }
     callback(...result)
   })
 }
@@ -87,7 +90,7 @@
       if (signal.aborted) abortRequest(new Error('the request was aborted'))
     },
     onHeaders: (code, raw) => {
-      if (code < STATUS_MIN) stop(`the response has the status ${code}`)
+      if (!isResponseStatus(code)) stop(`the response has the status ${code}`)
       status = code
       headers = raw.map(value => value.toString('latin1'))
       return true
