Leave out the targets of evacuated zones

Operators had no way to take a zone out of use at once. A key op/evacuate/ZONE in the store now is a published change that every node gets like a configuration; target tables leave the targets of the zone out of the candidates, and the check before the first byte refuses a target whose zone was evacuated since it was chosen. A request with targets only in evacuated zones is refused at once as not run, with Retry-After. An evacuation that a restored store lacks stays in force for 4 s. Between nodes, evacuations are sent apart from other changes, because a node of an earlier release fails at a change type that it does not know.

--- a/packages/daemon/src/attempt-writes.ts
+++ b/packages/daemon/src/attempt-writes.ts
@@ -19,9 +19,10 @@
   return headers
 }
 
-/** Whether the target stated since it was chosen that it does not want this request. */
+/** Whether the target stated since it was chosen that it does not want this request, or its zone was evacuated. */
 export const isTargetClosed = (attempt: Attempt, nowMs: number): boolean =>
-  attempt.exchange.runtime.draining.has(attempt.targetId) || attempt.table.isPaused(attempt.targetId, nowMs) || isPermitMissing(attempt)
+  attempt.exchange.runtime.draining.has(attempt.targetId) || attempt.table.isPaused(attempt.targetId, nowMs) ||
+  attempt.table.isEvacuated(attempt.targetId) || isPermitMissing(attempt)
 
 /** The only check before the first byte of the request is written. */
 export const canWrite = (context: PipelineContext, attempt: Attempt): boolean => {
--- a/packages/daemon/src/attempts.ts
+++ b/packages/daemon/src/attempts.ts
@@ -14,6 +14,7 @@
 import { permitWaitMaxMs, place, type PlacementOutcome } from './placement.js'
 import { EARLY_RESPONSE_MARGIN_MS, LEAVING_RETRY_AFTER_MS } from './constants.js'
 import { scheduleHedge } from './hedging.js'
+import { failWithoutTarget } from './missing-targets.js'
 import { cannotReachTargets, CUT_OFF_RETRY_AFTER_MS, delegateAttempts, isCutOff, isRelayed, reclaimAttempts, selectRelayPeer, tryTargetAgain } from './relaying.js'
 import { excludedTargets, isTaken, reserveTarget } from './suspect-isolation.js'
 import { withPermit } from './target-permits.js'
@@ -97,7 +98,7 @@
   if (outcome.step === 'send' && target) startPermitted(context, exchange, purpose, target, outcome, lastResult)
   else if (purpose === 'hedge') exchange.isHedged = true
   else if (outcome.step === 'refuse') failExchange(context, exchange, exchange.unknownResult ?? lastResult ?? REFUSAL_RESULTS[outcome.cause], { retryAfterMs: outcome.retryAfterMs, detail: outcome.detail })
-  else failExchange(context, exchange, exchange.unknownResult ?? lastResult ?? 'no-target')
+  else failWithoutTarget(context, exchange, lastResult)
 }
 
 const selectAndStart = (context: PipelineContext, exchange: Exchange, purpose: AttemptPurpose, lastResult?: ResultName): void => {
@@ -118,7 +119,7 @@
   if (!selection.ok && selection.error === 'all-busy') waitForTarget(context, exchange, purpose, lastResult)
   else if (!selection.ok && selection.error === 'paused') failExchange(context, exchange, exchange.unknownResult ?? lastResult ?? 'targets-paused', { retryAfterMs: selection.retryAfterMs })
   else if (!selection.ok && selection.error === 'rate-limited') failExchange(context, exchange, exchange.unknownResult ?? lastResult ?? 'target-rate-limited', { retryAfterMs: selection.retryAfterMs, detail: selection.detail })
-  else failExchange(context, exchange, exchange.unknownResult ?? lastResult ?? 'no-target')
+  else failWithoutTarget(context, exchange, lastResult)
 }
 
 /** Starts the attempt, after a permit for it if the target has a request limit. Without a permit another target is chosen. */
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -254,6 +254,7 @@
 
   const start = async (): Promise<void> => {
     fleet.onTargets(runtimes.applyTargets)
+    fleet.onEvacuations(runtimes.applyEvacuations)
     fleet.onNotes(notes => {
       crashWatch.applyNotes(notes)
       runtimes.applyNotes(notes.filter(note => !isCrashNote(note)))
--- a/packages/daemon/src/fleet/fleet-runtime.ts
+++ b/packages/daemon/src/fleet/fleet-runtime.ts
@@ -177,6 +177,7 @@
   return {
     start,
     onConfiguration: onConfiguration.add,
+    onEvacuations: () => undefined,
     onTargets: onTargets.add,
     onNotes: onNotes.add,
     onProbe: onProbe.add,
--- a/packages/daemon/src/fleet/peer-watch.ts
+++ b/packages/daemon/src/fleet/peer-watch.ts
@@ -5,7 +5,7 @@
  * poll nodes.
  */
 import type { Clock } from '@wisteriavalve/common'
-import type { PublishedChange, PublishedConfiguration, PublishedStateView, StorePosition } from '@wisteriavalve/fleet'
+import { fromSentChanges, type PublishedConfiguration, type PublishedStateView, type SentChanges, type StorePosition } from '@wisteriavalve/fleet'
 import type { PeerAddress, PeerClients } from '../adapters/peer-client.js'
 import { withDeadline } from '../adapters/deadline.js'
 import { describeError } from '../adapters/http-json.js'
@@ -13,7 +13,7 @@
 
 /** Response of a node to a peer that follows it. ageMs is the time since the store responded, including all nodes in between. */
 export type PeerChanges =
-  | StorePosition & { state: 'current', changes: PublishedChange[], ageMs: number }
+  | StorePosition & SentChanges & { state: 'current', ageMs: number }
   /** The changes after the requested position are no longer kept, or the store was restored since. */
   | { state: 'restart', view: PublishedStateView, ageMs: number }
   /** The node's last contact with the store is too long ago, or before the restore that the peer knows of. */
@@ -21,7 +21,7 @@
 
 /** Published state that a node has beyond what the requesting peer has. */
 export type PublishedUpdate =
-  | StorePosition & { state: 'changes', changes: PublishedChange[] }
+  | StorePosition & SentChanges & { state: 'changes' }
   /** The changes after the requested position are no longer kept, or the store was restored since. */
   | { state: 'whole', view: PublishedStateView }
   /** Only the configuration is newer: the store of the peer was restored from a copy with an older one. */
@@ -49,7 +49,7 @@
   try {
     const query: ChangesQuery = { restoreCount, afterRevision: after.revision, waitMs }
     const response = await withDeadline(waitMs + RESPONSE_MARGIN_MS, signal, deadline => clients.to(peer).changes.query(query, { signal: deadline }), clock.after)
-    if (response.state === 'current') return { ok: true, value: withRestoreCount(response, restoreCount) }
+    if (response.state === 'current') return { ok: true, value: { ...withRestoreCount(response, restoreCount), changes: fromSentChanges(response) } }
     if (response.state === 'restart') {
       const view = withRestoreCount(response.view, restoreCount)
       return { ok: true, value: { restoreCount: view.restoreCount, revision: view.revision, changes: [], view, ageMs: response.ageMs } }
--- a/packages/daemon/src/fleet/store-fleet.ts
+++ b/packages/daemon/src/fleet/store-fleet.ts
@@ -5,7 +5,7 @@
  * random peer. Nodes discover each other through seeds and then by gossip.
  */
 import { alignedDelayMs } from '@wisteriavalve/common'
-import { buildZoneEntryAnswer, chooseStoreSource, compareStorePositions, createChangeLog, createPublishedState, type PublishedConfiguration, type PublishedStateView, type StorePosition } from '@wisteriavalve/fleet'
+import { buildZoneEntryAnswer, chooseStoreSource, compareStorePositions, createChangeLog, createPublishedState, fromSentChanges, toSentChanges, type PublishedConfiguration, type PublishedStateView, type StorePosition } from '@wisteriavalve/fleet'
 import type { ProbeResult } from '@wisteriavalve/policy'
 import type { EntryAnswer, MemberUpdate, TargetNote, VmEntry } from '@wisteriavalve/schema'
 import { openGossipSocket, type OpenGossipSocket } from '../adapters/gossip-udp.js'
@@ -23,6 +23,7 @@
 import { toActiveConfiguration } from './published-configuration.js'
 import { createCatchUp } from './catch-up.js'
 import { createConfigurationNews } from './configuration-news.js'
+import { createEvacuationReporter } from './evacuation-reports.js'
 import { createChangeWaiters } from './change-waiters.js'
 import { createPeerWatch, withRestoreCount, type ChangesQuery, type PeerChanges, type PublishedQuery, type PublishedUpdate } from './peer-watch.js'
 import { createSuspectSync } from './suspect-sync.js'
@@ -77,6 +78,7 @@
   const excludedUntilMs = new Map<string, number>()
   const onConfiguration = createListeners<[ActiveConfiguration]>()
   const onTargets = createListeners<[string, ServiceTargets]>()
+  const onEvacuations = createListeners<[ReadonlySet<string>]>()
   const onNotes = createListeners<[TargetNote[]]>()
   const onProbe = createListeners<[string, string, ProbeResult]>()
   let activeConfiguration: ActiveConfiguration | undefined
@@ -95,6 +97,7 @@
   const permits = createPermits({ context, members, clients })
   const suspectSync = createSuspectSync({ clock, random, peers, clients, onNotes: onNotes.emit })
   const reportMember = createMemberReporter(context)
+  const reportEvacuations = createEvacuationReporter(log)
 
   const logAdopted = ({ version, routes }: PublishedConfiguration, source: string): void => log('configuration_adopted', {
     revision: version,
@@ -109,6 +112,11 @@
   /** @param source logged origin of the change: the store, a peer's node id, or time for time-driven changes */
   const publish = (source: string): void => {
     const changes = state.takeChanges(clock.nowMs())
+    // Before the configuration, with which the node begins to serve.
+    if (changes.evacuatedZones) {
+      reportEvacuations(changes.evacuatedZones, state.view(), source)
+      onEvacuations.emit(changes.evacuatedZones)
+    }
     if (changes.configuration) {
       activeConfiguration = toActiveConfiguration(changes.configuration, settings)
       adoptedMs = clock.nowMs()
@@ -188,7 +196,7 @@
     if (!canAnswer()) return { state: 'behind' }
     const changes = changeLog.since(after)
     const ageMs = follower.ageMs()
-    return changes ? { state: 'current', ...state.position(), changes, ageMs } : { state: 'restart', view: state.view(), ageMs }
+    return changes ? { state: 'current', ...state.position(), ...toSentChanges(changes), ageMs } : { state: 'restart', view: state.view(), ageMs }
   }
 
   const follower = createStoreFollower({
@@ -225,12 +233,12 @@
     const position = { restoreCount, revision }
     if (compareStorePositions(state.position(), position) <= 0) return configuration.version > peerVersion ? { state: 'configuration', configuration } : null
     const changes = changeLog.since(position)
-    return changes ? { state: 'changes', ...state.position(), changes } : { state: 'whole', view: state.view() }
+    return changes ? { state: 'changes', ...state.position(), ...toSentChanges(changes) } : { state: 'whole', view: state.view() }
   }
 
   const applyUpdate = (update: PublishedUpdate, source: string): void => {
     const { restoreCount } = state.position()
-    if (update.state === 'changes') applyChanges(withRestoreCount(update, restoreCount), source)
+    if (update.state === 'changes') applyChanges({ ...withRestoreCount(update, restoreCount), changes: fromSentChanges(update) }, source)
     else if (update.state === 'whole') applySnapshot(withRestoreCount(update.view, restoreCount), source)
     else {
       state.offerConfiguration(update.configuration)
@@ -308,6 +316,7 @@
     start,
     onConfiguration: onConfiguration.add,
     onTargets: onTargets.add,
+    onEvacuations: onEvacuations.add,
     onNotes: onNotes.add,
     onProbe: onProbe.add,
     setLastResponseSource: () => undefined,
@@ -338,6 +347,7 @@
       ...(Number.isFinite(follower.ageMs()) && { store_age_ms: Math.round(follower.ageMs()) }),
       store_revision: state.position().revision,
       store_restore_count: state.position().restoreCount,
+      evacuated_zones: state.evacuatedZones().size,
       configuration_version: state.configuration()?.version ?? 0,
       configuration_heard_version: news.newestVersion(),
       ...(adoptedMs !== undefined && { configuration_age_ms: Math.round(clock.nowMs() - adoptedMs) })
--- a/packages/daemon/src/request-pipeline.ts
+++ b/packages/daemon/src/request-pipeline.ts
@@ -9,6 +9,7 @@
 import { LEAVING_RETRY_AFTER_MS } from './constants.js'
 import type { Exchange } from './exchange.js'
 import { isRequestId } from './headers.js'
+import { failWithoutTarget } from './missing-targets.js'
 import { validateCall, type CallValidation } from './request-validation.js'
 import type { PipelineContext } from './pipeline-context.js'
 import { createRequestBody } from './request-body.js'
@@ -144,7 +145,7 @@
     return
   }
   if (runtime.table.routing(nowMs).candidates.length === 0) {
-    failExchange(context, exchange, 'no-target')
+    failWithoutTarget(context, exchange)
     return
   }
   exchange.phase = 'queued'
--- a/packages/daemon/src/service-runtimes.ts
+++ b/packages/daemon/src/service-runtimes.ts
@@ -54,6 +54,8 @@
   all: () => Iterable<ServiceRuntime>
   applyConfiguration: (adopted: ActiveConfiguration) => void
   applyTargets: (service: string, targets: ServiceTargets) => void
+  /** @param zones zones whose targets must get no requests */
+  applyEvacuations: (zones: ReadonlySet<string>) => void
   applyNotes: (notes: readonly TargetNote[]) => void
   applyProbe: (service: string, targetId: string, result: ProbeResult) => void
   /** Connection pool of a target; created on first use. */
@@ -131,6 +133,7 @@
   /** Services that the configuration leaves out, and since when. */
   const removedRuntimes = new Map<string, { runtime: ServiceRuntime, removedMs: number }>()
   const targetsByService = new Map<string, ServiceTargets>()
+  let evacuatedZones: ReadonlySet<string> = new Set()
   let index: ServiceIndex | undefined
   /** Services with attempts or changes since target notes were last collected. */
   const changedRuntimes = new Set<ServiceRuntime>()
@@ -141,6 +144,7 @@
     service: configuration.name,
     slotsPerTarget: configuration.slotsPerTarget,
     connectionShare: share,
+    evacuatedZones,
     onHealth: (targetId, health, reason) => {
       if (health === 'draining') draining.add(targetId)
       else draining.delete(targetId)
@@ -210,6 +214,13 @@
     setTargets(existing, targets)
   }
 
+  /** Targets of a zone that is used again are expected to be cold, before they can be chosen. */
+  const setEvacuatedZones = ({ table }: ServiceRuntime, endedZones: readonly string[]): void => {
+    const nowMs = clock.nowMs()
+    for (const zone of endedZones) table.expectWarmup?.(zone, nowMs)
+    table.setEvacuatedZones(evacuatedZones)
+  }
+
   const connectionsTo = (runtime: ServiceRuntime, target: Target): TargetConnections => {
     changedRuntimes.add(runtime)
     const existing = runtime.connections.get(target.id)
@@ -242,6 +253,15 @@
       const runtime = runtimes.get(service)
       if (runtime) setTargets(runtime, targets)
     },
+    applyEvacuations: zones => {
+      const endedZones = [...evacuatedZones].filter(zone => !zones.has(zone))
+      evacuatedZones = zones
+      for (const { runtime } of removedRuntimes.values()) setEvacuatedZones(runtime, endedZones)
+      for (const runtime of runtimes.values()) {
+        setEvacuatedZones(runtime, endedZones)
+        retryTargetWaiters(runtime)
+      }
+    },
     applyNotes: notes => {
       const nowMs = clock.nowMs()
       for (const note of notes) runtimes.get(note.service)?.table.recordPeerObservation(note, nowMs)
--- a/packages/daemon/src/types.ts
+++ b/packages/daemon/src/types.ts
@@ -76,6 +76,8 @@
   start: (peerSource: PeerSource) => Promise<void>
   onConfiguration: (listener: (configuration: ActiveConfiguration) => void) => void
   onTargets: (listener: (service: string, targets: ServiceTargets) => void) => void
+  /** The listener receives the zones whose targets must get no requests, at each change. */
+  onEvacuations: (listener: (zones: ReadonlySet<string>) => void) => void
   onNotes: (listener: (notes: TargetNote[]) => void) => void
   /** The listener receives the results of this node's health probes. */
   onProbe: (listener: (service: string, targetId: string, result: ProbeResult) => void) => void
--- a/packages/daemon/test/support.ts
+++ b/packages/daemon/test/support.ts
@@ -46,6 +46,7 @@
   calls: string[]
   sharedNotes: TargetNote[]
   setTargets: (service: string, targets: ServiceTargets) => void
+  setEvacuatedZones: (zones: readonly string[]) => void
   /** Puts a configuration with these services in force. */
   applyServices: (services: readonly ServiceConfiguration[]) => void
   /** Answers queries for permits; tests replace it. */
@@ -62,12 +63,14 @@
   const calls: string[] = []
   const sharedNotes: TargetNote[] = []
   const targetListeners: ((service: string, targets: ServiceTargets) => void)[] = []
+  const evacuationListeners: ((zones: ReadonlySet<string>) => void)[] = []
   const configurationListeners: ((configuration: AdoptedConfiguration) => void)[] = []
   const queryNothing = async () => ({ nodes: [], missing: [] })
   const fleet: FakeFleet = {
     calls,
     sharedNotes,
     setTargets: (name, targets) => { for (const listener of targetListeners) listener(name, targets) },
+    setEvacuatedZones: zones => { for (const listener of evacuationListeners) listener(new Set(zones)) },
     applyServices: next => {
       for (const listener of configurationListeners) listener({ ...adopted, services: new Map(next.map(each => [each.name, each])) })
     },
@@ -76,6 +79,7 @@
       if (services.length > 0) for (const listener of configurationListeners) listener(adopted)
     },
     onConfiguration: listener => { configurationListeners.push(listener) },
+    onEvacuations: listener => { evacuationListeners.push(listener) },
     onTargets: listener => { targetListeners.push(listener) },
     onNotes: () => undefined,
     onProbe: () => undefined,
--- a/packages/fleet/src/constants.ts
+++ b/packages/fleet/src/constants.ts
@@ -73,6 +73,11 @@
 
 /** Target entries that expired while the store was unreachable, or that a restored store lost, are listed again within this time after it answers again. */
 export const RELISTING_GRACE_MS = 2000
+/**
+ * An evacuation that a restored store lacks stays in force for this time: 2 s, within which it is written
+ * again, and 2 s, within which the change reaches all nodes.
+ */
+export const EVACUATION_GRACE_MS = RELISTING_GRACE_MS + 2000
 /** Time after which the store removes the entry of a target that has stopped renewing it, when the platform does not state it. */
 export const TARGET_LEASE_DEFAULT_MS = 4500
 
--- a/packages/fleet/src/published-state.ts
+++ b/packages/fleet/src/published-state.ts
@@ -1,6 +1,6 @@
 /**
  * The state that the platform publishes in its store, as read by this node: the
- * newest configuration and the list of targets. A configuration is never replaced
+ * newest configuration, the list of targets and the evacuated zones. A configuration is never replaced
  * by an older one. A target that is removed from the list gets no new requests.
  * The exception is the time right after the store was unreachable or restored:
  * entries that were lost are listed again soon after, so a missing target is kept
@@ -8,11 +8,12 @@
  */
 import { isDeepStrictEqual } from 'node:util'
 import type { ListedTarget } from '@wisteriavalve/common'
+import { createEvacuations } from './evacuations.js'
 import { createTargetRecord, isDoubtful, isForgettable, isLeaving, isListingConfirmed, isRemoved, listedEntry, type PublishedTargetRecord } from './published-target.js'
 import { compareStorePositions, NO_STORE_POSITION } from './store-position.js'
 import type { TargetSet } from './target-union.js'
 import type { PublishedChange, PublishedConfiguration, PublishedState, PublishedStateView, PublishedTarget } from './types.js'
-import { RELISTING_GRACE_MS, TARGET_LEASE_DEFAULT_MS } from './constants.js'
+import { EVACUATION_GRACE_MS, RELISTING_GRACE_MS, TARGET_LEASE_DEFAULT_MS } from './constants.js'
 
 export type PublishedStateOptions = {
   /** Time after which the store removes the entry of a target that has stopped renewing it. */
@@ -27,6 +28,7 @@
 export const createPublishedState = ({ targetLeaseMs }: PublishedStateOptions = { targetLeaseMs: TARGET_LEASE_DEFAULT_MS }): PublishedState => {
   const records = new Map<string, PublishedTargetRecord>()
   const changedServices = new Set<string>()
+  const evacuations = createEvacuations()
   let configuration: PublishedConfiguration | undefined
   let isConfigurationNew = false
   let position = NO_STORE_POSITION
@@ -83,11 +85,13 @@
     const listed = new Set(view.targets.map(({ id }) => id))
     for (const entry of view.targets) applyListing(entry, isRestored, nowMs)
     for (const targetId of records.keys()) if (!listed.has(targetId)) removeTarget(targetId, nowMs)
+    if (view.evacuatedZones) evacuations.applyAll(view.evacuatedZones, (isStoreUnreachable ? nowMs : reachableSinceMs) + EVACUATION_GRACE_MS, isRestored)
   }
 
   const applyChange = (change: PublishedChange, nowMs: number): void => {
     if (change.type === 'target') upsertTarget(change.target)
     else if (change.type === 'target-removed') removeTarget(change.targetId, nowMs)
+    else if (change.type === 'evacuation') evacuations.apply(change)
     else offerConfiguration(change.configuration)
   }
 
@@ -124,17 +128,20 @@
 
   const takeChanges: PublishedState['takeChanges'] = nowMs => {
     expireRecords(nowMs)
+    evacuations.expire(nowMs)
     const targets = new Map([...changedServices].map(service => [service, buildTargetSet(service, nowMs)]))
     changedServices.clear()
     const adopted = isConfigurationNew ? configuration : undefined
     isConfigurationNew = false
-    return { configuration: adopted, targets }
+    const evacuatedZones = evacuations.takeChange()
+    return { configuration: adopted, targets, ...(evacuatedZones && { evacuatedZones }) }
   }
 
   const view = (): PublishedStateView => ({
     ...position,
     configuration,
-    targets: [...records.values()].flatMap(record => listedEntry(record) ?? [])
+    targets: [...records.values()].flatMap(record => listedEntry(record) ?? []),
+    evacuatedZones: evacuations.listedZones()
   })
 
   return {
@@ -151,6 +158,7 @@
     takeChanges,
     view,
     position: () => position,
-    configuration: () => configuration
+    configuration: () => configuration,
+    evacuatedZones: evacuations.zones
   }
 }
--- a/packages/fleet/src/types.ts
+++ b/packages/fleet/src/types.ts
@@ -175,11 +175,15 @@
   | { type: 'target', target: PublishedTarget }
   | { type: 'target-removed', targetId: string }
   | { type: 'configuration', configuration: PublishedConfiguration }
+  /** The targets of a zone must get no requests, or may get them again. */
+  | { type: 'evacuation', zone: string, isActive: boolean }
 
 /** The full published state at one position of the store. */
 export type PublishedStateView = StorePosition & {
   configuration?: PublishedConfiguration
   targets: readonly PublishedTarget[]
+  /** Absent in views of nodes of earlier releases. */
+  evacuatedZones?: readonly string[]
 }
 
 export type PublishedState = {
@@ -193,11 +197,12 @@
   recordStoreUnreachable: () => void
   /** Records that the store answers again. */
   recordStoreReachable: (nowMs: number) => void
-  /** Returns the configuration if it changed since the last call, and the targets of the services that may have changed. */
-  takeChanges: (nowMs: number) => { configuration?: PublishedConfiguration, targets: Map<string, TargetSet> }
+  /** Returns the configuration and the evacuated zones if they changed since the last call, and the targets of the services that may have changed. */
+  takeChanges: (nowMs: number) => { configuration?: PublishedConfiguration, targets: Map<string, TargetSet>, evacuatedZones?: ReadonlySet<string> }
   view: () => PublishedStateView
   position: () => StorePosition
   configuration: () => PublishedConfiguration | undefined
+  evacuatedZones: () => ReadonlySet<string>
 }
 
 /** Compares two configurations: positive when a is newer than b. */
--- a/packages/policy/src/table-core.ts
+++ b/packages/policy/src/table-core.ts
@@ -73,10 +73,13 @@
   core.options.onHealth?.(state.target.id, state.health, next.context.reason, event.nowMs)
 }
 
+/** Whether the target is in a zone whose targets must get no requests. */
+export const isEvacuated = ({ options: { evacuatedZones } }: TableCore, { target }: TargetState): boolean => evacuatedZones?.has(target.zone) === true
+
 const isAvailable = ({ health }: TargetState): boolean => health === 'cold' || health === 'ready' || health === 'probation'
 
 const rebuildCandidates = (core: TableCore): void => {
-  const all = [...core.states.values()]
+  const all = [...core.states.values()].filter(state => !isEvacuated(core, state))
   const available = all.filter(isAvailable)
   core.routing.isFailOpen = available.length === 0
   core.routing.candidates = available.length > 0 ? available : all.filter(({ health }) => health === 'ejected')
@@ -112,7 +115,7 @@
  * targets would be overloaded. The failing target stays in use with a poor score.
  */
 const canEject = (core: TableCore): boolean => {
-  const present = [...core.states.values()].filter(isPresent)
+  const present = [...core.states.values()].filter(state => isPresent(state) && !isEvacuated(core, state))
   const ejected = present.filter(({ health }) => health === 'ejected').length
   return ejected + 1 <= EJECTED_SHARE_MAX * present.length
 }
--- a/packages/policy/src/target-list.ts
+++ b/packages/policy/src/target-list.ts
@@ -52,6 +52,7 @@
       addTarget(core, target, isFirstList, nowMs)
       continue
     }
+    if (existing.target.zone !== target.zone) core.isStale = true
     existing.target = target
     existing.isUnlisted = false
   }
--- a/packages/policy/src/target-table.ts
+++ b/packages/policy/src/target-table.ts
@@ -3,13 +3,14 @@
  */
 import { avoidTarget, effectiveLimit, isCongested } from './concurrency-limit.js'
 import { applyReport } from './load-estimate.js'
-import { createTableCore, currentRouting, type TableCore } from './table-core.js'
+import { createTableCore, currentRouting, isEvacuated, type TableCore } from './table-core.js'
 import { applyLimitStatement, applyStatedLimit, ASK_AGAIN_DEFAULT_MS, limitStatementOf } from './request-limit.js'
 import { applyTargetList } from './target-list.js'
 import { collectNotes, applyPeerNote } from './target-notes.js'
 import { applyDraining, applyFirstByte, applyOutcome, applyProbe } from './target-outcomes.js'
 import { applyPause, isPaused } from './target-pause.js'
 import { addStartTime, removeStartTime, slowStartShare } from './target-state.js'
+import { zoneObstacle } from './zone-limits.js'
 import type { TargetState, TargetTable, TargetTableOptions } from './types.js'
 import type { TargetStatus } from '@wisteriavalve/schema'
 
@@ -28,7 +29,7 @@
     port: target.port,
     zone: target.zone,
     health: state.health,
-    reason: lifecycle.context.reason + (state.isUnlisted && state.health !== 'gone' ? '; not in the newest list' : ''),
+    reason: lifecycle.context.reason + (state.isUnlisted && state.health !== 'gone' ? '; not in the newest list' : '') + (isEvacuated(core, state) ? '; its zone is evacuated' : ''),
     inFlight: state.inFlight,
     limit: effectiveLimit(state),
     connections
@@ -86,6 +87,15 @@
       Object.assign(options, { slotsPerTarget, connectionShare })
       for (const state of states.values()) resizeTarget(state, slotsPerTarget, connectionShare)
     },
+    setEvacuatedZones: zones => {
+      options.evacuatedZones = zones
+      core.isStale = true
+    },
+    isEvacuated: targetId => {
+      const state = states.get(targetId)
+      return state !== undefined && isEvacuated(core, state)
+    },
+    zoneObstacle: restriction => zoneObstacle(states.values(), options.evacuatedZones, restriction),
     recordDraining: (targetId, source, nowMs) => withState(targetId, state => applyDraining(core, state, source, nowMs, nowMs)),
     recordStart: (targetId, nowMs) => withState(targetId, state => {
       addStartTime(state, nowMs)
--- a/packages/policy/src/types/targets.ts
+++ b/packages/policy/src/types/targets.ts
@@ -5,6 +5,7 @@
 import type { Target, TargetNote, TargetStatus } from '@wisteriavalve/schema'
 import type { StatedLimit } from '../request-limit.js'
 import type { HealthSnapshot } from '../target-health.js'
+import type { ZoneRestriction } from '../zone-limits.js'
 
 export type TargetHealth = TargetStatus['health']
 
@@ -41,6 +42,8 @@
   slotsPerTarget: number
   /** Maximum number of connections of this node to one target; upper bound of the concurrency limit. */
   connectionShare: number
+  /** Zones whose targets must get no requests; absent: none. */
+  evacuatedZones?: ReadonlySet<string>
   /** Called on each change of a target's health. */
   onHealth?: (targetId: string, health: TargetHealth, reason: string, nowMs: number) => void
   /** Called when a target states a request limit for the first time, changes it, or has ended it. */
@@ -57,6 +60,12 @@
   setTargets: (targets: readonly ListedTarget[], nowMs: number) => void
   /** Applies new sizes and keeps all that is known of the targets. */
   resize: (sizes: Pick<TargetTableOptions, 'slotsPerTarget' | 'connectionShare'>) => void
+  setEvacuatedZones: (zones: ReadonlySet<string>) => void
+  isEvacuated: (targetId: string) => boolean
+  /** Why the zones leave no target for a request; undefined if a target in use is in a zone that it may reach. */
+  zoneObstacle: (restriction: ZoneRestriction) => string | undefined
+  /** Takes the targets of a zone for cold until their health responses say otherwise. */
+  expectWarmup?: (zone: string, nowMs: number) => void
   recordDraining: (targetId: string, source: DrainSource, nowMs: number) => void
   recordStart: (targetId: string, nowMs: number) => void
   recordFirstByte: (targetId: string, firstByteMs: number, nowMs: number) => void
--- /dev/null
+++ b/packages/policy/test/zone-limits.test.ts
@@ -0,0 +1,59 @@
+/**
+ * Guards against requests to targets of an evacuated zone, also as a last choice,
+ * and against requests that have no allowed zone and are not refused at once.
+ */
+import test from 'ava'
+import { createRandom } from '@wisteriavalve/common'
+import { createTargetTable, planPlacement, selectTarget, type TargetTable } from '../src/index.js'
+import { createPlacementRequest } from './placement-request.js'
+
+const NOW_MS = 10_000
+const RANDOM = createRandom(11)
+
+/** Targets t0, t1 and so on in these zones. */
+const createTable = (zones: readonly string[], evacuatedZones?: ReadonlySet<string>): TargetTable => {
+  const table = createTargetTable({ service: 's', slotsPerTarget: 4, connectionShare: 8, ...(evacuatedZones && { evacuatedZones }) })
+  setZones(table, zones)
+  return table
+}
+
+const setZones = (table: TargetTable, zones: readonly string[]): void =>
+  table.setTargets(zones.map((zone, index) => ({ id: `t${index}`, host: '127.0.0.1', port: 9_000 + index, zone })), 0)
+
+const candidateIds = (table: TargetTable): string[] => table.routing(NOW_MS).candidates.map(({ target }) => target.id)
+
+test('targets of evacuated zones are no candidates, and are candidates again at the end of the evacuation', t => {
+  const table = createTable(['a', 'b', 'a'], new Set(['a']))
+  t.deepEqual(candidateIds(table), ['t1'])
+  t.deepEqual(['t0', 't1', 't9'].map(table.isEvacuated), [true, false, false])
+  table.setEvacuatedZones(new Set())
+  t.deepEqual(candidateIds(table), ['t0', 't1', 't2'])
+})
+
+test('a target that the list moves into an evacuated zone is no candidate any more', t => {
+  const table = createTable(['a', 'b'], new Set(['c']))
+  t.deepEqual(candidateIds(table), ['t0', 't1'])
+  setZones(table, ['a', 'c'])
+  t.deepEqual(candidateIds(table), ['t0'])
+})
+
+test('targets of an evacuated zone are not used in place of ejected ones, and do not allow more ejections', t => {
+  const table = createTable(['a', 'b', 'b', 'b', 'b'], new Set(['b']))
+  for (let count = 0; count < 20; count++) {
+    table.recordStart('t0', NOW_MS)
+    table.recordOutcome('t0', 'error-status', 1, NOW_MS)
+  }
+  t.deepEqual(candidateIds(table), ['t0'])
+  t.false(table.routing(NOW_MS).isFailOpen)
+})
+
+test('without a target outside of the evacuated zones, there is none, and the reason is stated', t => {
+  const table = createTable(['a', 'b'], new Set(['a', 'b']))
+  t.is(table.capacity(NOW_MS), 0)
+  t.deepEqual(planPlacement(table.routing(NOW_MS), createPlacementRequest(NOW_MS), NOW_MS, RANDOM), { step: 'none' })
+  t.like(selectTarget('adaptive', table, { zone: 'a', exclude: new Set() }, NOW_MS, RANDOM), { ok: false, error: 'no-target' })
+  t.is(table.zoneObstacle({}), 'all targets are in evacuated zones')
+  table.setEvacuatedZones(new Set(['a']))
+  t.is(table.zoneObstacle({}), undefined)
+  t.is(createTable([]).zoneObstacle({}), undefined)
+})
