Limit the requests of a route to its allowed regions

Routes could not be limited to regions, so a request could reach any target and its body any node. Route now has allowedZones, computed at adoption from allowed_regions and the settings' table of zones and regions. Placement, target selection, retries, hedges and the choice of a relay peer leave out other zones; a request without an allowed target is refused at once as not run. Directory answers for the host of such a route name nodes of the allowed regions or of the caller's region while there are any. An unknown region is logged.

--- a/packages/common/src/types.ts
+++ b/packages/common/src/types.ts
@@ -36,15 +36,20 @@
 }
 
 /** Routes requests of one host and path prefix to one service, or divides them among several. */
-export type Route = {
+export type PublishedRoute = {
   name: string
   host: string
   /** Starts and ends with a slash. */
   pathPrefix: string
   kind: Kind
   destinations: ReadonlyArray<{ service: string, weight: number }>
+  /** Regions whose targets and nodes may get the requests; absent: all. */
+  allowedRegions?: readonly string[]
 }
 
+/** A route as a node uses it. allowedZones: zones of the allowed regions, computed by each node; absent: all. */
+export type Route = PublishedRoute & { allowedZones?: ReadonlySet<string> }
+
 /** What a node knows of the request limit of a target. */
 export type LimitStatement = {
   /** Requests per second that the target accepts from all nodes together; null when it states no limit any more. */
--- a/packages/daemon/src/attempts.ts
+++ b/packages/daemon/src/attempts.ts
@@ -108,6 +108,7 @@
     zone: context.zone,
     exclude: excludedTargets(context, exchange),
     idempotent: kind.idempotent,
+    allowedZones: exchange.allowedZones,
     permitWaitMaxMs: purpose === 'hedge' ? 0 : permitWaitMaxMs(context, exchange)
   }, nowMs, context.random)
   const target = selection.ok ? runtime.table.target(selection.targetId) : undefined
--- a/packages/daemon/src/exchange.ts
+++ b/packages/daemon/src/exchange.ts
@@ -23,6 +23,8 @@
   head: () => string
   runtime: ServiceRuntime
   kind: Kind
+  /** Zones whose targets the request may reach; undefined: all. */
+  allowedZones?: ReadonlySet<string>
   body: RequestBody
   /** Request headers that are sent with every attempt. */
   headers: string[]
--- a/packages/daemon/src/fleet/fleet-runtime.ts
+++ b/packages/daemon/src/fleet/fleet-runtime.ts
@@ -20,6 +20,7 @@
 import { openPeerAddresses } from './open-peer-addresses.js'
 import { createPermits } from './permits.js'
 import { createProbeDriver } from './probe-driver.js'
+import type { EntryCaller } from './route-zones.js'
 import { createSuspectSync } from './suspect-sync.js'
 import { createVmListDriver } from './vm-list-driver.js'
 
@@ -152,7 +153,7 @@
     suspectSync.start()
   }
 
-  const entryAnswer = (zone?: string): EntryAnswer =>
+  const entryAnswer = ({ zone }: EntryCaller = {}): EntryAnswer =>
     buildEntryAnswer({ members: entryCandidates(members(), vmList.vms()), settings: configuration.adopted()?.settings ?? DEFAULT_ENTRY_SETTINGS }, { zone }, random)
 
   const counters = (): Record<string, number> => ({
--- a/packages/daemon/src/fleet/published-configuration.ts
+++ b/packages/daemon/src/fleet/published-configuration.ts
@@ -4,6 +4,7 @@
 import type { PublishedConfiguration, PublishedService } from '@wisteriavalve/fleet'
 import type { FleetSettings, Kind, ServiceConfiguration } from '@wisteriavalve/schema'
 import type { ActiveConfiguration, DaemonSettings } from '../types.js'
+import { withAllowedZones } from './route-zones.js'
 
 const DEFAULT_OBJECTIVE = { inTimePercent: 99, windowDays: 28 }
 /** Slots per target of a service whose targets do not report them. */
@@ -62,6 +63,6 @@
   order: { restoreCount: 0, revision: version, headHash: EMPTY_HEAD_HASH },
   settings: toFleetSettings(settings),
   services: new Map(services.map(service => [service.name, toServiceConfiguration(service)])),
-  routes,
+  routes: withAllowedZones(routes, settings.zoneRegions ?? {}),
   callerBounds
 })
--- a/packages/daemon/src/fleet/store-fleet.ts
+++ b/packages/daemon/src/fleet/store-fleet.ts
@@ -18,6 +18,7 @@
 import { createFleetQueries, createMemberReporter } from './fleet-reports.js'
 import { createGossipDriver } from './gossip-driver.js'
 import { createListeners } from './listeners.js'
+import { entryZones, findUnknownRegions, type EntryCaller } from './route-zones.js'
 import { openPeerAddresses } from './open-peer-addresses.js'
 import { createPermits } from './permits.js'
 import { toActiveConfiguration } from './published-configuration.js'
@@ -70,6 +71,7 @@
 
 export const createStoreFleet = (context: DaemonContext, { store, targetLeaseMs, seeds, network = PEER_NETWORK }: StoreFleetOptions): FleetRuntime => {
   const { clock, random, settings, log } = context
+  const { zoneRegions = {} } = settings
   const auth = createPeerAuth(settings.fleet, settings.fleetKey)
   const clients = network.createClients(auth)
   const state = createPublishedState({ targetLeaseMs })
@@ -121,6 +123,7 @@
       activeConfiguration = toActiveConfiguration(changes.configuration, settings)
       adoptedMs = clock.nowMs()
       logAdopted(changes.configuration, source)
+      for (const unknown of findUnknownRegions(changes.configuration.routes, zoneRegions)) log('route_region_unknown', unknown)
       onConfiguration.emit(activeConfiguration)
       gossip.membership()?.setConfiguration(activeConfiguration.order)
     }
@@ -306,8 +309,9 @@
     runMaintenance()
   }
 
-  const entryAnswer = (zone?: string): EntryAnswer => buildZoneEntryAnswer(members(), {
-    zone,
+  const entryAnswer = (caller: EntryCaller = {}): EntryAnswer => buildZoneEntryAnswer(members(), {
+    zone: caller.zone,
+    zones: entryZones(activeConfiguration?.routes ?? [], zoneRegions, caller),
     addressesMax: ENTRY_ADDRESSES_MAX,
     lifetimeMs: activeConfiguration?.settings.entryLifetimeMs ?? DEFAULT_ENTRY_LIFETIME_MS
   })
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -5,6 +5,7 @@
 export * from './types.js'
 export * from './admin-api.js'
 export { createFleetRuntime } from './fleet/fleet-runtime.js'
+export type { EntryCaller, ZoneRegions } from './fleet/route-zones.js'
 export { createProbeRunner } from './fleet/probe-runner.js'
 export { createStoreFleet } from './fleet/store-fleet.js'
 export type { PlatformStore, StoreChanges, StoreError } from './fleet/store-follower.js'
--- a/packages/daemon/src/missing-targets.ts
+++ b/packages/daemon/src/missing-targets.ts
@@ -22,7 +22,7 @@
 
 /** @param lastResult result of the previous attempt of the request */
 export const failWithoutTarget = (context: PipelineContext, exchange: Exchange, lastResult?: ResultName): void => {
-  const detail = exchange.runtime.table.zoneObstacle({})
+  const detail = exchange.runtime.table.zoneObstacle(exchange)
   const retryAfterMs = detail === undefined ? undefined : missingTargetRetryAfterMs(exchange.deadlineMs - context.clock.nowMs(), context.random.next())
   failExchange(context, exchange, exchange.unknownResult ?? lastResult ?? 'no-target', { detail, retryAfterMs })
 }
--- a/packages/daemon/src/peer-targets.ts
+++ b/packages/daemon/src/peer-targets.ts
@@ -4,14 +4,14 @@
  */
 import type { Clock, Random } from '@wisteriavalve/common'
 import { UNREACHABLE_LOAD_PERCENT } from '@wisteriavalve/fleet'
-import { createTargetTable, selectPeer, type TargetTable } from '@wisteriavalve/policy'
+import { createTargetTable, selectPeer, type TargetTable, type ZoneRestriction } from '@wisteriavalve/policy'
 import type { MemberUpdate, Target } from '@wisteriavalve/schema'
 import { createTargetConnections, type TargetConnections } from './backend-connections.js'
 
 export type PeerTargets = {
   table: TargetTable
   /** Peer for a request; undefined if no peer is usable. */
-  select: (exclude: ReadonlySet<string>) => Target | undefined
+  select: (exclude: ReadonlySet<string>, restriction: ZoneRestriction) => Target | undefined
   connectionsTo: (peer: Target) => TargetConnections
   closeIdle: () => void
 }
@@ -60,10 +60,10 @@
 
   return {
     table,
-    select: exclude => {
+    select: (exclude, { allowedZones }) => {
       const nowMs = clock.nowMs()
       refresh(nowMs)
-      const selected = selectPeer(table.routing(nowMs).candidates, { zone, exclude, isCutOff: peerId => cutOffIds.has(peerId) }, nowMs, random)
+      const selected = selectPeer(table.routing(nowMs).candidates, { zone, exclude, isCutOff: peerId => cutOffIds.has(peerId), allowedZones }, nowMs, random)
       return selected && table.target(selected.target.id)
     },
     connectionsTo: peer => {
--- a/packages/daemon/src/placement.ts
+++ b/packages/daemon/src/placement.ts
@@ -43,6 +43,7 @@
     zone: context.zone,
     exclude: excludedTargets(context, exchange),
     idempotent: kind.idempotent,
+    allowedZones: exchange.allowedZones,
     bodyBytes: exchange.body.sizeBytes(),
     serviceTimeMs: context.serviceTimes.usualMs(kind.name, objectiveMs),
     objectiveEndMs: arrivedMs + objectiveMs,
--- a/packages/daemon/src/relaying.ts
+++ b/packages/daemon/src/relaying.ts
@@ -96,7 +96,7 @@
 
 /** @param lastResult result of the previous attempt */
 export const selectRelayPeer = (context: PipelineContext, exchange: Exchange, lastResult: ResultName | undefined): Target | undefined =>
-  cannotReachTargets(context, exchange, lastResult) && canRelay(exchange) ? context.relaying.peers.select(exchange.triedTargetIds) : undefined
+  cannotReachTargets(context, exchange, lastResult) && canRelay(exchange) ? context.relaying.peers.select(exchange.triedTargetIds, exchange) : undefined
 
 /** Probes a target from time to time, because a response ends the state of being cut off. */
 export const tryTargetAgain = (context: PipelineContext, { runtime }: Exchange): void => {
--- a/packages/daemon/src/request-pipeline.ts
+++ b/packages/daemon/src/request-pipeline.ts
@@ -2,7 +2,7 @@
  * The request path: validation, admission, attempts, completion. See section 5
  * of docs/design.md.
  */
-import type { CallerLimits } from '@wisteriavalve/policy'
+import { isZoneAllowed, type CallerLimits } from '@wisteriavalve/policy'
 import type { ResultName } from '@wisteriavalve/schema'
 import { resetCaller, sendFailureResponse, type Call } from './adapters/caller-http.js'
 import { startAttempt } from './attempts.js'
@@ -60,6 +60,7 @@
     head,
     runtime,
     kind,
+    allowedZones: accepted.allowedZones,
     body: createRequestBody({
       call,
       collectBytesMax: context.collectBytesMax,
@@ -144,7 +145,7 @@
     failExchange(context, exchange, 'request-crashes-targets', { detail: context.crashWatch.describe(exchange) })
     return
   }
-  if (runtime.table.routing(nowMs).candidates.length === 0) {
+  if (!runtime.table.routing(nowMs).candidates.some(state => isZoneAllowed(state, exchange))) {
     failWithoutTarget(context, exchange)
     return
   }
--- a/packages/daemon/src/request-validation.ts
+++ b/packages/daemon/src/request-validation.ts
@@ -9,7 +9,7 @@
 import type { HttpDialect } from './http-dialect.js'
 
 export type CallValidation =
-  | { ok: true, service: ServiceConfiguration, kind: Kind, path: string, control: ControlHeaders }
+  | { ok: true, service: ServiceConfiguration, kind: Kind, path: string, control: ControlHeaders, allowedZones?: ReadonlySet<string> }
   | { ok: false, result: ResultName, detail?: string }
 
 /** Path and host of a request target in origin-form or absolute-form; undefined for other forms. */
@@ -46,7 +46,7 @@
   if (isTooDeep(control.callDepth)) return refuse('call-too-deep')
   const classified = classifyRequest(index, { method, path: target.path, host: target.host ?? headers.host })
   if (!classified.ok) return refuse('service-unknown')
-  const { service, kind } = classified
+  const { service, kind, allowedZones } = classified
   if (Number(headers['content-length'] ?? 0) > kind.bodyBytesMax) return refuse('body-too-large')
-  return { ok: true, service, kind, path: target.path, control }
+  return { ok: true, service, kind, path: target.path, control, ...(allowedZones && { allowedZones }) }
 }
--- a/packages/daemon/src/retrying.ts
+++ b/packages/daemon/src/retrying.ts
@@ -2,12 +2,12 @@
  * Takes the retry of a failed attempt from the budgets of the request and of its
  * service, if there is a target left for it.
  */
-import { canTakeRetry, planRetry, type AttemptFailure } from '@wisteriavalve/policy'
+import { canTakeRetry, isZoneAllowed, planRetry, type AttemptFailure } from '@wisteriavalve/policy'
 import type { Attempt, Exchange } from './exchange.js'
 import type { PipelineContext } from './pipeline-context.js'
 
-const hasOtherTarget = ({ runtime, triedTargetIds }: Exchange, failure: AttemptFailure, nowMs: number): boolean =>
-  runtime.table.routing(nowMs).candidates.some(state => !triedTargetIds.has(state.target.id) && canTakeRetry(state, failure, nowMs))
+const hasOtherTarget = ({ runtime, triedTargetIds, allowedZones }: Exchange, failure: AttemptFailure, nowMs: number): boolean =>
+  runtime.table.routing(nowMs).candidates.some(state => !triedTargetIds.has(state.target.id) && isZoneAllowed(state, { allowedZones }) && canTakeRetry(state, failure, nowMs))
 
 /** @returns whether the request may be sent once more */
 export const tryTakeRetry = (context: PipelineContext, exchange: Exchange, failure: AttemptFailure): boolean => {
--- a/packages/daemon/src/suspect-isolation.ts
+++ b/packages/daemon/src/suspect-isolation.ts
@@ -4,6 +4,7 @@
  * the next one under the others too. Therefore a target gets one suspect of this
  * node at a time, while another target is left.
  */
+import { isZoneAllowed } from '@wisteriavalve/policy'
 import type { Attempt, Exchange } from './exchange.js'
 import type { PipelineContext } from './pipeline-context.js'
 
@@ -16,7 +17,7 @@
   const { runtime: { suspectCounts, table }, triedTargetIds } = exchange
   if (suspectCounts.size === 0 || !isSuspect(context, exchange)) return triedTargetIds
   const excluded = new Set([...triedTargetIds, ...suspectCounts.keys()])
-  const isAnyLeft = table.routing(context.clock.nowMs()).candidates.some(({ target }) => !excluded.has(target.id))
+  const isAnyLeft = table.routing(context.clock.nowMs()).candidates.some(state => !excluded.has(state.target.id) && isZoneAllowed(state, exchange))
   return isAnyLeft ? excluded : triedTargetIds
 }
 
--- a/packages/daemon/src/types.ts
+++ b/packages/daemon/src/types.ts
@@ -7,6 +7,7 @@
 import type {
   ConfigurationOrder, EntryAnswer, EventEntry, LogEventName, MemberUpdate, NodeReport, NodeStatus, Target, TargetNote
 } from '@wisteriavalve/schema'
+import type { EntryCaller, ZoneRegions } from './fleet/route-zones.js'
 import type { ExplainQuery, NodeResults } from './admin-api.js'
 
 /** Validated settings of the process; see docs/settings.md. */
@@ -14,6 +15,8 @@
   nodeId: string
   fleet: string
   zone: string
+  /** Region of each zone; the zones of regions that routes are limited to. */
+  zoneRegions?: ZoneRegions
   fleetKey: string
   callerListen: ListenAddress
   gossipListen: ListenAddress
@@ -90,7 +93,7 @@
   /** Asks for permission to send one request to a target that limits the requests of all nodes together. */
   requestPermit: RequestPermit
   setLoadPercent: (loadPercent: number) => void
-  entryAnswer: (zone?: string) => EntryAnswer
+  entryAnswer: (caller?: EntryCaller) => EntryAnswer
   members: () => MemberUpdate[]
   configuration: () => ActiveConfiguration | undefined
   configurationStatus: () => { order?: ConfigurationOrder, state: NodeStatus['configurationState'], reason?: string }
--- a/packages/daemon/src/well-known.ts
+++ b/packages/daemon/src/well-known.ts
@@ -9,7 +9,7 @@
 
 export type WellKnownSource = {
   isServing: () => boolean
-  entryAnswer: (zone?: string) => EntryAnswer
+  entryAnswer: (caller: { zone?: string }) => EntryAnswer
 }
 
 const zoneOf = (url: string): string | undefined => {
@@ -24,7 +24,7 @@
   const name = url.slice(PREFIX.length).split('?', 1)[0]
   if (method !== 'GET' && method !== 'HEAD') sendFailureResponse(call, 'request-malformed', { detail: 'this path only answers GET' })
   else if (name === 'ready' && source.isServing()) sendJsonResponse(call, 200, { ready: true })
-  else if (name === 'entry' && source.isServing()) sendJsonResponse(call, 200, source.entryAnswer(zoneOf(url)))
+  else if (name === 'entry' && source.isServing()) sendJsonResponse(call, 200, source.entryAnswer({ zone: zoneOf(url) }))
   else sendFailureResponse(call, name === 'ready' || name === 'entry' ? 'node-not-ready' : 'service-unknown', {})
   return true
 }
--- a/packages/daemon/test/fleet-runtime.test.ts
+++ b/packages/daemon/test/fleet-runtime.test.ts
@@ -27,7 +27,7 @@
   await waitUntil('all adopt', () => nodes.every(node => node.adopted.length === 1))
   await waitUntil('all are members', () => nodes.every(node => node.runtime.members().length === 6))
   t.deepEqual(nodes[0]?.targets.get('stockview')?.targets.map(({ id }) => id).sort(), ['stock-1', 'stock-2'])
-  t.is(nodes[0]?.runtime.entryAnswer('lagos-a').addresses.length, 4)
+  t.is(nodes[0]?.runtime.entryAnswer({ zone: 'lagos-a' }).addresses.length, 4)
 
   const revision = platform.publish(sampleConfiguration({ probesPerTargetPerS: 1 }))
   const spreadMs = await waitUntil('new head everywhere', () => nodes.every(node => revisionOf(node) === revision))
--- a/packages/daemon/test/support.ts
+++ b/packages/daemon/test/support.ts
@@ -10,13 +10,13 @@
 import { createInterface } from 'node:readline'
 import { fileURLToPath } from 'node:url'
 import type { ExecutionContext } from 'ava'
-import { createEventRecord, createRandom, createSystemClock, type EventRecord } from '@wisteriavalve/common'
+import { createEventRecord, createRandom, createSystemClock, type EventRecord, type Route } from '@wisteriavalve/common'
 import type { AdoptedConfiguration } from '@wisteriavalve/fleet'
 import type { Kind, ServiceConfiguration, Target, TargetNote } from '@wisteriavalve/schema'
 import { createDaemon, type Daemon, type DaemonOptions } from '../src/daemon.js'
 import { createLog } from '../src/logs.js'
 import { parseSettings } from '../src/settings.js'
-import type { FleetRuntime, RequestPermit, ServiceTargets } from '../src/types.js'
+import type { ActiveConfiguration, FleetRuntime, RequestPermit, ServiceTargets } from '../src/types.js'
 
 const OBJECTIVE = { inTimePercent: 99, windowDays: 28 }
 
@@ -48,7 +48,7 @@
   setTargets: (service: string, targets: ServiceTargets) => void
   setEvacuatedZones: (zones: readonly string[]) => void
   /** Puts a configuration with these services in force. */
-  applyServices: (services: readonly ServiceConfiguration[]) => void
+  applyServices: (services: readonly ServiceConfiguration[], routes?: readonly Route[]) => void
   /** Answers queries for permits; tests replace it. */
   answerPermit: RequestPermit
 }
@@ -64,15 +64,15 @@
   const sharedNotes: TargetNote[] = []
   const targetListeners: ((service: string, targets: ServiceTargets) => void)[] = []
   const evacuationListeners: ((zones: ReadonlySet<string>) => void)[] = []
-  const configurationListeners: ((configuration: AdoptedConfiguration) => void)[] = []
+  const configurationListeners: ((configuration: ActiveConfiguration) => void)[] = []
   const queryNothing = async () => ({ nodes: [], missing: [] })
   const fleet: FakeFleet = {
     calls,
     sharedNotes,
     setTargets: (name, targets) => { for (const listener of targetListeners) listener(name, targets) },
     setEvacuatedZones: zones => { for (const listener of evacuationListeners) listener(new Set(zones)) },
-    applyServices: next => {
-      for (const listener of configurationListeners) listener({ ...adopted, services: new Map(next.map(each => [each.name, each])) })
+    applyServices: (next, routes) => {
+      for (const listener of configurationListeners) listener({ ...adopted, services: new Map(next.map(each => [each.name, each])), ...(routes && { routes }) })
     },
     start: async () => {
       calls.push('start')
@@ -88,7 +88,7 @@
     setLastResponseSource: () => undefined,
     shareNotes: notes => { sharedNotes.push(...notes) },
     setLoadPercent: () => undefined,
-    entryAnswer: zone => ({ addresses: [{ host: '127.0.0.1', port: 1, zone: zone ?? 'a' }], lifetimeMs: entryLifetimeMs }),
+    entryAnswer: ({ zone } = {}) => ({ addresses: [{ host: '127.0.0.1', port: 1, zone: zone ?? 'a' }], lifetimeMs: entryLifetimeMs }),
     members: () => [],
     configuration: () => adopted,
     configurationStatus: () => ({ order: adopted.order, state: 'current' }),
--- a/packages/fleet/src/types.ts
+++ b/packages/fleet/src/types.ts
@@ -5,7 +5,7 @@
   ConfigurationOrder, EntryAnswer, FleetSettings, GossipMessage, Head, MemberState, MemberUpdate,
   ServiceConfiguration, TargetNote, VmEntry
 } from '@wisteriavalve/schema'
-import type { ListedTarget, Random, Result, Route } from '@wisteriavalve/common'
+import type { ListedTarget, PublishedRoute, Random, Result } from '@wisteriavalve/common'
 import type { TargetSet } from './target-union.js'
 
 export type GossipAddress = { host: string, gossipPort: number }
@@ -164,7 +164,7 @@
   version: number
   /** Restore count of the store in which the document was read. */
   restoreCount: number
-  routes: readonly Route[]
+  routes: readonly PublishedRoute[]
   services: readonly PublishedService[]
   callerBounds: CallerBounds
 }
--- a/packages/fleet/src/zone-entry.ts
+++ b/packages/fleet/src/zone-entry.ts
@@ -11,6 +11,8 @@
 
 export type ZoneEntryRequest = {
   zone?: string
+  /** Zones whose nodes may be named, the preferred ones first; nodes of other zones are named only if none has a node. */
+  zones?: ReadonlyArray<ReadonlySet<string>>
   addressesMax: number
   lifetimeMs: number
 }
@@ -32,8 +34,12 @@
   return 2 * reaching.length > usable.length ? reaching : usable
 }
 
-export const buildZoneEntryAnswer = (members: readonly MemberUpdate[], { zone, addressesMax, lifetimeMs }: ZoneEntryRequest): EntryAnswer => {
-  const usable = usableMembers(members)
+/** Nodes of the first zones that have any. A leaving or suspected node is preferred to one of another zone. */
+const membersIn = (members: readonly MemberUpdate[], zones: ReadonlyArray<ReadonlySet<string>>): readonly MemberUpdate[] =>
+  zones.map(set => members.filter(({ zone, state }) => set.has(zone) && state !== 'dead')).find(found => found.length > 0) ?? members
+
+export const buildZoneEntryAnswer = (members: readonly MemberUpdate[], { zone, zones = [], addressesMax, lifetimeMs }: ZoneEntryRequest): EntryAnswer => {
+  const usable = usableMembers(membersIn(members, zones))
   const sameZone = usable.filter(member => member.zone === zone)
   const picked = sameZone.length >= SAME_ZONE_MIN && !sameZone.every(isOverloaded) ? sameZone : usable
   return {
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -3,13 +3,14 @@
  * hedging, target health, connection selection, caller limits.
  */
 export * from './types.js'
-export { classifyRequest, createServiceIndex } from './classification.js'
+export { classifyRequest, createServiceIndex, hostOf } from './classification.js'
 export { createRouteIndex } from './routes.js'
 export { parseLoadReport } from './load-report.js'
 export { createTargetTable } from './target-table.js'
 export { parseRequestLimit, type StatedLimit } from './request-limit.js'
 export { parsePauseMs } from './target-pause.js'
 export { selectTarget } from './select-target.js'
+export { isZoneAllowed, type ZoneRestriction } from './zone-limits.js'
 export { selectPeer, type PeerRequest } from './select-peer.js'
 export { createReachability, type FailureSeries, type Reachability } from './reachability.js'
 export { createFleetSize } from './fleet-size.js'
--- a/packages/policy/src/placement.ts
+++ b/packages/policy/src/placement.ts
@@ -21,6 +21,7 @@
 import { chooseLimited, hasLimit, isPermitPossible } from './request-limit.js'
 import { isPaused, pauseRetryAfterMs } from './target-pause.js'
 import type { RoutingState, TargetState } from './types.js'
+import { isZoneAllowed } from './zone-limits.js'
 
 /** A report of at most this age is used as the current state of the target. */
 const FRESH_REPORT_MS = 20
@@ -113,8 +114,8 @@
   return best
 }
 
-const isEligible = (state: TargetState, { exclude, idempotent }: PlacementRequest, isFailOpen: boolean): boolean =>
-  !exclude.has(state.target.id) && (state.health !== 'probation' || idempotent !== false || isFailOpen)
+const isEligible = (state: TargetState, request: PlacementRequest, isFailOpen: boolean): boolean =>
+  !request.exclude.has(state.target.id) && isZoneAllowed(state, request) && (state.health !== 'probation' || request.idempotent !== false || isFailOpen)
 
 const isAcceptingRequests = (state: TargetState, nowMs: number): boolean =>
   state.inFlight < Math.max(effectiveLimit(state), state.slots) && nowMs >= state.avoidUntilMs
--- a/packages/policy/src/routes.ts
+++ b/packages/policy/src/routes.ts
@@ -48,7 +48,9 @@
     const plainPath = pathOf(path)
     const found = byHost.get(hostOf(host ?? ''))?.find(({ route }) => plainPath.startsWith(route.pathPrefix))
     const service = found && services.get(found.splitter.next() ?? '')
-    return service ? { ok: true, service, kind: found.route.kind, isKnown: true } : { ok: false, error: 'service-unknown' }
+    if (!service) return { ok: false, error: 'service-unknown' }
+    const { kind, allowedZones } = found.route
+    return { ok: true, service, kind, isKnown: true, ...(allowedZones && { allowedZones }) }
   }
 
   return { classify }
--- a/packages/policy/src/select-peer.ts
+++ b/packages/policy/src/select-peer.ts
@@ -9,8 +9,9 @@
 import type { Random } from '@wisteriavalve/common'
 import { isPaused } from './target-pause.js'
 import type { TargetState } from './types.js'
+import { isZoneAllowed, type ZoneRestriction } from './zone-limits.js'
 
-export type PeerRequest = {
+export type PeerRequest = ZoneRestriction & {
   /** Zone of this node. */
   zone: string
   /** Peers that were tried for the request. */
@@ -20,11 +21,11 @@
 }
 
 /** @param peers state of the peers; one that refused requests for want of targets is paused */
-export const selectPeer = (peers: readonly TargetState[], { zone, exclude, isCutOff }: PeerRequest, nowMs: number, random: Random): TargetState | undefined => {
+export const selectPeer = (peers: readonly TargetState[], { zone, exclude, isCutOff, allowedZones }: PeerRequest, nowMs: number, random: Random): TargetState | undefined => {
   const isNear = ({ target }: TargetState): boolean => target.zone === zone
   const isAnnounced = ({ target }: TargetState): boolean => isCutOff(target.id)
   const isRefusing = (state: TargetState): boolean => isPaused(state, nowMs) && !isAnnounced(state)
-  const usable = peers.filter(state => !isPaused(state, nowMs) && !isAnnounced(state) && !exclude.has(state.target.id))
+  const usable = peers.filter(state => !isPaused(state, nowMs) && !isAnnounced(state) && !exclude.has(state.target.id) && isZoneAllowed(state, { allowedZones }))
   const near = usable.filter(isNear)
   const cutOffNearCount = 1 + peers.filter(state => isNear(state) && isAnnounced(state)).length
   // A refusal that no announcement explains yet is often the first sign that the whole zone is cut off.
--- a/packages/policy/src/select-target.ts
+++ b/packages/policy/src/select-target.ts
@@ -10,6 +10,10 @@
 import { policies } from './policies/index.js'
 import { slowStartShare } from './target-state.js'
 import type { PolicyName, RoutingState, Selection, SelectionRequest, TargetState, TargetTable } from './types.js'
+import { isZoneAllowed } from './zone-limits.js'
+
+/** Whether the request may use the target at all. */
+const isEligible = (state: TargetState, request: SelectionRequest): boolean => !request.exclude.has(state.target.id) && isZoneAllowed(state, request)
 
 /** Fills routing.scratch with the eligible targets below their limit; returns the number of targets that were not excluded. */
 const filterCandidates = (routing: RoutingState, request: SelectionRequest, nowMs: number, random: Random): number => {
@@ -18,7 +22,7 @@
   scratch.length = 0
   for (let index = 0; index < candidates.length; index++) {
     const state = candidates[index] as TargetState
-    if (request.exclude.size > 0 && request.exclude.has(state.target.id)) continue
+    if (!isEligible(state, request)) continue
     usableCount++
     if (isPaused(state, nowMs) || !isPermitPossible(state, 0, nowMs)) continue
     if (state.inFlight >= effectiveLimit(state) || nowMs < state.avoidUntilMs) continue
@@ -32,13 +36,13 @@
 /** Adds the targets that are cold, on probation or avoided after a refusal, as a last resort. */
 const relaxFilter = ({ candidates, scratch }: RoutingState, request: SelectionRequest, nowMs: number): void => {
   for (const state of candidates) {
-    if (!request.exclude.has(state.target.id) && state.inFlight < effectiveLimit(state) && !isPaused(state, nowMs) && isPermitPossible(state, 0, nowMs)) scratch.push(state)
+    if (isEligible(state, request) && state.inFlight < effectiveLimit(state) && !isPaused(state, nowMs) && isPermitPossible(state, 0, nowMs)) scratch.push(state)
   }
 }
 
 /** Waits for a free target if one has no request limit, and otherwise for the permit that is due first. */
 const selectWithoutFreeTarget = ({ candidates }: RoutingState, request: SelectionRequest, nowMs: number, random: Random): Selection => {
-  const remaining = candidates.filter(({ target }) => !request.exclude.has(target.id))
+  const remaining = candidates.filter(state => isEligible(state, request))
   const usable = remaining.filter(state => !isPaused(state, nowMs))
   if (usable.length === 0) return { ok: false, error: 'paused', retryAfterMs: pauseRetryAfterMs(remaining, nowMs, random.next()) }
   if (!usable.every(hasLimit)) return { ok: false, error: 'all-busy' }
--- a/packages/policy/src/types/classification.ts
+++ b/packages/policy/src/types/classification.ts
@@ -9,5 +9,6 @@
 export type ServiceIndex = { classify: (head: RequestHead) => Classified }
 
 export type Classified =
-  | { ok: true, service: ServiceConfiguration, kind: Kind, isKnown: boolean }
+  /** allowedZones: zones whose targets the request may reach; absent: all. */
+  | { ok: true, service: ServiceConfiguration, kind: Kind, isKnown: boolean, allowedZones?: ReadonlySet<string> }
   | { ok: false, error: 'service-unknown' }
--- a/packages/policy/src/types/selection.ts
+++ b/packages/policy/src/types/selection.ts
@@ -2,6 +2,7 @@
  * Types of the choice of a target.
  */
 import type { Random } from '@wisteriavalve/common'
+import type { ZoneRestriction } from '../zone-limits.js'
 import type { RoutingState, TargetState } from './targets.js'
 
 export type PolicyName = 'round-robin' | 'random' | 'least-in-flight' | 'two-choices' | 'prequal' | 'adaptive'
@@ -13,7 +14,7 @@
 /** Picks one of the eligible targets; there is at least one. */
 export type Policy = (eligible: readonly TargetState[], context: PolicyContext) => PolicyChoice
 
-export type SelectionRequest = {
+export type SelectionRequest = ZoneRestriction & {
   /** Availability zone of this node. */
   zone: string
   /** Targets on which this request has already been attempted. */
