--- a/packages/daemon/src/placement.ts
+++ b/packages/daemon/src/placement.ts
@@ -24,7 +24,7 @@
  */
 const UNANSWERED_PROBES_MAX = 6
 
-type PlacedRequest = Pick<Exchange, 'kind' | 'arrivedMs' | 'deadlineMs'>
+type PlacedRequest = Pick<Exchange, 'kind' | 'arrivedMs' | 'deadlineMs' | 'allowedZones'>
 
 /** Time for which a request can wait for a permit and still be answered within its objective. */
 export const permitWaitMaxMs = ({ clock, serviceTimes }: Pick<PipelineContext, 'clock' | 'serviceTimes'>, { kind, arrivedMs, deadlineMs }: PlacedRequest): number => {
@@ -46,6 +46,7 @@
     ...fields,
     zone: context.zone,
     idempotent: kind.idempotent,
+    allowedZones: request.allowedZones,
     serviceTimeMs: context.serviceTimes.usualMs(kind.name, objectiveMs),
     objectiveEndMs: arrivedMs + objectiveMs,
     deadlineMs,
--- a/packages/daemon/src/request-preview.ts
+++ b/packages/daemon/src/request-preview.ts
@@ -25,10 +25,10 @@
 }
 
 /** The decision of a node that probes targets before each attempt: the target probed first, and the choice if no probe is answered. */
-const previewPlacement = (context: PreviewContext, { table }: ServiceRuntime, { kind }: Destination, bodyBytes: number): Pick<ServicePreview, 'probesFirst' | 'decision'> => {
+const previewPlacement = (context: PreviewContext, { table }: ServiceRuntime, { kind, allowedZones }: Destination, bodyBytes: number): Pick<ServicePreview, 'probesFirst' | 'decision'> => {
   const nowMs = context.clock.nowMs()
   const plan = (canProbe: boolean): Placement => planPlacement(table.routing(nowMs), createPlacementRequest(
-    context, { kind, arrivedMs: nowMs, deadlineMs: nowMs + kind.deadlineMs }, 'first',
+    context, { kind, arrivedMs: nowMs, deadlineMs: nowMs + kind.deadlineMs, allowedZones }, 'first',
     { probed: new Set(), canProbe: () => canProbe, exclude: new Set(), bodyBytes }
   ), nowMs, context.random)
   const first = plan(true)
@@ -47,8 +47,8 @@
   }
 }
 
-const previewSelection = (context: PreviewContext, { table }: ServiceRuntime, { kind }: Destination): Pick<ServicePreview, 'probesFirst' | 'decision'> => {
-  const request = { zone: context.zone, exclude: new Set<string>(), idempotent: kind.idempotent }
+const previewSelection = (context: PreviewContext, { table }: ServiceRuntime, { kind, allowedZones }: Destination): Pick<ServicePreview, 'probesFirst' | 'decision'> => {
+  const request = { zone: context.zone, exclude: new Set<string>(), idempotent: kind.idempotent, allowedZones }
   const selection = selectTarget(context.policy as PolicyName, table, request, context.clock.nowMs(), context.random)
   return { probesFirst: [], decision: describeSelection(selection) }
 }
--- a/packages/fleet/src/types.ts
+++ b/packages/fleet/src/types.ts
@@ -5,7 +5,7 @@
   ConfigurationOrder, EntryAnswer, FleetSettings, GossipMessage, Head, MemberState, MemberUpdate,
   ServiceConfiguration, TargetNote, VmEntry
 } from '@wisteriavalve/schema'
-import type { ListedTarget, Random, Result, Route } from '@wisteriavalve/common'
+import type { ListedTarget, PublishedRoute, Random, Result } from '@wisteriavalve/common'
 import type { TargetSet } from './target-union.js'
 
 export type GossipAddress = { host: string, gossipPort: number }
@@ -164,7 +164,7 @@
   version: number
   /** Restore count of the store in which the document was read. */
   restoreCount: number
-  routes: readonly Route[]
+  routes: readonly PublishedRoute[]
   services: readonly PublishedService[]
   callerBounds: CallerBounds
 }
@@ -175,11 +175,15 @@
   | { type: 'target', target: PublishedTarget }
   | { type: 'target-removed', targetId: string }
   | { type: 'configuration', configuration: PublishedConfiguration }
+  /** The targets of a zone must get no requests, or may get them again. */
+  | { type: 'evacuation', zone: string, isActive: boolean }
 
 /** The full published state at one position of the store. */
 export type PublishedStateView = StorePosition & {
   configuration?: PublishedConfiguration
   targets: readonly PublishedTarget[]
+  /** Absent in views of nodes of earlier releases. */
+  evacuatedZones?: readonly string[]
 }
 
 export type PublishedState = {
@@ -193,11 +197,12 @@
   recordStoreUnreachable: () => void
   /** Records that the store answers again. */
   recordStoreReachable: (nowMs: number) => void
-  /** Returns the configuration if it changed since the last call, and the targets of the services that may have changed. */
-  takeChanges: (nowMs: number) => { configuration?: PublishedConfiguration, targets: Map<string, TargetSet> }
+  /** Returns the configuration and the evacuated zones if they changed since the last call, and the targets of the services that may have changed. */
+  takeChanges: (nowMs: number) => { configuration?: PublishedConfiguration, targets: Map<string, TargetSet>, evacuatedZones?: ReadonlySet<string> }
   view: () => PublishedStateView
   position: () => StorePosition
   configuration: () => PublishedConfiguration | undefined
+  evacuatedZones: () => ReadonlySet<string>
 }
 
 /** Compares two configurations: positive when a is newer than b. */
--- a/packages/policy/src/routes.ts
+++ b/packages/policy/src/routes.ts
@@ -52,7 +52,9 @@
   const classify: ServiceIndex['classify'] = (head): Classified => {
     const found = findRoute(head)
     const service = found && services.get(found.splitter.next() ?? '')
-    return service ? { ok: true, service, kind: found.route.kind, isKnown: true } : { ok: false, error: 'service-unknown' }
+    if (!service) return { ok: false, error: 'service-unknown' }
+    const { kind, allowedZones } = found.route
+    return { ok: true, service, kind, isKnown: true, ...(allowedZones && { allowedZones }) }
   }
 
   const destinations: ServiceIndex['destinations'] = (head): Destination[] => {
@@ -61,7 +63,7 @@
     const total = route.destinations.reduce((sum, { weight }) => sum + weight, 0)
     return route.destinations.flatMap(({ service: name, weight }) => {
       const service = services.get(name)
-      return service ? [{ service, kind: route.kind, share: weight / total }] : []
+      return service ? [{ service, kind: route.kind, share: weight / total, allowedZones: route.allowedZones }] : []
     })
   }
 
--- a/packages/policy/src/types/classification.ts
+++ b/packages/policy/src/types/classification.ts
@@ -13,8 +13,9 @@
 }
 
 /** A service to which requests of one kind go, and its share of them, from 0 to 1. */
-export type Destination = { service: ServiceConfiguration, kind: Kind, share: number }
+export type Destination = { service: ServiceConfiguration, kind: Kind, share: number, allowedZones?: ReadonlySet<string> }
 
 export type Classified =
-  | { ok: true, service: ServiceConfiguration, kind: Kind, isKnown: boolean }
+  /** allowedZones: zones whose targets the request may reach; absent: all. */
+  | { ok: true, service: ServiceConfiguration, kind: Kind, isKnown: boolean, allowedZones?: ReadonlySet<string> }
   | { ok: false, error: 'service-unknown' }
