Tell nodes of an evacuation by gossip

Gossip now names the position of the store at the last change of the evacuated zones, and a node that is behind it pulls the state.

--- a/packages/daemon/src/fleet/store-fleet.ts
+++ b/packages/daemon/src/fleet/store-fleet.ts
@@ -5,7 +5,7 @@
  * random peer. Nodes discover each other through seeds and then by gossip.
  */
 import { alignedDelayMs } from '@wisteriavalve/common'
-import { buildZoneEntryAnswer, chooseStoreSource, compareStorePositions, createChangeLog, createPublishedState, fromSentChanges, toSentChanges, type PublishedConfiguration, type PublishedStateView, type StorePosition } from '@wisteriavalve/fleet'
+import { buildZoneEntryAnswer, chooseStoreSource, compareStorePositions, createChangeLog, createPublishedState, fromAnnouncedHash, fromSentChanges, toAnnouncedHash, toSentChanges, type PublishedConfiguration, type PublishedStateView, type StorePosition } from '@wisteriavalve/fleet'
 import type { ProbeResult } from '@wisteriavalve/policy'
 import type { EntryAnswer, MemberUpdate, TargetNote, VmEntry } from '@wisteriavalve/schema'
 import { openGossipSocket, type OpenGossipSocket } from '../adapters/gossip-udp.js'
@@ -58,6 +58,8 @@
 const PULL_TIMEOUT_MS = 600
 /** Age of the news of a node whose sources read the store: a watch at the store and some calls between nodes. */
 const FRESH_AGE_MAX_MS = 1_000
+/** Value of the log field `source` for changes that only time has caused. */
+const TIME_SOURCE = 'time'
 const DEFAULT_ENTRY_LIFETIME_MS = 1_000
 const ENTRY_ADDRESSES_MAX = 64
 /** Number of reads whose changes are kept for peers that follow this node. */
@@ -84,6 +86,8 @@
   const onNotes = createListeners<[TargetNote[]]>()
   const onProbe = createListeners<[string, string, ProbeResult]>()
   let activeConfiguration: ActiveConfiguration | undefined
+  /** Position at the last change of the evacuated zones. */
+  let evacuationPosition: StorePosition | undefined
   let adoptedMs: number | undefined
   let peerServer: PeerServer | undefined
   let peerSource: PeerSource | undefined
@@ -118,6 +122,8 @@
     if (changes.evacuatedZones) {
       reportEvacuations(changes.evacuatedZones, state.view(), source)
       onEvacuations.emit(changes.evacuatedZones)
+      // What a node reads at its start is no news to others.
+      if (activeConfiguration && source !== TIME_SOURCE) evacuationPosition = state.position()
     }
     if (changes.configuration) {
       activeConfiguration = toActiveConfiguration(changes.configuration, settings)
@@ -125,7 +131,9 @@
       logAdopted(changes.configuration, source)
       for (const unknown of findUnknownRegions(changes.configuration.routes, zoneRegions)) log('route_region_unknown', unknown)
       onConfiguration.emit(activeConfiguration)
-      gossip.membership()?.setConfiguration(activeConfiguration.order)
+    }
+    if (activeConfiguration && (changes.configuration || changes.evacuatedZones)) {
+      gossip.membership()?.setConfiguration({ ...activeConfiguration.order, headHash: toAnnouncedHash(evacuationPosition) })
     }
     for (const [service, targets] of changes.targets) onTargets.emit(service, targets)
   }
@@ -224,6 +232,7 @@
     },
     onNotes: notes => onNotes.emit(notes),
     onConfigurationSeen: (from, order) => {
+      evacuationCatchUp.recordSeen(from, fromAnnouncedHash(order.headHash))
       if (order.revision <= configurationVersion()) return
       news.recordHeard(order.revision)
       catchUp.recordSeen(from, order.revision)
@@ -259,15 +268,16 @@
     }
   }
 
-  const catchUp = createCatchUp({
+  const catchUpOptions = {
     clock,
-    version: configurationVersion,
     isStale: () => follower.isDisconnected() || follower.ageMs() > FRESH_AGE_MAX_MS,
-    pullFrom: async peerId => {
+    pullFrom: async (peerId: string) => {
       const peer = peers().find(({ nodeId }) => nodeId === peerId)
       if (peer) await pullFrom(peer)
     }
-  })
+  }
+  const catchUp = createCatchUp<number>({ ...catchUpOptions, isBehind: version => version > configurationVersion() })
+  const evacuationCatchUp = createCatchUp<StorePosition>({ ...catchUpOptions, isBehind: position => compareStorePositions(position, state.position()) > 0 })
 
   let pullCount = 0
 
@@ -289,7 +299,7 @@
   const runMaintenance = (): void => {
     gossip.addCandidates(seeds())
     if (follower.isDisconnected()) pull()
-    publish('time')
+    publish(TIME_SOURCE)
     cancelMaintenance = clock.after(alignedDelayMs(clock.nowMs(), MAINTENANCE_INTERVAL_MS), runMaintenance)
   }
 
@@ -360,6 +370,7 @@
       isStopped = true
       cancelMaintenance()
       catchUp.stop()
+      evacuationCatchUp.stop()
       suspectSync.stop()
       follower.stop()
       await Promise.all([gossip.stop(), peerServer?.close(), clients.close(), store.close()])
--- a/packages/fleet/test/evacuations.test.ts
+++ b/packages/fleet/test/evacuations.test.ts
@@ -4,7 +4,7 @@
  * end when its key is removed.
  */
 import test from 'ava'
-import { createChangeLog, createPublishedState, EVACUATION_GRACE_MS, fromSentChanges, toSentChanges, type PublishedChange, type PublishedState, type PublishedStateView, type StorePosition } from '../src/index.js'
+import { createChangeLog, createPublishedState, EVACUATION_GRACE_MS, fromAnnouncedHash, fromSentChanges, toAnnouncedHash, toSentChanges, type PublishedChange, type PublishedState, type PublishedStateView, type StorePosition } from '../src/index.js'
 
 const at = (revision: number, restoreCount = 0): StorePosition => ({ restoreCount, revision })
 
@@ -108,3 +108,11 @@
   t.deepEqual(fromSentChanges(sent), [removal, evacuation('a')])
   t.deepEqual(fromSentChanges(toSentChanges([removal])), [removal])
 })
+
+test('the announced position is read back, and that of a node without evacuations, or of an earlier release, is before all others', t => {
+  const position = at(Number.MAX_SAFE_INTEGER, 3)
+  t.regex(toAnnouncedHash(position), /^[0-9a-f]{64}$/)
+  t.deepEqual(fromAnnouncedHash(toAnnouncedHash(position)), position)
+  t.deepEqual(fromAnnouncedHash(toAnnouncedHash(undefined)), at(0))
+  t.is(toAnnouncedHash(undefined), '0'.repeat(64))
+})
