Issue warm-up permits for cold targets, apart from those of stated limits

A cold target takes only a few requests per second from all nodes together, and no node knows what the others send.

--- a/packages/fleet/src/permit-issuer.ts
+++ b/packages/fleet/src/permit-issuer.ts
@@ -19,11 +19,14 @@
   statement: LimitStatement
   /** How long the request of the asker can wait. */
   waitMaxMs: number
+  /** Requests per second that the target accepts while it is cold; present in queries for a warm-up permit. */
+  warmupRatePerS?: number
 }
 
 /** The newest statement of the limit that the owner knows comes with each answer. */
 export type PermitAnswer =
-  | { decision: 'granted', delayMs: number, statement: LimitStatement }
+  /** isWarmup: the permit is a warm-up permit. Absent in answers of older nodes, which know none. */
+  | { decision: 'granted', delayMs: number, isWarmup?: true, statement: LimitStatement }
   | {
     decision: 'denied'
     /** Time until the turn of the asker. */
--- a/packages/fleet/src/types.ts
+++ b/packages/fleet/src/types.ts
@@ -143,7 +143,7 @@
 /** Limits on the requests of callers. */
 export type CallerBounds = { headerBytesMax: number, bodyBytesMax: number, headerTimeoutMs: number, idleTimeoutMs: number }
 
-export type PublishedService = { name: string, healthPath: string, connectionsPerTarget: number }
+export type PublishedService = { name: string, healthPath: string, connectionsPerTarget: number, warmupMs?: number, warmupRatePerS?: number }
 
 /**
  * Position in the history of the platform's store. The store gives revisions out
