Place requests by the warm-up state of targets

A cold target crashes far above its warm-up rate, and nothing kept a node from sending it a full share. Each target now has a warm-up state from its entry, its health responses, failed connections, pauses and ended evacuations.

--- a/packages/common/src/types.ts
+++ b/packages/common/src/types.ts
@@ -33,6 +33,8 @@
   incarnation?: number
   /** Whether the target started recently and is still slow. */
   isNew?: boolean
+  /** Time for which the target stays cold, when its entry was written. */
+  warmupLeftMs?: number
 }
 
 /** Routes requests of one host and path prefix to one service, or divides them among several. */
--- a/packages/policy/src/placement.ts
+++ b/packages/policy/src/placement.ts
@@ -21,6 +21,7 @@
 import { chooseLimited, hasLimit, isPermitPossible } from './request-limit.js'
 import { isPaused, pauseRetryAfterMs } from './target-pause.js'
 import type { RoutingState, TargetState } from './types.js'
+import { chooseColdOverflow, chooseColdShare, chooseColdWait, isCold, needsWarmupPermit, splitByWarmup, type WarmupOptions } from './warmup.js'
 
 /** A report of at most this age is used as the current state of the target. */
 const FRESH_REPORT_MS = 20
@@ -66,7 +67,7 @@
 const slowdownOf = (state: TargetState, nowMs: number): number => {
   const weight = state.lastReportMs === -Infinity ? 0 : halfLifeWeight(nowMs - state.lastReportMs - FRESH_REPORT_MS, SLOWDOWN_HALF_LIFE_MS)
   const reported = weight * state.slowdown + (1 - weight) * UNKNOWN_SLOWDOWN
-  return state.health === 'cold' ? Math.max(COLD_SLOWDOWN, reported) : reported
+  return state.health === 'cold' || isCold(state, nowMs) ? Math.max(COLD_SLOWDOWN, reported) : reported
 }
 
 /** Whether the target has a free slot and runs at about its usual speed. */
@@ -82,7 +83,7 @@
 
 /** Servers slow down when their last slot is taken, so such a target is a second choice, as is a cold target. */
 const isFirstChoice = (state: TargetState, nowMs: number): boolean =>
-  state.health !== 'cold' && loadOf(state) + 1 < state.slots && !hasRecentFailure(state, nowMs)
+  state.health !== 'cold' && !isCold(state, nowMs) && loadOf(state) + 1 < state.slots && !hasRecentFailure(state, nowMs)
 
 /** Expected time until the response for a given load, plus preferences, in units of the usual service time. */
 const expectedCost = (state: TargetState, load: number, zone: string, nowMs: number): number => {
@@ -122,7 +123,7 @@
 const describe = (state: TargetState, nowMs: number): string =>
   `load ${loadOf(state)} of ${state.slots} slots, work takes ${state.slowdown.toFixed(2)} times the usual, report ${Math.round(nowMs - state.lastReportMs)} ms old`
 
-const send = (state: TargetState, reason: string, permitWaitMaxMs = 0): Placement =>
+const send = (state: TargetState, reason: string, permitWaitMaxMs = 0): Placement & { step: 'send' } =>
   ({ step: 'send', targetId: state.target.id, reason, permitWaitMaxMs })
 
 /**
@@ -132,10 +133,12 @@
 const chooseInGroup = (
   group: readonly TargetState[], routing: RoutingState, request: PlacementRequest, nowMs: number, random: Random
 ): Placement | undefined => {
-  const fresh = group.filter(state => hasFreshReport(state, nowMs) && isFreeAndFast(state))
+  // A load report of a response to a request does not show whether the target is cold.
+  const isKnown = (state: TargetState): boolean => hasFreshReport(state, nowMs) && !needsWarmupPermit(state, routing.warmup, nowMs)
+  const fresh = group.filter(state => isKnown(state) && isFreeAndFast(state))
   const firstChoice = withLowestCost(fresh.filter(state => isFirstChoice(state, nowMs)), state => expectedCost(state, loadOf(state), request.zone, nowMs), random)
   if (firstChoice) return send(firstChoice, describe(firstChoice, nowMs))
-  const unprobed = group.filter(state => !request.probed.has(state.target.id) && !hasFreshReport(state, nowMs) && request.canProbe(state.target.id))
+  const unprobed = group.filter(state => !request.probed.has(state.target.id) && !isKnown(state) && request.canProbe(state.target.id))
   const targetIds: string[] = []
   for (let count = 0; count < PARALLEL_PROBES_MAX; count++) {
     const next = withLowestCost(unprobed.filter(({ target }) => !targetIds.includes(target.id)), state => estimatedCost(state, routing, request, nowMs), random)
@@ -176,7 +179,7 @@
     const backlogMs = Math.min(...group.map(state => queueWaitMs(state, request.serviceTimeMs)))
     return { step: 'refuse', cause: 'late', retryAfterMs: Math.max(RETRY_AFTER_MIN_MS, backlogMs) }
   }
-  return send(best, `none is better: ${describe(best, nowMs)}`)
+  return { ...send(best, `none is better: ${describe(best, nowMs)}`), isFallback: true }
 }
 
 /** Next step among targets without a request limit. */
@@ -209,10 +212,11 @@
  * much the target can take, so it is asked for no load report, and what the limit
  * leaves goes to other targets. Hedges leave the permits to requests.
  */
-const choosePermitted = (limited: readonly TargetState[], request: PlacementRequest, nowMs: number, random: Random): Placement | undefined => {
+const choosePermitted = (limited: readonly TargetState[], { warmup }: RoutingState, request: PlacementRequest, nowMs: number, random: Random): Placement | undefined => {
   if (request.requiresFreeAndFast) return undefined
   const permitted = limited.filter(state => isPermittedFirst(state, request, nowMs))
   const best = withLowestCost(permitted, state => expectedCost(state, loadOf(state), request.zone, nowMs), random)
+  if (best && needsWarmupPermit(best, warmup, nowMs)) return { step: 'probe', targetIds: [best.target.id] }
   return best && send(best, `within its request limit: ${describe(best, nowMs)}`)
 }
 
@@ -224,6 +228,35 @@
   return request.canRefuse ? { step: 'refuse', cause: 'rate-limited', retryAfterMs: choice.retryAfterMs, detail: choice.detail } : { step: 'none' }
 }
 
+/** Next step among targets of which at least one may take a request without a warm-up permit, or may show in a probe that it can. */
+const planOpen = (usable: readonly TargetState[], routing: RoutingState, request: PlacementRequest, nowMs: number, random: Random): Placement => {
+  const limited = usable.filter(hasLimit)
+  if (limited.length === 0) return planUnlimited(usable, routing, request, nowMs, random)
+  return choosePermitted(limited, routing, request, nowMs, random) ?? (limited.length === usable.length
+    ? chooseAmongLimited(limited, request, nowMs, random)
+    : planUnlimited(usable.filter(state => !hasLimit(state)), routing, request, nowMs, random))
+}
+
+/** Waits for the warm-up permit that is due first, or refuses. Hedges are not sent to cold targets. */
+const planAllCold = (cold: readonly TargetState[], request: PlacementRequest, nowMs: number, random: Random): Placement => {
+  if (request.requiresFreeAndFast) return { step: 'none' }
+  const choice = chooseColdWait(cold, request, nowMs, random.next())
+  if ('state' in choice) return send(choice.state, `all targets may be cold, and its permit is due first: ${describe(choice.state, nowMs)}`, choice.permitWaitMaxMs)
+  return request.canRefuse ? { step: 'refuse', cause: 'rate-limited', retryAfterMs: choice.retryAfterMs, detail: choice.detail } : { step: 'none' }
+}
+
+/** Next step in a service with a warm-up; see warmup.ts. */
+const planWithWarmup = (usable: readonly TargetState[], options: WarmupOptions, routing: RoutingState, request: PlacementRequest, nowMs: number, random: Random): Placement => {
+  const shared = chooseColdShare(usable, request, nowMs)
+  if (shared) return send(shared, `its share while it is cold: ${describe(shared, nowMs)}`)
+  const { cold, open } = splitByWarmup(usable, options, request, nowMs)
+  if (open.length === 0) return planAllCold(cold, request, nowMs, random)
+  const step = planOpen(open, routing, request, nowMs, random)
+  if (step.step === 'probe' || (step.step === 'send' && step.isFallback !== true)) return step
+  const overflow = chooseColdOverflow(cold, request, step.step === 'wait', nowMs)
+  return overflow ? send(overflow, `warm targets are busy, and it is cold: ${describe(overflow, nowMs)}`) : step
+}
+
 /**
  * Next step for a request that has no target yet. Call again after each probe
  * result and after each wait.
@@ -233,9 +266,7 @@
   if (eligible.length === 0) return { step: 'none' }
   const usable = eligible.filter(state => !isPaused(state, nowMs))
   if (usable.length === 0) return request.canRefuse ? { step: 'refuse', cause: 'paused', retryAfterMs: pauseRetryAfterMs(eligible, nowMs, random.next()) } : { step: 'none' }
-  const limited = usable.filter(hasLimit)
-  if (limited.length === 0) return planUnlimited(usable, routing, request, nowMs, random)
-  return choosePermitted(limited, request, nowMs, random) ?? (limited.length === usable.length
-    ? chooseAmongLimited(limited, request, nowMs, random)
-    : planUnlimited(usable.filter(state => !hasLimit(state)), routing, request, nowMs, random))
+  return routing.warmup
+    ? planWithWarmup(usable, routing.warmup, routing, request, nowMs, random)
+    : planOpen(usable, routing, request, nowMs, random)
 }
--- a/packages/policy/src/select-target.ts
+++ b/packages/policy/src/select-target.ts
@@ -9,8 +9,13 @@
 import { isPaused, pauseRetryAfterMs } from './target-pause.js'
 import { policies } from './policies/index.js'
 import { slowStartShare } from './target-state.js'
+import { chooseColdWait, isCold, isWarmupPermitPossible, needsWarmupPermit } from './warmup.js'
 import type { PolicyName, RoutingState, Selection, SelectionRequest, TargetState, TargetTable } from './types.js'
 
+/** Whether the warm-up of the target leaves room for the request. */
+const isWarmEnough = (state: TargetState, { warmup }: RoutingState, { excludesCold }: SelectionRequest, nowMs: number): boolean =>
+  !(excludesCold === true && isCold(state, nowMs)) && (!needsWarmupPermit(state, warmup, nowMs) || (excludesCold !== true && isWarmupPermitPossible(state, 0, nowMs)))
+
 /** Fills routing.scratch with the eligible targets below their limit; returns the number of targets that were not excluded. */
 const filterCandidates = (routing: RoutingState, request: SelectionRequest, nowMs: number, random: Random): number => {
   const { candidates, scratch } = routing
@@ -20,7 +25,7 @@
     const state = candidates[index] as TargetState
     if (request.exclude.size > 0 && request.exclude.has(state.target.id)) continue
     usableCount++
-    if (isPaused(state, nowMs) || !isPermitPossible(state, 0, nowMs)) continue
+    if (isPaused(state, nowMs) || !isPermitPossible(state, 0, nowMs) || !isWarmEnough(state, routing, request, nowMs)) continue
     if (state.inFlight >= effectiveLimit(state) || nowMs < state.avoidUntilMs) continue
     if (state.health === 'probation' && request.idempotent === false && !routing.isFailOpen) continue
     if (routing.hasCold && state.health === 'cold' && random.next() >= slowStartShare(state, nowMs)) continue
@@ -30,19 +35,21 @@
 }
 
 /** Adds the targets that are cold, on probation or avoided after a refusal, as a last resort. */
-const relaxFilter = ({ candidates, scratch }: RoutingState, request: SelectionRequest, nowMs: number): void => {
+const relaxFilter = (routing: RoutingState, request: SelectionRequest, nowMs: number): void => {
+  const { candidates, scratch } = routing
   for (const state of candidates) {
-    if (!request.exclude.has(state.target.id) && state.inFlight < effectiveLimit(state) && !isPaused(state, nowMs) && isPermitPossible(state, 0, nowMs)) scratch.push(state)
+    if (!request.exclude.has(state.target.id) && state.inFlight < effectiveLimit(state) && !isPaused(state, nowMs) && isPermitPossible(state, 0, nowMs) && isWarmEnough(state, routing, request, nowMs)) scratch.push(state)
   }
 }
 
 /** Waits for a free target if one has no request limit, and otherwise for the permit that is due first. */
-const selectWithoutFreeTarget = ({ candidates }: RoutingState, request: SelectionRequest, nowMs: number, random: Random): Selection => {
+const selectWithoutFreeTarget = ({ candidates, warmup }: RoutingState, request: SelectionRequest, nowMs: number, random: Random): Selection => {
   const remaining = candidates.filter(({ target }) => !request.exclude.has(target.id))
   const usable = remaining.filter(state => !isPaused(state, nowMs))
   if (usable.length === 0) return { ok: false, error: 'paused', retryAfterMs: pauseRetryAfterMs(remaining, nowMs, random.next()) }
-  if (!usable.every(hasLimit)) return { ok: false, error: 'all-busy' }
-  const choice = chooseLimited(usable, request, nowMs, random.next())
+  const areAllCold = usable.every(state => needsWarmupPermit(state, warmup, nowMs))
+  if (!areAllCold && !usable.every(hasLimit)) return { ok: false, error: 'all-busy' }
+  const choice = areAllCold ? chooseColdWait(usable, { ...request, serviceTimeMs: 0 }, nowMs, random.next()) : chooseLimited(usable, request, nowMs, random.next())
   return 'state' in choice
     ? { ok: true, targetId: choice.state.target.id, reason: 'its permit is due first', permitWaitMaxMs: choice.permitWaitMaxMs }
     : { ok: false, error: 'rate-limited', retryAfterMs: choice.retryAfterMs, detail: choice.detail }
--- a/packages/policy/src/table-core.ts
+++ b/packages/policy/src/table-core.ts
@@ -34,6 +34,7 @@
   options,
   states: new Map(),
   routing: {
+    warmup: options.warmup,
     candidates: [],
     hasCold: false,
     isFailOpen: false,
--- a/packages/policy/src/target-state.ts
+++ b/packages/policy/src/target-state.ts
@@ -6,6 +6,7 @@
 import { createLatencyWindow } from './latency-window.js'
 import { halfLifeWeight } from './half-life.js'
 import { healthOf, startHealth, type HealthInput } from './target-health.js'
+import { createWarmupState } from './warmup.js'
 import type { TargetState } from './types.js'
 
 const LATENCY_WINDOW_SIZE = 256
@@ -48,6 +49,7 @@
     nextPermitMs: -Infinity,
     askAgainMs: -Infinity,
     isLimitUnshared: false,
+    warmup: createWarmupState(),
     lastDrainObservedMs: -Infinity,
     hasStatedDraining: false,
     firstBytes: createLatencyWindow(LATENCY_WINDOW_SIZE, LATENCY_COUNT_MIN),
--- a/packages/policy/src/target-table.ts
+++ b/packages/policy/src/target-table.ts
@@ -10,6 +10,7 @@
 import { applyDraining, applyFirstByte, applyOutcome, applyProbe } from './target-outcomes.js'
 import { applyPause, isPaused } from './target-pause.js'
 import { addStartTime, removeStartTime, slowStartShare } from './target-state.js'
+import { applyWarmup, assumeCold, createWarmupState, isCold, needsWarmupPermit, recordWarmupQuery, type WarmupReason } from './warmup.js'
 import type { TargetState, TargetTable, TargetTableOptions } from './types.js'
 import type { TargetStatus } from '@wisteriavalve/schema'
 
@@ -74,6 +75,28 @@
     if (state) act(state)
   }
 
+  /** Time until which no stated cold period can end. */
+  let nextWarmupEndMs = Infinity
+
+  const reportWarmup = (state: TargetState, reason: WarmupReason, nowMs: number): void => {
+    const { warmup, target } = state
+    if (isCold(state, nowMs)) nextWarmupEndMs = Math.min(nextWarmupEndMs, warmup.coldUntilMs > nowMs ? warmup.coldUntilMs : Infinity)
+    if (isCold(state, nowMs) === warmup.isReportedCold) return
+    warmup.isReportedCold = !warmup.isReportedCold
+    options.onWarmup?.(target.id, warmup.isReportedCold, reason)
+  }
+
+  const reportAll = (nowMs: number): void => {
+    nextWarmupEndMs = Infinity
+    for (const state of states.values()) reportWarmup(state, isCold(state, nowMs) ? 'listed' : 'time-over', nowMs)
+  }
+
+  const assumeUnreachable = (state: TargetState, nowMs: number): void => {
+    if (!options.warmup) return
+    assumeCold(state)
+    reportWarmup(state, 'connect-failed', nowMs)
+  }
+
   const capacity = (nowMs: number): number => {
     let sum = 0
     for (const state of currentRouting(core, nowMs).candidates) sum += effectiveLimit(state) * slowStartShare(state, nowMs)
@@ -81,9 +104,14 @@
   }
 
   return {
-    setTargets: (targets, nowMs) => applyTargetList(core, targets, nowMs),
-    resize: ({ slotsPerTarget, connectionShare }) => {
-      Object.assign(options, { slotsPerTarget, connectionShare })
+    setTargets: (targets, nowMs) => {
+      applyTargetList(core, targets, nowMs)
+      reportAll(nowMs)
+    },
+    resize: ({ slotsPerTarget, connectionShare, warmup }) => {
+      Object.assign(options, { slotsPerTarget, connectionShare, warmup })
+      core.routing.warmup = warmup
+      if (!warmup) for (const state of states.values()) state.warmup = createWarmupState()
       for (const state of states.values()) resizeTarget(state, slotsPerTarget, connectionShare)
     },
     recordDraining: (targetId, source, nowMs) => withState(targetId, state => applyDraining(core, state, source, nowMs, nowMs)),
@@ -96,6 +124,7 @@
       core.inFlight = Math.max(0, core.inFlight - 1)
       removeStartTime(state, nowMs - durationMs)
       applyOutcome(core, state, outcome, durationMs, nowMs)
+      if (outcome === 'connect-failed') assumeUnreachable(state, nowMs)
     }),
     recordLoadReport: (targetId, report, nowMs) => withState(targetId, state => {
       applyReport(state, report, core.routing, options.slotsPerTarget, nowMs)
@@ -126,16 +155,51 @@
       state.askAgainMs = nowMs + askAgainMs
     }),
     nextPermitMs: targetId => states.get(targetId)?.nextPermitMs ?? -Infinity,
-    recordHealthProbe: (targetId, result, nowMs) => withState(targetId, state => applyProbe(core, state, result, nowMs)),
+    recordWarmup: (targetId, remainingMs, nowMs) => withState(targetId, state => {
+      if (!options.warmup) return
+      applyWarmup(state, remainingMs, nowMs)
+      reportWarmup(state, 'stated', nowMs)
+    }),
+    expectWarmup: (zone, nowMs) => {
+      if (!options.warmup) return
+      for (const state of states.values()) {
+        if (state.target.zone !== zone) continue
+        assumeCold(state)
+        reportWarmup(state, 'evacuation-ended', nowMs)
+      }
+    },
+    needsWarmupPermit: (targetId, nowMs) => {
+      const state = states.get(targetId)
+      return state !== undefined && needsWarmupPermit(state, options.warmup, nowMs)
+    },
+    warmupRatePerS: () => options.warmup?.ratePerS ?? 0,
+    recordWarmupQuery: (targetId, nowMs) => withState(targetId, state => recordWarmupQuery(state, nowMs)),
+    recordWarmupPermitDenied: (targetId, retryAfterMs, nowMs) => withState(targetId, ({ warmup }) => { warmup.nextPermitMs = nowMs + retryAfterMs }),
+    nextWarmupPermitMs: targetId => states.get(targetId)?.warmup.nextPermitMs ?? -Infinity,
+    coldCount: nowMs => [...states.values()].filter(state => state.health !== 'gone' && isCold(state, nowMs)).length,
+    recordHealthProbe: (targetId, result, nowMs) => withState(targetId, state => {
+      applyProbe(core, state, result, nowMs)
+      if (!options.warmup) return
+      if (result.ok) applyWarmup(state, undefined, nowMs)
+      else if (result.failure === 'connect-failed') assumeCold(state)
+      reportWarmup(state, result.ok ? 'stated' : 'connect-failed', nowMs)
+    }),
     recordLoadProbeWithoutReport: (targetId, nowMs) => withState(targetId, state => {
       probesWithoutReport++
       // The target is reachable, so its load is assumed to be the requests of this node alone.
       applyReport(state, { inFlight: state.inFlight, slowdown: 1 }, core.routing, options.slotsPerTarget, nowMs)
     }),
-    supportsLoadProbes: () => probesWithoutReport < PROBES_WITHOUT_REPORT_MAX,
-    recordLoadProbeFailure: (targetId, nowMs) => withState(targetId, state => avoidTarget(state, nowMs)),
+    // Only health responses show that a target is warm.
+    supportsLoadProbes: () => probesWithoutReport < PROBES_WITHOUT_REPORT_MAX || (options.warmup?.ratePerS ?? 0) > 0,
+    recordLoadProbeFailure: (targetId, nowMs, isUnreachable = false) => withState(targetId, state => {
+      avoidTarget(state, nowMs)
+      if (isUnreachable) assumeUnreachable(state, nowMs)
+    }),
     recordPeerObservation: (note, nowMs) => withState(note.targetId, state => applyPeerNote(core, state, note, nowMs)),
-    resumeAfterPause: () => expireEstimates(core),
+    resumeAfterPause: () => {
+      expireEstimates(core)
+      if (options.warmup) for (const state of states.values()) assumeCold(state)
+    },
     takeNotes: nowMs => collectNotes(core, nowMs),
     lastResponseMs: targetId => states.get(targetId)?.lastResponseMs,
     capacity,
@@ -147,6 +211,9 @@
       currentRouting(core, nowMs)
       return [...states.values()].map(state => toStatus(core, state, connections?.get(state.target.id) ?? 0, nowMs))
     },
-    routing: nowMs => currentRouting(core, nowMs)
+    routing: nowMs => {
+      if (nowMs >= nextWarmupEndMs) reportAll(nowMs)
+      return currentRouting(core, nowMs)
+    }
   }
 }
--- a/packages/policy/src/types/placement.ts
+++ b/packages/policy/src/types/placement.ts
@@ -19,11 +19,16 @@
   canRefuse: boolean
   /** Whether only a target with a free slot and its usual speed may be chosen, as for a hedge. */
   requiresFreeAndFast: boolean
+  /** Random number from 0 to 1, drawn once for the request, that selects requests for cold targets. */
+  warmupDraw?: number
 }
 
 export type Placement =
-  /** permitWaitMaxMs: how long the request may wait for a permit if the target has a request limit. */
-  | { step: 'send', targetId: string, reason: string, permitWaitMaxMs: number }
+  /**
+   * permitWaitMaxMs: how long the request may wait for a permit if the target has a request limit or is cold.
+   * isFallback: the target is busy or slow, and none is better.
+   */
+  | { step: 'send', targetId: string, reason: string, permitWaitMaxMs: number, isFallback?: true }
   /** Probe the load of these targets, and plan again after each result. */
   | { step: 'probe', targetIds: string[] }
   | { step: 'wait', untilMs: number }
--- a/packages/policy/src/types/selection.ts
+++ b/packages/policy/src/types/selection.ts
@@ -20,6 +20,8 @@
   exclude: ReadonlySet<string>
   /** Non-idempotent requests are not sent to targets on probation. Defaults to true. */
   idempotent?: boolean
+  /** Whether cold targets are excluded, as for a hedge. */
+  excludesCold?: boolean
   /** How long the request can wait for a permit if only targets with a request limit are usable; 0 if absent. */
   permitWaitMaxMs?: number
 }
--- a/packages/policy/src/types/targets.ts
+++ b/packages/policy/src/types/targets.ts
@@ -5,6 +5,7 @@
 import type { Target, TargetNote, TargetStatus } from '@wisteriavalve/schema'
 import type { StatedLimit } from '../request-limit.js'
 import type { HealthSnapshot } from '../target-health.js'
+import type { WarmupOptions, WarmupReason } from '../warmup.js'
 
 export type TargetHealth = TargetStatus['health']
 
@@ -41,6 +42,10 @@
   slotsPerTarget: number
   /** Maximum number of connections of this node to one target; upper bound of the concurrency limit. */
   connectionShare: number
+  /** Absent if the service has no warm-up. */
+  warmup?: WarmupOptions | undefined
+  /** Called when a target becomes cold or warm in the view of this node. */
+  onWarmup?: (targetId: string, isCold: boolean, reason: WarmupReason) => void
   /** Called on each change of a target's health. */
   onHealth?: (targetId: string, health: TargetHealth, reason: string, nowMs: number) => void
   /** Called when a target states a request limit for the first time, changes it, or has ended it. */
@@ -56,15 +61,18 @@
 export type TargetTable = {
   setTargets: (targets: readonly ListedTarget[], nowMs: number) => void
   /** Applies new sizes and keeps all that is known of the targets. */
-  resize: (sizes: Pick<TargetTableOptions, 'slotsPerTarget' | 'connectionShare'>) => void
+  resize: (sizes: Pick<TargetTableOptions, 'slotsPerTarget' | 'connectionShare' | 'warmup'>) => void
   recordDraining: (targetId: string, source: DrainSource, nowMs: number) => void
   recordStart: (targetId: string, nowMs: number) => void
   recordFirstByte: (targetId: string, firstByteMs: number, nowMs: number) => void
   recordOutcome: (targetId: string, outcome: AttemptOutcome, durationMs: number, nowMs: number) => void
   recordLoadReport: (targetId: string, report: LoadReport, nowMs: number) => void
   recordHealthProbe: (targetId: string, result: ProbeResult, nowMs: number) => void
-  /** A load probe got no response or an error response. */
-  recordLoadProbeFailure: (targetId: string, nowMs: number) => void
+  /**
+   * A load probe got no response or an error response.
+   * @param isUnreachable the target did not accept the connection
+   */
+  recordLoadProbeFailure: (targetId: string, nowMs: number, isUnreachable?: boolean) => void
   /** A load probe was answered without a load report. */
   recordLoadProbeWithoutReport: (targetId: string, nowMs: number) => void
   /**
@@ -88,6 +96,23 @@
   recordPermitDenied: (targetId: string, retryAfterMs: number, nowMs: number, askAgainMs?: number) => void
   /** Time before which no permit is expected; -Infinity if nothing is known. */
   nextPermitMs: (targetId: string) => number
+  /**
+   * Records a health response.
+   * @param remainingMs time for which the target stays cold; undefined if the response does not state it
+   */
+  recordWarmup: (targetId: string, remainingMs: number | undefined, nowMs: number) => void
+  /** Assumes that the targets of a zone are cold until their health responses say otherwise. */
+  expectWarmup: (zone: string, nowMs: number) => void
+  /** Whether a request to the target needs a warm-up permit now. */
+  needsWarmupPermit: (targetId: string, nowMs: number) => boolean
+  /** Requests per second that a cold target accepts from all nodes together; 0 without a limit. */
+  warmupRatePerS: () => number
+  recordWarmupQuery: (targetId: string, nowMs: number) => void
+  recordWarmupPermitDenied: (targetId: string, retryAfterMs: number, nowMs: number) => void
+  /** Time before which no warm-up permit is expected; -Infinity if nothing is known. */
+  nextWarmupPermitMs: (targetId: string) => number
+  /** Number of cold targets in the view of this node. */
+  coldCount: (nowMs: number) => number
   /** Whether load probes are useful; the targets of some services never report their load. */
   supportsLoadProbes: () => boolean
   /** Applies an observation of a peer. */
@@ -113,6 +138,20 @@
   routing: (nowMs: number) => RoutingState
 }
 
+/** What a node knows of the warm-up of a target; see warmup.ts. */
+export type WarmupState = {
+  /** End of the cold period that the target or its entry stated. */
+  coldUntilMs: number
+  /** Time of the last health response. */
+  checkedMs: number
+  /** The target may have become cold since its last health response. */
+  isAssumed: boolean
+  /** Whether the last event said that the target is cold. */
+  isReportedCold: boolean
+  /** Before this time, no warm-up permit is expected. */
+  nextPermitMs: number
+}
+
 /** Mutable state of one target. The policies read only the fields of the first block. */
 export type TargetState = {
   target: ListedTarget
@@ -164,6 +203,7 @@
   nextPermitMs: number
   /** From this time on, a request may ask the permit owner although no permit is due yet. */
   askAgainMs: number
+  warmup: WarmupState
   /** The limit was stated for the first time, and peers are to be told. */
   isLimitUnshared: boolean
   lastResponseMs?: number
@@ -188,6 +228,8 @@
 }
 
 export type RoutingState = {
+  /** Absent if the service has no warm-up. */
+  warmup?: WarmupOptions | undefined
   /** Targets that may get requests now. */
   candidates: readonly TargetState[]
   /** Some candidate is cold and another is not. */
