Send requests to cold targets only with a warm-up permit

Targets that become cold got their full share of requests, several times what they can take. Load probes now read the remaining warm-up time, each request to a target that is or may be cold asks the permit owner for a permit at the service's rate, and the last check before the write applies the rule again.

--- a/packages/daemon/src/adapters/peer-rpc.ts
+++ b/packages/daemon/src/adapters/peer-rpc.ts
@@ -88,11 +88,19 @@
 const isFiniteFrom0 = (value: unknown): value is number => typeof value === 'number' && Number.isFinite(value) && value >= 0
 
 const parsePermitQuery = (input: unknown): PermitQuery => {
-  const { service, targetId, nodeId, statement, waitMaxMs } = (input ?? {}) as Partial<Record<keyof PermitQuery, unknown>>
+  const { service, targetId, nodeId, statement, waitMaxMs, warmupRatePerS } = (input ?? {}) as Partial<Record<keyof PermitQuery, unknown>>
   const { limitPerS, ageMs } = (statement ?? {}) as Partial<Record<keyof LimitStatement, unknown>>
   if (!isText(service) || !isText(targetId) || !isText(nodeId)) throw new Error('service, targetId and nodeId must be strings')
   if ((limitPerS !== null && !isFiniteFrom0(limitPerS)) || !isFiniteFrom0(ageMs) || !isFiniteFrom0(waitMaxMs)) throw new Error('limitPerS, ageMs and waitMaxMs must be numbers of at least 0')
-  return { service, targetId, nodeId, statement: { limitPerS, ageMs }, waitMaxMs: Math.min(PERMIT_WAIT_MAX_MS, waitMaxMs) }
+  if (warmupRatePerS !== undefined && !isFiniteFrom0(warmupRatePerS)) throw new Error('warmupRatePerS must be a number of at least 0')
+  return {
+    service,
+    targetId,
+    nodeId,
+    statement: { limitPerS, ageMs },
+    waitMaxMs: Math.min(PERMIT_WAIT_MAX_MS, waitMaxMs),
+    ...(warmupRatePerS !== undefined && { warmupRatePerS })
+  }
 }
 
 const newerVmList = (list: PeerVmList | null, { ageMs, hash }: VmListQuery): PeerVmList | null => {
--- a/packages/daemon/src/attempt-writes.ts
+++ b/packages/daemon/src/attempt-writes.ts
@@ -5,6 +5,7 @@
 import type { PipelineContext } from './pipeline-context.js'
 import { relayHeaders } from './relaying.js'
 import { isPermitMissing } from './target-permits.js'
+import { isWarmupPermitMissing } from './warmup-permits.js'
 
 const isDeadlineBounded = ({ deadlineMs }: Exchange): boolean => deadlineMs !== Infinity
 
@@ -19,9 +20,10 @@
   return headers
 }
 
-/** Whether the target stated since it was chosen that it does not want this request. */
+/** Whether it was learned since the target was chosen that it does not want this request, or may not get it without a permit. */
 export const isTargetClosed = (attempt: Attempt, nowMs: number): boolean =>
-  attempt.exchange.runtime.draining.has(attempt.targetId) || attempt.table.isPaused(attempt.targetId, nowMs) || isPermitMissing(attempt)
+  attempt.exchange.runtime.draining.has(attempt.targetId) || attempt.table.isPaused(attempt.targetId, nowMs) || isPermitMissing(attempt) ||
+  isWarmupPermitMissing(attempt, nowMs)
 
 /** The only check before the first byte of the request is written. */
 export const canWrite = (context: PipelineContext, attempt: Attempt): boolean => {
--- a/packages/daemon/src/attempts.ts
+++ b/packages/daemon/src/attempts.ts
@@ -16,7 +16,7 @@
 import { scheduleHedge } from './hedging.js'
 import { cannotReachTargets, CUT_OFF_RETRY_AFTER_MS, delegateAttempts, isCutOff, isRelayed, reclaimAttempts, selectRelayPeer, tryTargetAgain } from './relaying.js'
 import { excludedTargets, isTaken, reserveTarget } from './suspect-isolation.js'
-import { withPermit } from './target-permits.js'
+import { withPermits } from './warmup-permits.js'
 import { tryTakeRetry, tryTakeRetryAfterStatus } from './retrying.js'
 import { dropData, endResponse, onResponseHead, relayData } from './response-relay.js'
 import { failExchange, isolateErrors, onDeadline } from './completion.js'
@@ -107,7 +107,8 @@
     zone: context.zone,
     exclude: excludedTargets(context, exchange),
     idempotent: kind.idempotent,
-    permitWaitMaxMs: purpose === 'hedge' ? 0 : permitWaitMaxMs(context, exchange)
+    permitWaitMaxMs: purpose === 'hedge' ? 0 : permitWaitMaxMs(context, exchange),
+    excludesCold: purpose === 'hedge'
   }, nowMs, context.random)
   const target = selection.ok ? runtime.table.target(selection.targetId) : undefined
   if (selection.ok && target) {
@@ -121,15 +122,15 @@
   else failExchange(context, exchange, exchange.unknownResult ?? lastResult ?? 'no-target')
 }
 
-/** Starts the attempt, after a permit for it if the target has a request limit. Without a permit another target is chosen. */
+/** Starts the attempt, after a permit for it if the target has a request limit or may be cold. Without a permit another target is chosen. */
 const startPermitted = (
   context: PipelineContext, exchange: Exchange, purpose: AttemptPurpose, target: Target,
   { reason, permitWaitMaxMs: waitMaxMs }: { reason: string, permitWaitMaxMs: number }, lastResult: ResultName | undefined
-): void => withPermit(context, exchange, target.id, waitMaxMs, {
-  onPermitted: hasPermit => {
+): void => withPermits(context, exchange, purpose, target.id, waitMaxMs, {
+  onPermitted: permits => {
     if (exchange.responder) return
     if (isTaken(context, exchange, target.id)) startAttempt(context, exchange, purpose, lastResult)
-    else if (canAttempt(exchange)) startAt(context, exchange, { ...targetDestination(context, exchange, target), purpose, reason, hasPermit }, lastResult)
+    else if (canAttempt(exchange)) startAt(context, exchange, { ...targetDestination(context, exchange, target), purpose, reason, ...permits }, lastResult)
     else failWithoutAttempt(context, exchange, lastResult)
   },
   onDenied: () => {
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -99,6 +99,7 @@
     onHealth: nodeEvents.recordTargetHealth,
     onRequestLimit: nodeEvents.recordRequestLimit,
     onTargetPause: nodeEvents.recordTargetPause,
+    onWarmup: nodeEvents.recordWarmup,
     onOpenResult: (targetId, isOpen) => {
       const nowMs = clock.nowMs()
       if (isOpen) {
--- a/packages/daemon/src/destination.ts
+++ b/packages/daemon/src/destination.ts
@@ -7,9 +7,9 @@
 import type { PipelineContext } from './pipeline-context.js'
 import { RELAY_REASON } from './relaying.js'
 
-export type Destination = Pick<Attempt, 'targetId' | 'reason' | 'slowdown' | 'table' | 'pool' | 'purpose' | 'hasPermit' | 'isRelay'>
+export type Destination = Pick<Attempt, 'targetId' | 'reason' | 'slowdown' | 'table' | 'pool' | 'purpose' | 'hasPermit' | 'warmupPermitEndMs' | 'isRelay'>
 
-export const targetDestination = (context: PipelineContext, { runtime }: Exchange, target: Target): Omit<Destination, 'purpose' | 'reason' | 'hasPermit'> => ({
+export const targetDestination = (context: PipelineContext, { runtime }: Exchange, target: Target): Omit<Destination, 'purpose' | 'reason' | 'hasPermit' | 'warmupPermitEndMs'> => ({
   targetId: target.id,
   slowdown: runtime.table.slowdown(target.id),
   table: runtime.table,
@@ -18,4 +18,4 @@
 })
 
 export const relayDestination = ({ relaying: { peers } }: PipelineContext, peer: Target): Omit<Destination, 'purpose'> =>
-  ({ targetId: peer.id, reason: RELAY_REASON, slowdown: 1, table: peers.table, pool: peers.connectionsTo(peer), isRelay: true, hasPermit: false })
+  ({ targetId: peer.id, reason: RELAY_REASON, slowdown: 1, table: peers.table, pool: peers.connectionsTo(peer), isRelay: true, hasPermit: false, warmupPermitEndMs: -Infinity })
--- a/packages/daemon/src/exchange.ts
+++ b/packages/daemon/src/exchange.ts
@@ -88,6 +88,8 @@
   delegatedCount: number
   /** Whether the permit owner of the target permits one request. */
   hasPermit: boolean
+  /** Time until which a warm-up permit for one request to the target is valid; -Infinity without one. */
+  warmupPermitEndMs: number
   /** Pause epoch in which the target was selected. */
   pauseEpoch: number
   startedMs: number
--- a/packages/daemon/src/fleet/permits.ts
+++ b/packages/daemon/src/fleet/permits.ts
@@ -2,7 +2,7 @@
  * Permits for requests to targets that limit the requests of all nodes together:
  * asks the permit owner of a target, and issues permits as the owner.
  */
-import { createPermitIssuer, createPermitShare, rankPermitOwners, type PermitAnswer, type PermitQuery } from '@wisteriavalve/fleet'
+import { createPermitIssuer, createPermitShare, createWarmupPermitIssuer, isWarmupGrant, isWarmupQuery, rankPermitOwners, substituteShare, type PermitAnswer, type PermitQuery } from '@wisteriavalve/fleet'
 import type { MemberUpdate } from '@wisteriavalve/schema'
 import type { PeerClients } from '../adapters/peer-client.js'
 import { describeError } from '../adapters/http-json.js'
@@ -16,7 +16,13 @@
   counters: () => Record<string, number>
 }
 
-export type PermitsOptions = { context: DaemonContext, members: () => readonly MemberUpdate[], clients: PeerClients }
+export type PermitsOptions = {
+  context: DaemonContext
+  members: () => readonly MemberUpdate[]
+  clients: PeerClients
+  /** Whether other nodes are configured. */
+  hasSeeds?: () => boolean
+}
 
 /** A peer answers within a few ms; a request should not lose more of its time. */
 const OWNER_TIMEOUT_MS = 150
@@ -24,12 +30,22 @@
 const FAILED_OWNER_MS = 2_000
 const RETRY_AFTER_FAILURE_MS = 50
 
-export const createPermits = ({ context, members, clients }: PermitsOptions): Permits => {
+export const createPermits = ({ context, members, clients, hasSeeds = () => false }: PermitsOptions): Permits => {
   const { clock, random, settings, log } = context
   const issuer = createPermitIssuer(random)
+  const warmupIssuer = createWarmupPermitIssuer(random)
   const share = createPermitShare(clock.nowMs())
   const failedUntilMs = new Map<string, number>()
-  const counts = { permits_granted: 0, permits_denied: 0, permits_issued: 0, permit_owners_failed: 0 }
+  const counts = { permits_granted: 0, permits_denied: 0, permits_issued: 0, permit_owners_failed: 0, warmup_permits_granted: 0, warmup_permits_denied: 0, warmup_permits_issued: 0 }
+
+  let hasSeenPeer = false
+
+  /** A node that has not reached any other since its start issues nothing: many such nodes would each issue the whole rate. */
+  const warmupShare = (owners: readonly string[], nowMs: number): number => {
+    hasSeenPeer ||= owners.length > 1
+    const visibleShare = share.current(owners.length, true, nowMs)
+    return !hasSeenPeer && hasSeeds() ? 0 : visibleShare * substituteShare(owners.indexOf(settings.nodeId))
+  }
 
   const ownersOf = ({ service, targetId }: Pick<PermitQuery, 'service' | 'targetId'>): string[] =>
     rankPermitOwners({ selfId: settings.nodeId, zone: settings.zone, members: members() }, service, targetId)
@@ -37,11 +53,19 @@
   const issue = (query: PermitQuery): PermitAnswer => {
     const owners = ownersOf(query)
     const nowMs = clock.nowMs()
-    const answer = issuer.issue(query, share.current(owners.length, owners[0] === settings.nodeId, nowMs), nowMs)
-    if (answer.decision === 'granted') counts.permits_issued++
+    const answer = isWarmupQuery(query)
+      ? warmupIssuer.issue(query, warmupShare(owners, nowMs), nowMs)
+      : issuer.issue(query, share.current(owners.length, owners[0] === settings.nodeId, nowMs), nowMs)
+    if (answer.decision === 'granted') counts[isWarmupQuery(query) ? 'warmup_permits_issued' : 'permits_issued']++
     return answer
   }
 
+  const count = (query: PermitQuery, answer: PermitAnswer): void => {
+    if (isWarmupQuery(query)) counts[isWarmupGrant(answer) ? 'warmup_permits_granted' : 'warmup_permits_denied']++
+    else if (answer.decision === 'granted') counts.permits_granted++
+    else if (answer.decision === 'denied') counts.permits_denied++
+  }
+
   const deny = ({ statement }: Pick<PermitQuery, 'statement'>): PermitAnswer => ({ decision: 'denied', retryAfterMs: RETRY_AFTER_FAILURE_MS, statement })
 
   const askPeer = async (peer: MemberUpdate, query: PermitQuery): Promise<PermitAnswer> => {
@@ -61,8 +85,7 @@
     const ownerId = ownersOf(query).find(nodeId => nodeId === settings.nodeId || (failedUntilMs.get(nodeId) ?? -Infinity) <= nowMs)
     const owner = members().find(({ nodeId }) => nodeId === ownerId)
     const answer = ownerId === settings.nodeId ? issue(query) : owner ? await askPeer(owner, query) : deny(query)
-    if (answer.decision === 'granted') counts.permits_granted++
-    else if (answer.decision === 'denied') counts.permits_denied++
+    count(query, answer)
     return answer
   }
 
--- a/packages/daemon/src/fleet/published-configuration.ts
+++ b/packages/daemon/src/fleet/published-configuration.ts
@@ -30,7 +30,7 @@
  */
 const ENTRY_LIFETIME_MS = 4_500
 
-const toServiceConfiguration = ({ name, healthPath, connectionsPerTarget }: PublishedService): ServiceConfiguration => ({
+const toServiceConfiguration = ({ name, healthPath, connectionsPerTarget, warmupMs, warmupRatePerS }: PublishedService): ServiceConfiguration => ({
   format: 1,
   name,
   pathPrefix: '/',
@@ -38,6 +38,8 @@
   slotsPerTarget: DEFAULT_SLOTS,
   connectionsPerTarget: Math.max(connectionsPerTarget, DEFAULT_SLOTS * ASSUMED_ENTRY_VM_COUNT),
   healthPath,
+  ...(warmupMs !== undefined && { warmupMs }),
+  ...(warmupRatePerS !== undefined && { warmupRatePerS }),
   defaultDeadlineMs: DEFAULT_DEADLINE_MS,
   targets: [],
   objective: DEFAULT_OBJECTIVE,
--- a/packages/daemon/src/fleet/store-fleet.ts
+++ b/packages/daemon/src/fleet/store-fleet.ts
@@ -92,7 +92,7 @@
   const news = createConfigurationNews({ clock, version: configurationVersion, follower: () => follower })
   const members = (): MemberUpdate[] => gossip.membership()?.members() ?? []
   const peers = (): MemberUpdate[] => members().filter(({ nodeId }) => nodeId !== settings.nodeId)
-  const permits = createPermits({ context, members, clients })
+  const permits = createPermits({ context, members, clients, hasSeeds: () => seeds().length > 0 })
   const suspectSync = createSuspectSync({ clock, random, peers, clients, onNotes: onNotes.emit })
   const reportMember = createMemberReporter(context)
 
--- a/packages/daemon/src/http-dialect.ts
+++ b/packages/daemon/src/http-dialect.ts
@@ -22,6 +22,8 @@
   isDraining: (header: (name: string) => string | undefined) => boolean
   /** Time for which a target that refuses a request asks to be left alone; undefined without such a wish. */
   readPauseMs: (status: number, header: (name: string) => string | undefined) => number | undefined
+  /** Time in ms for which a target states in a response to a load probe that it stays cold; undefined if it states none. */
+  readWarmupMs: (header: (name: string) => string | undefined) => number | undefined
   /** What a response says about the requests per second that its target accepts from all nodes together. */
   readRequestLimit: (header: (name: string) => string | undefined) => StatedLimit
   /** Further response headers that are not forwarded to callers. */
@@ -65,6 +67,7 @@
   forwardedForHeader: 'x-forwarded-for',
   loadReportHeader: 'endpoint-load-metrics',
   readPauseMs,
+  readWarmupMs: () => undefined,
   isDraining: header => header(DRAINING_HEADER) === 'true',
   readRequestLimit: header => parseRequestLimit(header(REQUEST_LIMIT_HEADER)),
   droppedResponseHeaders: [NOT_RUN_HEADER, DRAINING_HEADER, REQUEST_LIMIT_HEADER],
--- a/packages/daemon/src/load-probes.ts
+++ b/packages/daemon/src/load-probes.ts
@@ -35,11 +35,11 @@
     done(isAnswered)
   }
 
-  const fail = (): void => {
+  const fail = (isUnreachable = false): void => {
     if (isFinished) return
     if (connection) pool.discard(connection)
     const nowMs = context.clock.nowMs()
-    runtime.table.recordLoadProbeFailure(targetId, nowMs)
+    runtime.table.recordLoadProbeFailure(targetId, nowMs, isUnreachable)
     context.relaying.responses.recordFailure(targetId, nowMs)
     finish(false)
   }
@@ -56,9 +56,11 @@
     else if (isForeign) {
       pool.recordForeignResponse()
       fail()
-    } else if (report && status < 300) runtime.table.recordLoadReport(targetId, report, nowMs)
-    else if (status < 300) runtime.table.recordLoadProbeWithoutReport(targetId, nowMs)
-    else runtime.table.recordLoadProbeFailure(targetId, nowMs)
+    } else if (status < 300) {
+      runtime.table.recordWarmup(targetId, context.dialect.readWarmupMs(name => rawHeader(headers, name)), nowMs)
+      if (report) runtime.table.recordLoadReport(targetId, report, nowMs)
+      else runtime.table.recordLoadProbeWithoutReport(targetId, nowMs)
+    } else runtime.table.recordLoadProbeFailure(targetId, nowMs)
     const pauseMs = context.dialect.readPauseMs(status, name => rawHeader(headers, name))
     if (pauseMs !== undefined) runtime.table.recordPause(targetId, pauseMs, nowMs)
   }
@@ -82,7 +84,7 @@
         // The connection is available to the request only after the deferred part of the release.
         queueMicrotask(() => finish(true))
       },
-      onFailure: fail
+      onFailure: () => fail()
     })
   }
 
@@ -92,7 +94,7 @@
       if (isFinished) pool.release(opened)
       else send(opened)
     },
-    fail
+    fail: () => fail(true)
   }
 
   const timer = context.wheel.schedule(context.clock.nowMs() + PROBE_TIMEOUT_MS, () => {
--- a/packages/daemon/src/metrics-gauges.ts
+++ b/packages/daemon/src/metrics-gauges.ts
@@ -16,6 +16,8 @@
   capacity: number
   /** Targets that state a request limit. */
   limitedTargets: number
+  /** Targets that are cold, or may be. */
+  coldTargets: number
   /** Targets that asked to be left alone for a time. */
   pausedTargets: number
   /** Number of targets by state. */
@@ -42,6 +44,7 @@
   { name: 'capacity_requests', help: 'Estimated number of requests that the usable targets can process at the same time.', read: ({ capacity }) => capacity },
   { name: 'retries_left', help: 'Retries that the budget currently allows.', read: ({ retriesLeft }) => retriesLeft },
   { name: 'limited_targets', help: 'Targets that limit the requests of all nodes together.', read: ({ limitedTargets }) => limitedTargets },
+  { name: 'cold_targets', help: 'Targets that are cold, or are assumed to be until their next health response.', read: ({ coldTargets }) => coldTargets },
   { name: 'paused_targets', help: 'Targets that asked to be left alone for a time.', read: ({ pausedTargets }) => pausedTargets },
   { name: 'hedges_left', help: 'Hedges that the budget currently allows.', read: ({ hedgesLeft }) => hedgesLeft }
 ]
--- a/packages/daemon/src/node-events.ts
+++ b/packages/daemon/src/node-events.ts
@@ -3,7 +3,7 @@
  * and recorded as a sentence for explain.
  */
 import type { Clock, EventRecord } from '@wisteriavalve/common'
-import type { FailureSeries, TargetHealth } from '@wisteriavalve/policy'
+import type { FailureSeries, TargetHealth, WarmupReason } from '@wisteriavalve/policy'
 import type { EventEntry } from '@wisteriavalve/schema'
 import type { ExplainQuery } from './admin-api.js'
 import type { SuspectEvent } from './crash-watch.js'
@@ -16,6 +16,7 @@
   recordTargetHealth: (service: string, targetId: string, health: TargetHealth, reason: string) => void
   /** @param limitPerS undefined at the end of the limit */
   recordRequestLimit: (service: string, targetId: string, limitPerS: number | undefined) => void
+  recordWarmup: (service: string, targetId: string, isCold: boolean, reason: WarmupReason) => void
   recordTargetPause: (service: string, targetId: string, pauseMs: number) => void
   recordConnectionsRetired: (service: string, targetId: string, count: number) => void
   recordProcessPause: (gapMs: number) => void
@@ -56,6 +57,10 @@
       log('target_state', { service, target: targetId, state: health, reason })
       add({ event: 'target_state', service, targetId, text: `Target ${targetId} of ${service} ${HEALTH_TEXT[health]}: ${reason}.` })
     },
+    recordWarmup: (service, targetId, isCold, reason) => {
+      log('target_warmup', { service, target: targetId, state: isCold ? 'cold' : 'warm', reason })
+      add({ event: 'target_warmup', service, targetId, text: `Target ${targetId} of ${service} ${isCold ? 'is taken for cold' : 'is warm'} (${reason}).` })
+    },
     recordRequestLimit: (service, targetId, limitPerS) => {
       const key = `${service}/${targetId}`
       const nowMs = clock.nowMs()
--- a/packages/daemon/src/placement.ts
+++ b/packages/daemon/src/placement.ts
@@ -35,7 +35,7 @@
  * are not refused, since a refusal would hide the result of the first attempt.
  */
 const placementRequest = (
-  context: PipelineContext, exchange: Exchange, purpose: AttemptPurpose, { probed, canProbe }: Pick<PlacementRequest, 'probed' | 'canProbe'>
+  context: PipelineContext, exchange: Exchange, purpose: AttemptPurpose, { probed, canProbe, warmupDraw }: Pick<PlacementRequest, 'probed' | 'canProbe' | 'warmupDraw'>
 ): PlacementRequest => {
   const { kind, arrivedMs, deadlineMs } = exchange
   const objectiveMs = (kind.objectiveMs ?? kind.deadlineMs) * OBJECTIVE_SHARE
@@ -52,7 +52,8 @@
     canProbe,
     canWait: purpose !== 'hedge',
     canRefuse: purpose === 'first',
-    requiresFreeAndFast: purpose === 'hedge'
+    requiresFreeAndFast: purpose === 'hedge',
+    warmupDraw
   }
 }
 
@@ -60,6 +61,7 @@
 export const place = (context: PipelineContext, exchange: Exchange, purpose: AttemptPurpose, onPlaced: (outcome: PlacementOutcome) => void): void => {
   const { runtime } = exchange
   const probed = new Set<string>()
+  const warmupDraw = context.random.next()
   let pendingCount = 0
   let unansweredCount = 0
 
@@ -85,7 +87,7 @@
 
   const step = (): void => {
     const nowMs = context.clock.nowMs()
-    const placement = planPlacement(runtime.table.routing(nowMs), placementRequest(context, exchange, purpose, { probed, canProbe }), nowMs, context.random)
+    const placement = planPlacement(runtime.table.routing(nowMs), placementRequest(context, exchange, purpose, { probed, canProbe, warmupDraw }), nowMs, context.random)
     if (placement.step === 'probe') sendProbes(placement.targetIds)
     else if (placement.step === 'wait') {
       exchange.placementTimer = context.wheel.schedule(placement.untilMs, () => {
--- a/packages/daemon/src/service-runtimes.ts
+++ b/packages/daemon/src/service-runtimes.ts
@@ -6,7 +6,7 @@
 import { countBy, type Clock, type Random } from '@wisteriavalve/common'
 import {
   connectionShare, createAdmission, createRetryBudget, createRouteIndex, createServiceIndex, createTargetTable,
-  type Admission, type ProbeResult, type RetryBudget, type RetryLimits, type ServiceIndex, type TargetHealth, type TargetTable
+  type Admission, type ProbeResult, type RetryBudget, type RetryLimits, type ServiceIndex, type TargetHealth, type TargetTable, type WarmupOptions, type WarmupReason
 } from '@wisteriavalve/policy'
 import type { ServiceConfiguration, Target, TargetNote, TargetStatus } from '@wisteriavalve/schema'
 import { createTargetConnections, type BackendConnection, type TargetConnections } from './backend-connections.js'
@@ -43,6 +43,7 @@
   onHealth: (service: string, targetId: string, health: TargetHealth, reason: string) => void
   onRequestLimit: (service: string, targetId: string, limitPerS: number | undefined) => void
   onTargetPause: (service: string, targetId: string, pauseMs: number) => void
+  onWarmup: (service: string, targetId: string, isCold: boolean, reason: WarmupReason) => void
   onSilent: (service: string, targetId: string, retired: BackendConnection[]) => void
   /** Called when a new connection to a target has opened or failed to open. */
   onOpenResult: (targetId: string, isOpen: boolean) => void
@@ -90,11 +91,18 @@
     hedgesLeft: retryBudget.remaining('hedge', nowMs),
     capacity: table.capacity(nowMs),
     limitedTargets: targets.filter(({ requestLimitPerS }) => requestLimitPerS !== undefined).length,
+    coldTargets: table.coldCount(nowMs),
     pausedTargets: targets.filter(({ pausedMs }) => pausedMs !== undefined).length,
     targetsByState: countBy(targets, ({ health }) => health)
   }
 }
 
+/** Time for which a health response shows that a target is warm. */
+const WARMUP_TRUST_MS = 1_000
+
+const warmupOptions = ({ warmupMs = 0, warmupRatePerS = 0 }: ServiceConfiguration, probesBeforeAttempt: boolean): WarmupOptions | undefined =>
+  warmupMs > 0 ? { ratePerS: warmupRatePerS, trustMs: probesBeforeAttempt ? WARMUP_TRUST_MS : Infinity } : undefined
+
 /** Lets each request that waits for a target try again. A request that still finds none registers again. */
 export const retryTargetWaiters = (runtime: ServiceRuntime): void => {
   if (runtime.targetWaiters.size === 0) return
@@ -126,7 +134,7 @@
   }
 }
 
-export const createServiceRuntimes = ({ clock, random, retryLimits, probesBeforeAttempt = false, echoesRequestIds = false, onHealth, onRequestLimit, onTargetPause, onSilent, onOpenResult }: ServiceRuntimesOptions): ServiceRuntimes => {
+export const createServiceRuntimes = ({ clock, random, retryLimits, probesBeforeAttempt = false, echoesRequestIds = false, onHealth, onRequestLimit, onTargetPause, onWarmup, onSilent, onOpenResult }: ServiceRuntimesOptions): ServiceRuntimes => {
   const runtimes = new Map<string, ServiceRuntime>()
   /** Services that the configuration leaves out, and since when. */
   const removedRuntimes = new Map<string, { runtime: ServiceRuntime, removedMs: number }>()
@@ -149,7 +157,9 @@
       onHealth(configuration.name, targetId, health, reason)
     },
     onRequestLimit: (targetId, limitPerS) => onRequestLimit(configuration.name, targetId, limitPerS),
-    onPause: (targetId, pauseMs) => onTargetPause(configuration.name, targetId, pauseMs)
+    warmup: warmupOptions(configuration, probesBeforeAttempt),
+    onPause: (targetId, pauseMs) => onTargetPause(configuration.name, targetId, pauseMs),
+    onWarmup: (targetId, isCold, reason) => onWarmup(configuration.name, targetId, isCold, reason)
   })
 
   const setTargets = (runtime: ServiceRuntime, { targets, leavingIds }: ServiceTargets): void => {
@@ -203,10 +213,12 @@
       setTargets(runtime, targets)
       return
     }
-    const isResized = existing.share !== share || existing.configuration.slotsPerTarget !== configuration.slotsPerTarget
+    const { slotsPerTarget, warmupMs, warmupRatePerS } = existing.configuration
+    const isResized = existing.share !== share || slotsPerTarget !== configuration.slotsPerTarget ||
+      warmupMs !== configuration.warmupMs || warmupRatePerS !== configuration.warmupRatePerS
     existing.configuration = configuration
     existing.share = share
-    if (isResized) existing.table.resize({ slotsPerTarget: configuration.slotsPerTarget, connectionShare: share })
+    if (isResized) existing.table.resize({ slotsPerTarget: configuration.slotsPerTarget, connectionShare: share, warmup: warmupOptions(configuration, probesBeforeAttempt) })
     setTargets(existing, targets)
   }
 
--- a/packages/fleet/src/permit-owner.ts
+++ b/packages/fleet/src/permit-owner.ts
@@ -21,6 +21,13 @@
  */
 const SUBSTITUTE_SHARE = 0.5
 
+/**
+ * Part of a warm-up rate that a node issues by its rank in its own view. Each
+ * further substitute issues half as much, because in an overloaded fleet each node
+ * may take several others for failed; all of them together stay within twice the rate.
+ */
+export const substituteShare = (rank: number): number => SUBSTITUTE_SHARE ** Math.max(0, rank)
+
 export type PermitShare = {
   /**
    * Part of a limit that this node may issue, from 0 to 1. The sides of a
--- a/packages/policy/src/target-table.ts
+++ b/packages/policy/src/target-table.ts
@@ -173,7 +173,7 @@
       return state !== undefined && needsWarmupPermit(state, options.warmup, nowMs)
     },
     warmupRatePerS: () => options.warmup?.ratePerS ?? 0,
-    recordWarmupQuery: (targetId, nowMs) => withState(targetId, state => recordWarmupQuery(state, nowMs)),
+    recordWarmupQuery: (targetId, atMs, nowMs) => withState(targetId, state => recordWarmupQuery(state, options.warmup, atMs, nowMs)),
     recordWarmupPermitDenied: (targetId, retryAfterMs, nowMs) => withState(targetId, ({ warmup }) => { warmup.nextPermitMs = nowMs + retryAfterMs }),
     nextWarmupPermitMs: targetId => states.get(targetId)?.warmup.nextPermitMs ?? -Infinity,
     coldCount: nowMs => [...states.values()].filter(state => state.health !== 'gone' && isCold(state, nowMs)).length,
--- a/packages/policy/src/types/targets.ts
+++ b/packages/policy/src/types/targets.ts
@@ -107,7 +107,8 @@
   needsWarmupPermit: (targetId: string, nowMs: number) => boolean
   /** Requests per second that a cold target accepts from all nodes together; 0 without a limit. */
   warmupRatePerS: () => number
-  recordWarmupQuery: (targetId: string, nowMs: number) => void
+  /** Records that a request asks for the warm-up permit that is due at the given time. */
+  recordWarmupQuery: (targetId: string, atMs: number, nowMs: number) => void
   recordWarmupPermitDenied: (targetId: string, retryAfterMs: number, nowMs: number) => void
   /** Time before which no warm-up permit is expected; -Infinity if nothing is known. */
   nextWarmupPermitMs: (targetId: string) => number
--- a/packages/policy/src/warmup.ts
+++ b/packages/policy/src/warmup.ts
@@ -26,6 +26,7 @@
 
 /** A node asks at most once in this time for a permit of one target, so that waiting requests do not all ask together. */
 const QUERY_INTERVAL_MS = 25
+const MS_PER_S = 1_000
 /** Service time on a cold target in units of the usual service time. */
 const COLD_SERVICE_TIMES = 2
 /** Minimum time after which refused callers return. */
@@ -71,9 +72,13 @@
   warmup.checkedMs = -Infinity
 }
 
-/** Records that a permit is asked for. */
-export const recordWarmupQuery = ({ warmup }: TargetState, nowMs: number): void => {
-  warmup.nextPermitMs = Math.max(warmup.nextPermitMs, nowMs + QUERY_INTERVAL_MS)
+/**
+ * Records that a request asks for a permit that is due now or later. The following
+ * requests expect the permit after a later one, so that few of them ask in vain.
+ */
+export const recordWarmupQuery = ({ warmup }: TargetState, options: WarmupOptions | undefined, atMs: number, nowMs: number): void => {
+  const gapMs = atMs > nowMs && options !== undefined && options.ratePerS > 0 ? MS_PER_S / options.ratePerS : QUERY_INTERVAL_MS
+  warmup.nextPermitMs = Math.max(warmup.nextPermitMs, atMs + gapMs)
 }
 
 export type WarmupSplit = {
@@ -106,14 +111,20 @@
   nowMs + coldServiceTimeMs(request) <= Math.min(request.objectiveEndMs, request.deadlineMs)
 
 /**
- * The cold target that takes this request as part of its share. The number of the
- * request selects one of all targets of the service; a warm one gets no request
- * for this reason.
+ * The share of one target. The draw of the request selects one of all targets of
+ * the service. If it is cold, it takes the request. If its state is unknown, it is
+ * probed, because nodes that have other targets to use would not learn that it is
+ * cold. A warm target gets no request for this reason.
  */
-export const chooseColdShare = (usable: readonly TargetState[], request: PlacementRequest, nowMs: number): TargetState | undefined => {
+export const chooseColdShare = (
+  usable: readonly TargetState[], options: WarmupOptions, request: PlacementRequest, nowMs: number
+): { step: 'send' | 'probe', state: TargetState } | undefined => {
   if (request.requiresFreeAndFast || request.warmupDraw === undefined || !fitsObjective(request, nowMs)) return undefined
   const state = usable[Math.floor(request.warmupDraw * usable.length)]
-  return state && isStatedCold(state, nowMs) && isPermittedNow(state, nowMs) ? state : undefined
+  if (!state) return undefined
+  if (isStatedCold(state, nowMs)) return isPermittedNow(state, nowMs) ? { step: 'send', state } : undefined
+  const { id } = state.target
+  return isUnchecked(state, options, nowMs) && !request.probed.has(id) && request.canProbe(id) ? { step: 'probe', state } : undefined
 }
 
 /**
--- a/packages/policy/test/warmup.test.ts
+++ b/packages/policy/test/warmup.test.ts
@@ -69,6 +69,16 @@
   t.like(place(table, { permitWaitMaxMs: 240, canRefuse: false }), { step: 'none' })
 })
 
+test('while a request asks for a later permit, the following ones expect the permit after it', t => {
+  const table = createTable(1, 0)
+  table.recordWarmupPermitDenied('t0', 150, NOW_MS)
+  table.recordWarmupQuery('t0', NOW_MS + 150, NOW_MS)
+  t.like(place(table), { step: 'refuse', cause: 'rate-limited' })
+  const asked = createTable(1, 0)
+  asked.recordWarmupQuery('t0', NOW_MS, NOW_MS)
+  t.like(place(asked), { step: 'send', targetId: 't0' })
+})
+
 test('a hedge never goes to a cold target, with and without a rate', t => {
   for (const warmup of [RATE, { ...RATE, ratePerS: 0 }]) {
     const hedge = { requiresFreeAndFast: true, canWait: false, canRefuse: false, canProbe: () => false }
