--- a/packages/daemon/src/placement.ts
+++ b/packages/daemon/src/placement.ts
@@ -38,7 +38,7 @@
  */
 export const createPlacementRequest = (
   context: Pick<PipelineContext, 'clock' | 'serviceTimes' | 'zone'>, request: PlacedRequest, purpose: AttemptPurpose,
-  fields: Pick<PlacementRequest, 'probed' | 'canProbe' | 'exclude' | 'bodyBytes'>
+  fields: Pick<PlacementRequest, 'probed' | 'canProbe' | 'exclude' | 'bodyBytes' | 'warmupDraw'>
 ): PlacementRequest => {
   const { kind, arrivedMs, deadlineMs } = request
   const objectiveMs = (kind.objectiveMs ?? kind.deadlineMs) * OBJECTIVE_SHARE
@@ -61,6 +61,7 @@
 export const place = (context: PipelineContext, exchange: Exchange, purpose: AttemptPurpose, onPlaced: (outcome: PlacementOutcome) => void): void => {
   const { runtime } = exchange
   const probed = new Set<string>()
+  const warmupDraw = context.random.next()
   let pendingCount = 0
   let unansweredCount = 0
 
@@ -86,7 +87,7 @@
 
   const step = (): void => {
     const nowMs = context.clock.nowMs()
-    const request = createPlacementRequest(context, exchange, purpose, { probed, canProbe, exclude: excludedTargets(context, exchange), bodyBytes: exchange.body.sizeBytes() })
+    const request = createPlacementRequest(context, exchange, purpose, { probed, canProbe, warmupDraw, exclude: excludedTargets(context, exchange), bodyBytes: exchange.body.sizeBytes() })
     const placement = planPlacement(runtime.table.routing(nowMs), request, nowMs, context.random)
     if (placement.step === 'probe') sendProbes(placement.targetIds)
     else if (placement.step === 'wait') {
--- a/packages/daemon/test/request-preview.test.ts
+++ b/packages/daemon/test/request-preview.test.ts
@@ -33,6 +33,7 @@
     onRequestLimit: () => undefined,
     onTargetPause: () => undefined,
     onSilent: () => undefined,
+    onWarmup: () => undefined,
     onOpenResult: () => undefined
   })
   const service = (name: string) => ({ name, healthPath: '/health', connectionsPerTarget: 100 })
