Probe a drawn target only when it is assumed to be cold

In a service with a warm-up rate, each request drew one target and probed it if its last health response was older than 1 s. Now only targets that are assumed to be cold are probed for this.

--- a/packages/policy/src/warmup.ts
+++ b/packages/policy/src/warmup.ts
@@ -112,19 +112,20 @@
 
 /**
  * The share of one target. The draw of the request selects one of all targets of
- * the service. If it is cold, it takes the request. If its state is unknown, it is
- * probed, because nodes that have other targets to use would not learn that it is
- * cold. A warm target gets no request for this reason.
+ * the service. If it is cold, it takes the request. If it is assumed to be cold, it
+ * is probed, because nodes that have other targets to use would not learn whether
+ * it is. A target whose last health response is only old is left to the probes of
+ * the usual choice, since probing it here would cost each request a connection.
  */
 export const chooseColdShare = (
-  usable: readonly TargetState[], options: WarmupOptions, request: PlacementRequest, nowMs: number
+  usable: readonly TargetState[], request: PlacementRequest, nowMs: number
 ): { step: 'send' | 'probe', state: TargetState } | undefined => {
   if (request.requiresFreeAndFast || request.warmupDraw === undefined || !fitsObjective(request, nowMs)) return undefined
   const state = usable[Math.floor(request.warmupDraw * usable.length)]
   if (!state) return undefined
   if (isStatedCold(state, nowMs)) return isPermittedNow(state, nowMs) ? { step: 'send', state } : undefined
   const { id } = state.target
-  return isUnchecked(state, options, nowMs) && !request.probed.has(id) && request.canProbe(id) ? { step: 'probe', state } : undefined
+  return state.warmup.isAssumed && !request.probed.has(id) && request.canProbe(id) ? { step: 'probe', state } : undefined
 }
 
 /**
