Let the questionnaire configuration carry the warm-up of a service

Services of the product's own configuration had no way to state a warm-up, so the rule applied only to platforms with a store. Two optional answers, warmupMs and warmupRatePerS, become fields of the service; without load probes a newly listed target is cold for warmupMs.

--- a/packages/daemon/src/service-runtimes.ts
+++ b/packages/daemon/src/service-runtimes.ts
@@ -101,7 +101,7 @@
 const WARMUP_TRUST_MS = 1_000
 
 const warmupOptions = ({ warmupMs = 0, warmupRatePerS = 0 }: ServiceConfiguration, probesBeforeAttempt: boolean): WarmupOptions | undefined =>
-  warmupMs > 0 ? { ratePerS: warmupRatePerS, trustMs: probesBeforeAttempt ? WARMUP_TRUST_MS : Infinity } : undefined
+  warmupMs > 0 ? { durationMs: warmupMs, ratePerS: warmupRatePerS, trustMs: probesBeforeAttempt ? WARMUP_TRUST_MS : Infinity } : undefined
 
 /** Lets each request that waits for a target try again. A request that still finds none registers again. */
 export const retryTargetWaiters = (runtime: ServiceRuntime): void => {
--- a/packages/policy/src/target-list.ts
+++ b/packages/policy/src/target-list.ts
@@ -6,7 +6,7 @@
 import type { ListedTarget } from '@wisteriavalve/common'
 import { dispatchHealthEvent, type TableCore } from './table-core.js'
 import { createTargetState } from './target-state.js'
-import { applyListedWarmup } from './warmup.js'
+import { applyListedWarmup, applyStart } from './warmup.js'
 import type { TargetState } from './types.js'
 
 const addTarget = (core: TableCore, target: ListedTarget, isFirstList: boolean, nowMs: number): void => {
@@ -17,7 +17,10 @@
     : { initial: 'cold' as const, reason: 'new in the list of targets; slow start', nowMs }
   const slots = target.slots ?? slotsPerTarget
   const state = createTargetState(target, slots, Math.min(slots, connectionShare), health)
-  if (core.options.warmup) applyListedWarmup(state, undefined, nowMs)
+  if (core.options.warmup) {
+    if (health.initial === 'cold') applyStart(state, core.options.warmup, nowMs)
+    applyListedWarmup(state, undefined, nowMs)
+  }
   core.states.set(target.id, state)
   core.isStale = true
   core.nextTransitionMs = Math.min(core.nextTransitionMs, state.lifecycle.context.untilMs)
--- a/packages/policy/src/warmup.ts
+++ b/packages/policy/src/warmup.ts
@@ -15,6 +15,8 @@
 
 /** Warm-up of the targets of a service. */
 export type WarmupOptions = {
+  /** Time for which a target is cold after it starts. */
+  durationMs: number
   /** Requests per second that a cold target accepts from all nodes together; 0: no limit. */
   ratePerS: number
   /** Time for which a health response is trusted; Infinity if targets are not probed before requests. */
@@ -66,6 +68,11 @@
   warmup.coldUntilMs = Math.max(warmup.coldUntilMs, nowMs + warmupLeftMs)
 }
 
+/** Applies the start of a target that was not listed before. With load probes, its health responses tell whether it is cold. */
+export const applyStart = ({ warmup }: TargetState, { durationMs, trustMs }: WarmupOptions, nowMs: number): void => {
+  if (trustMs === Infinity) warmup.coldUntilMs = nowMs + durationMs
+}
+
 /** To be called when the target may have become cold unnoticed. */
 export const assumeCold = ({ warmup }: TargetState): void => {
   warmup.isAssumed = true
--- a/packages/policy/test/warmup.test.ts
+++ b/packages/policy/test/warmup.test.ts
@@ -9,7 +9,7 @@
 import { createPlacementRequest } from './placement-request.js'
 
 const NOW_MS = 10_000
-const RATE = { ratePerS: 3.4, trustMs: 1_000 }
+const RATE = { durationMs: 3_000, ratePerS: 3.4, trustMs: 1_000 }
 
 const createTarget = (index: number, fields: Partial<ListedTarget> = {}): ListedTarget => ({ id: `t${index}`, host: '127.0.0.1', port: 9000 + index, zone: 'a', ...fields })
 
@@ -137,6 +137,13 @@
   }
 })
 
+test('without load probes, a target that is newly listed is cold for the warm-up time of its service', t => {
+  const table = createTable(0, 1, { warmup: { ...RATE, trustMs: Infinity } })
+  table.setTargets([createTarget(0), createTarget(1)], NOW_MS)
+  t.deepEqual([NOW_MS, NOW_MS + 2_999, NOW_MS + 3_000].map(nowMs => table.needsWarmupPermit('t1', nowMs)), [true, true, false])
+  t.false(table.needsWarmupPermit('t0', NOW_MS))
+})
+
 test('a request limit and the warm-up of a target both bind', t => {
   const table = createTable(1, 0)
   table.recordStatedLimit('t0', 5, NOW_MS - 10, NOW_MS)
--- a/packages/questionnaire/src/constants.ts
+++ b/packages/questionnaire/src/constants.ts
@@ -21,6 +21,8 @@
   configurationServiceRestoreCount: 0,
   cpuPercent: 1,
   trustsReuse: false,
+  warmupMs: 0,
+  warmupRatePerS: 0,
   healthPath: '/health',
   defaultDeadlineMs: 1000,
   boundedBy: 'deadline',
--- a/packages/questionnaire/src/diff-effects.ts
+++ b/packages/questionnaire/src/diff-effects.ts
@@ -47,6 +47,8 @@
   trustsReuse: (_before, after) => after === true
     ? { effect: 'An extra response of a target that does not echo request ids can reach the caller of another request.', attention: true }
     : { effect: 'Targets that do not echo request ids get a new connection for each request.', attention: false },
+  warmupMs: harmless('Targets are taken for cold for this time after they start.'),
+  warmupRatePerS: needsAttention('Cold targets get this many requests per second from all nodes together; nodes of earlier releases reject the configuration.'),
   healthPath: needsAttention('Probes request this path; with a wrong path, targets without traffic appear unhealthy.'),
   defaultDeadlineMs: byDirection(
     'Requests of an unknown kind may take longer.',
--- a/packages/questionnaire/src/diff.ts
+++ b/packages/questionnaire/src/diff.ts
@@ -59,7 +59,7 @@
 }
 
 const KIND_FIELDS = ['methods', 'path', 'idempotent', 'boundedBy', 'deadlineMs', 'weight', 'bodyBytesMax', 'objective'] as const
-const SERVICE_FIELDS = ['pathPrefix', 'hosts', 'slotsPerTarget', 'connectionsPerTarget', 'trustsReuse', 'healthPath', 'defaultDeadlineMs', 'objective'] as const
+const SERVICE_FIELDS = ['pathPrefix', 'hosts', 'slotsPerTarget', 'connectionsPerTarget', 'trustsReuse', 'warmupMs', 'warmupRatePerS', 'healthPath', 'defaultDeadlineMs', 'objective'] as const
 const FLEET_FIELDS = ['fleet', 'region', 'zones', 'entryVmCountMax', 'probesPerTargetPerS', 'probeCpuPercent'] as const
 
 const namesOf = (items: readonly { name: string }[]): string => items.map(({ name }) => name).join(', ')
--- a/packages/questionnaire/src/questions.ts
+++ b/packages/questionnaire/src/questions.ts
@@ -166,6 +166,24 @@
     rationale: 'With no, such a target gets a new connection for each request, which takes about 1 ms. With yes, an extra response can reach the caller of another request.',
     default: DEFAULTS.trustsReuse
   },
+  {
+    id: 'warmup',
+    scope: 'service',
+    field: 'warmupMs',
+    type: integerType({ min: 0, max: 600_000 }),
+    text: 'For how many ms after its start is a target cold?',
+    rationale: 'A cold target is slow and crashes under a full share of requests. 0 means that targets need no warm-up.',
+    default: DEFAULTS.warmupMs
+  },
+  {
+    id: 'warmup-rate',
+    scope: 'service',
+    field: 'warmupRatePerS',
+    type: numberType({ min: 0, max: 10_000 }),
+    text: 'How many requests per second does a cold target accept from all nodes together?',
+    rationale: 'Nodes send it no more than this, and what other targets cannot take meanwhile is refused. 0 means no limit. Without a warm-up it has no effect.',
+    default: DEFAULTS.warmupRatePerS
+  },
   {
     id: 'health-path',
     scope: 'service',
--- a/packages/questionnaire/src/resolve.ts
+++ b/packages/questionnaire/src/resolve.ts
@@ -36,8 +36,10 @@
     hosts: [...service.hosts ?? []],
     slotsPerTarget: service.slotsPerTarget,
     connectionsPerTarget: service.connectionsPerTarget,
-    // Written only if it is true, because earlier releases reject a configuration with an unknown field.
+    // These are written only if they have an effect, because earlier releases reject a configuration with an unknown field.
     ...(service.trustsReuse === true && { trustsReuse: true }),
+    ...((service.warmupMs ?? 0) > 0 && { warmupMs: service.warmupMs }),
+    ...((service.warmupRatePerS ?? 0) > 0 && { warmupRatePerS: service.warmupRatePerS }),
     healthPath: service.healthPath ?? DEFAULTS.healthPath,
     defaultDeadlineMs: service.defaultDeadlineMs ?? DEFAULTS.defaultDeadlineMs,
     targets: (service.targets ?? []).map(resolveTarget).sort((a, b) => compareText(a.id, b.id)),
--- a/packages/questionnaire/test/diff.test.ts
+++ b/packages/questionnaire/test/diff.test.ts
@@ -39,10 +39,10 @@
   const { changes, newValueCount } = diff(answers => {
     answers.configurationServiceRestoreCount = 1
     answers.measuring = { probesPerTargetPerS: 2, cpuPercent: 2 }
-    Object.assign(answers.services[0], { slotsPerTarget: 5, connectionsPerTarget: 290, trustsReuse: true, defaultDeadlineMs: 900, hosts: ['a.example'], healthPath: '/h', pathPrefix: '/' })
+    Object.assign(answers.services[0], { slotsPerTarget: 5, connectionsPerTarget: 290, trustsReuse: true, warmupMs: 3_000, warmupRatePerS: 3.4, defaultDeadlineMs: 900, hosts: ['a.example'], healthPath: '/h', pathPrefix: '/' })
     Object.assign(answers.services[0].kinds[0], { methods: ['GET'], path: '/x/**', deadlineMs: 700, weight: 9, bodyBytesMax: 1, boundedBy: 'progress', objective: { inTimePercent: 90, windowDays: 1 } })
   })
-  t.is(changes.length, 17)
+  t.is(changes.length, 19)
   for (const { effect, subject, field } of changes) t.not(effect, '', `${subject} ${field}`)
   t.is(newValueCount, 4)
 })
