Probe a target again when only responses have reported its load

A node with nine tenths of the load of a fleet used fresh load reports of responses for the whole second for which a health response is trusted, and sent 18 requests in a second (13.1 allowed) to a target that had become cold.

--- a/packages/policy/src/placement.ts
+++ b/packages/policy/src/placement.ts
@@ -21,7 +21,7 @@
 import { chooseLimited, hasLimit, isPermitPossible } from './request-limit.js'
 import { isPaused, pauseRetryAfterMs } from './target-pause.js'
 import type { RoutingState, TargetState } from './types.js'
-import { chooseColdOverflow, chooseColdShare, chooseColdWait, isCold, needsWarmupPermit, splitByWarmup, type WarmupOptions } from './warmup.js'
+import { chooseColdOverflow, chooseColdShare, chooseColdWait, isCold, isRecentlyChecked, needsWarmupPermit, splitByWarmup, type WarmupOptions } from './warmup.js'
 
 /** A report of at most this age is used as the current state of the target. */
 const FRESH_REPORT_MS = 20
@@ -134,7 +134,8 @@
   group: readonly TargetState[], routing: RoutingState, request: PlacementRequest, nowMs: number, random: Random
 ): Placement | undefined => {
   // A load report of a response to a request does not show whether the target is cold.
-  const isKnown = (state: TargetState): boolean => hasFreshReport(state, nowMs) && !needsWarmupPermit(state, routing.warmup, nowMs)
+  const isKnown = (state: TargetState): boolean =>
+    hasFreshReport(state, nowMs) && isRecentlyChecked(state, routing.warmup, nowMs) && !needsWarmupPermit(state, routing.warmup, nowMs)
   const fresh = group.filter(state => isKnown(state) && isFreeAndFast(state))
   const firstChoice = withLowestCost(fresh.filter(state => isFirstChoice(state, nowMs)), state => expectedCost(state, loadOf(state), request.zone, nowMs), random)
   if (firstChoice) return send(firstChoice, describe(firstChoice, nowMs))
--- a/packages/policy/src/warmup.ts
+++ b/packages/policy/src/warmup.ts
@@ -29,6 +29,8 @@
 /** A node asks at most once in this time for a permit of one target, so that waiting requests do not all ask together. */
 const QUERY_INTERVAL_MS = 25
 const MS_PER_S = 1_000
+/** A target serves about one request in this time, so a node seldom probes more often than it would anyway. */
+const RECENT_CHECK_MS = 100
 /** Service time on a cold target in units of the usual service time. */
 const COLD_SERVICE_TIMES = 2
 /** Minimum time after which refused callers return. */
@@ -48,6 +50,14 @@
 export const needsWarmupPermit = (state: TargetState, options: WarmupOptions | undefined, nowMs: number): boolean =>
   options !== undefined && options.ratePerS > 0 && (isStatedCold(state, nowMs) || isUnchecked(state, options, nowMs))
 
+/**
+ * Whether the last health response is recent enough to choose the target by a load
+ * report. Reports of responses alone would let a busy node use a target that has
+ * become cold for the whole time of trust.
+ */
+export const isRecentlyChecked = ({ warmup }: TargetState, options: WarmupOptions | undefined, nowMs: number): boolean =>
+  options === undefined || options.ratePerS === 0 || options.trustMs === Infinity || nowMs - warmup.checkedMs <= RECENT_CHECK_MS
+
 /** Whether a permit may be available after the given wait. */
 export const isWarmupPermitPossible = ({ warmup }: TargetState, waitMaxMs: number, nowMs: number): boolean => warmup.nextPermitMs - nowMs <= waitMaxMs
 
--- a/packages/policy/test/warmup.test.ts
+++ b/packages/policy/test/warmup.test.ts
@@ -105,6 +105,13 @@
   t.like(place(table, {}, laterMs), { step: 'send', targetId: 't0' })
 })
 
+test('a busy node probes a target again although responses report its load', t => {
+  const table = createTable(0, 1)
+  const laterMs = NOW_MS + 101
+  table.recordLoadReport('t0', { inFlight: 0, slots: 4, slowdown: 1 }, laterMs)
+  t.deepEqual(place(table, {}, laterMs), { step: 'probe', targetIds: ['t0'] })
+})
+
 test('a target is taken for cold after an evacuation of its zone, a failed connection and a pause, until its next health response', t => {
   const events: unknown[] = []
   const table = createTable(0, 3, { events })
