--- a/packages/policy/src/warmup.ts
+++ b/packages/policy/src/warmup.ts
@@ -15,6 +15,8 @@
 
 /** Warm-up of the targets of a service. */
 export type WarmupOptions = {
+  /** Time for which a target is cold after it starts. */
+  durationMs: number
   /** Requests per second that a cold target accepts from all nodes together; 0: no limit. */
   ratePerS: number
   /** Time for which a health response is trusted; Infinity if targets are not probed before requests. */
@@ -27,6 +29,8 @@
 /** A node asks at most once in this time for a permit of one target, so that waiting requests do not all ask together. */
 const QUERY_INTERVAL_MS = 25
 const MS_PER_S = 1_000
+/** A target serves about one request in this time, so a node seldom probes more often than it would anyway. */
+const RECENT_CHECK_MS = 100
 /** Service time on a cold target in units of the usual service time. */
 const COLD_SERVICE_TIMES = 2
 /** Minimum time after which refused callers return. */
@@ -46,6 +50,14 @@
 export const needsWarmupPermit = (state: TargetState, options: WarmupOptions | undefined, nowMs: number): boolean =>
   options !== undefined && options.ratePerS > 0 && (isStatedCold(state, nowMs) || isUnchecked(state, options, nowMs))
 
+/**
+ * Whether the last health response is recent enough to choose the target by a load
+ * report. Reports of responses alone would let a busy node use a target that has
+ * become cold for the whole time of trust.
+ */
+export const isRecentlyChecked = ({ warmup }: TargetState, options: WarmupOptions | undefined, nowMs: number): boolean =>
+  options === undefined || options.ratePerS === 0 || options.trustMs === Infinity || nowMs - warmup.checkedMs <= RECENT_CHECK_MS
+
 /** Whether a permit may be available after the given wait. */
 export const isWarmupPermitPossible = ({ warmup }: TargetState, waitMaxMs: number, nowMs: number): boolean => warmup.nextPermitMs - nowMs <= waitMaxMs
 
@@ -66,6 +78,11 @@
   warmup.coldUntilMs = Math.max(warmup.coldUntilMs, nowMs + warmupLeftMs)
 }
 
+/** Applies the start of a target that was not listed before. With load probes, its health responses tell whether it is cold. */
+export const applyStart = ({ warmup }: TargetState, { durationMs, trustMs }: WarmupOptions, nowMs: number): void => {
+  if (trustMs === Infinity) warmup.coldUntilMs = nowMs + durationMs
+}
+
 /** To be called when the target may have become cold unnoticed. */
 export const assumeCold = ({ warmup }: TargetState): void => {
   warmup.isAssumed = true
