Decide when a request leaves its zone by the time it saves and its bytes

A request was sent to another zone whenever no target of its own was free and fast; only bodies above 8 KiB stayed, and responses, the round trip and the price of bytes played no role. Nothing uses it yet in the daemon.

The simulation gains zones, load probes and the retry budget of a fleet.

--- a/packages/policy/src/placement.ts
+++ b/packages/policy/src/placement.ts
@@ -21,6 +21,8 @@
 import { chooseLimited, hasLimit, isPermitPossible } from './request-limit.js'
 import { isPaused, pauseRetryAfterMs } from './target-pause.js'
 import type { RoutingState, TargetState } from './types.js'
+import { planWithCrossing, type CrossingSteps } from './zone-crossing.js'
+import { byteCostMs } from './zone-overflow.js'
 
 /** A report of at most this age is used as the current state of the target. */
 const FRESH_REPORT_MS = 20
@@ -84,19 +86,25 @@
 const isFirstChoice = (state: TargetState, nowMs: number): boolean =>
   state.health !== 'cold' && loadOf(state) + 1 < state.slots && !hasRecentFailure(state, nowMs)
 
+/** Cost of a target because of its zone, in units of the usual service time. */
+const zoneCost = ({ target }: TargetState, { zone, crossing, serviceTimeMs }: PlacementRequest): number => {
+  if (target.zone === zone) return 0
+  return crossing ? (crossing.roundTripMs(target.zone) + byteCostMs(crossing)) / serviceTimeMs : OTHER_ZONE_COST
+}
+
 /** Expected time until the response for a given load, plus preferences, in units of the usual service time. */
-const expectedCost = (state: TargetState, load: number, zone: string, nowMs: number): number => {
+const expectedCost = (state: TargetState, load: number, request: PlacementRequest, nowMs: number): number => {
   const slowdown = slowdownOf(state, nowMs)
   const wait = Math.max(0, load + 1 - state.slots) / state.slots
   // A target with more free slots is less likely to be full when the request arrives.
   const occupancyCost = Math.min(1, load / state.slots) * 0.2
   const failureCost = hasRecentFailure(state, nowMs) ? FAILURE_COST : 0
-  return slowdown * (1 + wait) + occupancyCost + failureCost + (state.target.zone === zone ? 0 : OTHER_ZONE_COST)
+  return slowdown * (1 + wait) + occupancyCost + failureCost + zoneCost(state, request)
 }
 
 /** Expected cost of a target without a fresh report. */
 const estimatedCost = (state: TargetState, routing: RoutingState, request: PlacementRequest, nowMs: number): number =>
-  expectedCost(state, expectedLoad(state, routing, request.serviceTimeMs, nowMs), request.zone, nowMs)
+  expectedCost(state, expectedLoad(state, routing, request.serviceTimeMs, nowMs), request, nowMs)
 
 const withLowestCost = (states: readonly TargetState[], costOf: (state: TargetState) => number, random: Random): TargetState | undefined => {
   let best: TargetState | undefined
@@ -133,7 +141,7 @@
   group: readonly TargetState[], routing: RoutingState, request: PlacementRequest, nowMs: number, random: Random
 ): Placement | undefined => {
   const fresh = group.filter(state => hasFreshReport(state, nowMs) && isFreeAndFast(state))
-  const firstChoice = withLowestCost(fresh.filter(state => isFirstChoice(state, nowMs)), state => expectedCost(state, loadOf(state), request.zone, nowMs), random)
+  const firstChoice = withLowestCost(fresh.filter(state => isFirstChoice(state, nowMs)), state => expectedCost(state, loadOf(state), request, nowMs), random)
   if (firstChoice) return send(firstChoice, describe(firstChoice, nowMs))
   const unprobed = group.filter(state => !request.probed.has(state.target.id) && !hasFreshReport(state, nowMs) && request.canProbe(state.target.id))
   const targetIds: string[] = []
@@ -142,7 +150,7 @@
     if (next) targetIds.push(next.target.id)
   }
   if (targetIds.length > 0) return { step: 'probe', targetIds }
-  const secondChoice = withLowestCost(fresh, state => expectedCost(state, loadOf(state), request.zone, nowMs), random)
+  const secondChoice = withLowestCost(fresh, state => expectedCost(state, loadOf(state), request, nowMs), random)
   return secondChoice && send(secondChoice, `second choice: ${describe(secondChoice, nowMs)}`)
 }
 
@@ -166,7 +174,7 @@
  * this node is overloaded, is not a reason to refuse.
  */
 const chooseFallback = (group: readonly TargetState[], request: PlacementRequest, nowMs: number, random: Random): Placement => {
-  const costOf = (state: TargetState): number => expectedCost(state, loadOf(state), request.zone, nowMs)
+  const costOf = (state: TargetState): number => expectedCost(state, loadOf(state), request, nowMs)
   const free = withLowestCost(group.filter(state => loadOf(state) < state.slots || !hasRecentReport(state, nowMs)), costOf, random)
   const best = free ?? withLowestCost(group, costOf, random)
   if (!best) return { step: 'none' }
@@ -179,10 +187,27 @@
   return send(best, `none is better: ${describe(best, nowMs)}`)
 }
 
+/** Expected time until the response of a target that is not free and fast, with the wait for a slot or for the end of its slowness. */
+const expectedHomeMs = (state: TargetState, routing: RoutingState, { serviceTimeMs }: PlacementRequest, nowMs: number): number => {
+  const load = hasRecentReport(state, nowMs) ? loadOf(state) : expectedLoad(state, routing, serviceTimeMs, nowMs)
+  const slowMs = (slowdownOf(state, nowMs) - 1) * serviceTimeMs
+  return serviceTimeMs * (1 + Math.max(0, load + 1 - state.slots) / state.slots) + Math.min(slowMs, SLOWDOWN_HALF_LIFE_MS)
+}
+
+/** The steps of this module for one request, for the plan that limits requests between zones. */
+const stepsFor = (routing: RoutingState, request: PlacementRequest, nowMs: number, random: Random): CrossingSteps => ({
+  choose: group => chooseInGroup(group, routing, request, nowMs, random),
+  fallBack: group => chooseFallback(group, request, nowMs, random),
+  expectedHomeMs: state => expectedHomeMs(state, routing, request, nowMs),
+  hasRecentlyFree: state => hasRecentReport(state, nowMs) && loadOf(state) < state.slots,
+  waitUntilMs: group => request.canWait && isWorthWaiting(group, request, nowMs) ? nowMs + waitMs(request.serviceTimeMs) : undefined
+})
+
 /** Next step among targets without a request limit. */
 const planUnlimited = (eligible: readonly TargetState[], routing: RoutingState, request: PlacementRequest, nowMs: number, random: Random): Placement => {
   const acceptingTargets = eligible.filter(state => isAcceptingRequests(state, nowMs))
   const usable = acceptingTargets.length > 0 ? acceptingTargets : eligible
+  if (request.crossing) return planWithCrossing(usable, request.crossing, request, nowMs, stepsFor(routing, request, nowMs, random))
   const zoneTargets = usable.filter(({ target }) => target.zone === request.zone)
   const otherZoneTargets = usable.filter(({ target }) => target.zone !== request.zone)
   const shouldStayInZone = zoneTargets.length > 0 && request.bodyBytes > CROSS_ZONE_BODY_BYTES_MAX
@@ -212,7 +237,7 @@
 const choosePermitted = (limited: readonly TargetState[], request: PlacementRequest, nowMs: number, random: Random): Placement | undefined => {
   if (request.requiresFreeAndFast) return undefined
   const permitted = limited.filter(state => isPermittedFirst(state, request, nowMs))
-  const best = withLowestCost(permitted, state => expectedCost(state, loadOf(state), request.zone, nowMs), random)
+  const best = withLowestCost(permitted, state => expectedCost(state, loadOf(state), request, nowMs), random)
   return best && send(best, `within its request limit: ${describe(best, nowMs)}`)
 }
 
--- a/packages/policy/src/types/placement.ts
+++ b/packages/policy/src/types/placement.ts
@@ -1,8 +1,21 @@
 /**
  * Types of the selection of a target with load probes.
  */
+import type { LeaveCause, OverflowOutcome } from '../zone-overflow.js'
 import type { SelectionRequest } from './selection.js'
 
+/** What it costs a request to leave the zone of its node, and whether it may. */
+export type ZoneCrossing = {
+  /** Body of the request and usual size of its response. */
+  bytes: number
+  /** Time of a caller that a kilobyte between zones is worth. */
+  msPerKb: number
+  /** Time for which the request has been waiting for a target. */
+  waitedMs: number
+  roundTripMs: (zone: string) => number
+  mayLeave: (cause: LeaveCause) => boolean
+}
+
 /** A request whose target is selected with load probes that are sent for this request. */
 export type PlacementRequest = SelectionRequest & {
   bodyBytes: number
@@ -19,9 +32,16 @@
   canRefuse: boolean
   /** Whether only a target with a free slot and its usual speed may be chosen, as for a hedge. */
   requiresFreeAndFast: boolean
+  /** Absent if requests may leave the zone as soon as it has no free and fast target. */
+  crossing?: ZoneCrossing
+}
+
+export type Placement = PlacementStep & {
+  /** What the step says about the demand for other zones; absent without a limit on requests that leave. */
+  overflow?: OverflowOutcome
 }
 
-export type Placement =
+type PlacementStep =
   /** permitWaitMaxMs: how long the request may wait for a permit if the target has a request limit. */
   | { step: 'send', targetId: string, reason: string, permitWaitMaxMs: number }
   /** Probe the load of these targets, and plan again after each result. */
--- a/packages/testbench/src/experiments/deployments.ts
+++ b/packages/testbench/src/experiments/deployments.ts
@@ -8,6 +8,10 @@
   idempotent: boolean
   weight: number
   deadlineMs: number
+  /** Used by the simulation of zones only. */
+  objectiveMs?: number
+  requestBytes?: number
+  responseBytes?: number
 }
 
 export type SimulatedService = { name: string, targets: number, slots: number, connections: number }
--- a/packages/testbench/src/experiments/simulated-node.ts
+++ b/packages/testbench/src/experiments/simulated-node.ts
@@ -5,9 +5,10 @@
 import type { Random } from '@wisteriavalve/common'
 import {
   createAdmission, createRetryBudget, createTargetTable, planHedge, planRetry, selectTarget, splitRetryAllowance,
-  type AttemptOutcome, type PolicyName, type TargetTable
+  type AttemptOutcome, type PolicyName, type RetryLimits, type TargetTable
 } from '@wisteriavalve/policy'
 import type { SimulatedKind } from './deployments.js'
+import type { SimulatedPlacement } from './simulated-placement.js'
 import type { SimulationClock } from './simulation-clock.js'
 import type { SimulatedTarget, TargetResponse, Work } from './simulated-target.js'
 
@@ -20,6 +21,9 @@
   exactReports: boolean
   table: TargetTable
   targets: ReadonlyMap<string, { target: SimulatedTarget, oneWayMs: number }>
+  /** Places requests by fresh load reports instead of the policy. */
+  placement?: SimulatedPlacement
+  retryLimits?: RetryLimits
   record: (result: RequestResult) => void
 }
 
@@ -32,9 +36,11 @@
   isHedged: boolean
   /** Number of attempts that a backend server started to run. */
   runs: number
+  /** Target of each attempt. */
+  targetIds: string[]
 }
 
-type Attempt = { targetId: string, startedMs: number, work: Work, hasEnded: boolean }
+type Attempt = { targetId: string, startedMs: number, slowdown: number, work: Work, hasEnded: boolean }
 
 type PendingRequest = {
   id: string
@@ -56,8 +62,8 @@
 
 export const createNode = (options: NodeOptions) => {
   const { clock, random, table, targets } = options
-  const admission = createAdmission({ queueLengthMax: QUEUE_LENGTH_MAX, capacity: table.capacity })
-  const budget = createRetryBudget()
+  const admission = createAdmission({ queueLengthMax: QUEUE_LENGTH_MAX, capacity: options.placement ? () => Infinity : table.capacity })
+  const budget = createRetryBudget(options.retryLimits)
   let sequence = 0
 
   const endAttempt = (attempt: Attempt, outcome: AttemptOutcome): void => {
@@ -83,7 +89,8 @@
       outcome,
       attempts: request.attempts.length,
       isHedged: request.isHedged,
-      runs: request.attempts.filter(({ work }) => work.hasStarted).length
+      runs: request.attempts.filter(({ work }) => work.hasStarted).length,
+      targetIds: request.attempts.map(({ targetId }) => targetId)
     })
   }
 
@@ -112,7 +119,9 @@
     if (attempt.hasEnded) return
     if (response.isDraining) table.recordDraining(attempt.targetId, 'response', nowMs)
     if (response.outcome !== 'ok') return handleFailure(request, attempt, response.outcome)
-    table.recordLoadReport(attempt.targetId, { inFlight: response.inFlight }, nowMs)
+    const { inFlight, slowdown } = response
+    table.recordLoadReport(attempt.targetId, options.placement ? { inFlight, slowdown } : { inFlight }, nowMs)
+    options.placement?.recordResponse(request.kind, nowMs - attempt.startedMs, attempt.slowdown)
     table.recordFirstByte(attempt.targetId, nowMs - attempt.startedMs, nowMs)
     endAttempt(attempt, 'ok')
     settle(request, 'ok')
@@ -120,6 +129,10 @@
 
   const send = (request: PendingRequest): void => {
     if (request.isSettled) return
+    if (options.placement) {
+      placeAndSend(request, options.placement)
+      return
+    }
     const nowMs = clock.nowMs()
     const exclude = new Set(request.attempts.map(({ targetId }) => targetId))
     if (options.exactReports) {
@@ -131,12 +144,30 @@
       else if (request.attempts.every(({ hasEnded }) => hasEnded)) settle(request, 'not-run')
       return
     }
+    sendTo(request, selection.targetId)
+  }
+
+  const placeAndSend = (request: PendingRequest, placement: SimulatedPlacement): void => placement.place({
+    kind: request.kind,
+    startedMs: request.startedMs,
+    deadlineMs: request.deadlineMs,
+    exclude: new Set(request.attempts.map(({ targetId }) => targetId)),
+    isFirst: request.attempts.length === 0,
+    isRunning: () => !request.isSettled
+  }, targetId => {
+    if (targetId !== undefined) sendTo(request, targetId)
+    else settle(request, 'not-run')
+  })
+
+  const sendTo = (request: PendingRequest, targetId: string): void => {
+    const nowMs = clock.nowMs()
     request.allowance = splitRetryAllowance(request.allowance).retained
-    const destination = targets.get(selection.targetId)
-    if (!destination) throw new Error(`unknown target ${selection.targetId}`)
+    const destination = targets.get(targetId)
+    if (!destination) throw new Error(`unknown target ${targetId}`)
     const attempt: Attempt = {
-      targetId: selection.targetId,
+      targetId,
       startedMs: nowMs,
+      slowdown: table.slowdown(targetId),
       hasEnded: false,
       work: {
         workMs: request.workMs,
@@ -146,7 +177,7 @@
       }
     }
     request.attempts.push(attempt)
-    table.recordStart(selection.targetId, nowMs)
+    table.recordStart(targetId, nowMs)
     clock.at(nowMs + destination.oneWayMs, () => destination.target.arrive(attempt.work))
     if (options.isHedgingEnabled && request.attempts.length === 1) hedge(request)
   }
--- a/packages/testbench/src/experiments/simulated-target.ts
+++ b/packages/testbench/src/experiments/simulated-target.ts
@@ -4,6 +4,7 @@
  * policies are exposed to the same noisy neighbours.
  */
 import { createRandom } from '@wisteriavalve/common'
+import type { LoadReport } from '@wisteriavalve/policy'
 import type { SimulationClock } from './simulation-clock.js'
 
 export type Neighbours = { quietMs: number, noisyMs: number, slowdown: number }
@@ -19,15 +20,20 @@
   /** From this time on connections are refused; queued and running requests are lost. */
   crashFromMs: number
   drainFromMs: number
+  /** Queue length per slot from which the target sheds load; QUEUE_PER_SLOT if absent. */
+  queuePerSlot?: number
 }
 
-export type TargetResponse = { outcome: 'ok' | 'refused' | 'error-status' | 'connect-failed' | 'reset', inFlight: number, isDraining: boolean }
+export type TargetResponse = { outcome: 'ok' | 'refused' | 'error-status' | 'connect-failed' | 'reset', inFlight: number, slowdown: number, isDraining: boolean }
 
 export type Work = { workMs: number, done: (response: TargetResponse) => void, isCancelled: boolean, hasStarted: boolean }
 
 /** Queue length per slot from which a target sheds load. */
 const QUEUE_PER_SLOT = 4
 
+/** Amount of work that shows the current speed. */
+const SAMPLE_WORK_MS = 0.01
+
 const toExponential = (meanMs: number, uniform: number): number => -meanMs * Math.log(1 - uniform)
 
 /** Creates the function that gives finish times from the speed of a target over time. The speed sequence is generated on demand. */
@@ -69,11 +75,14 @@
   const finishTime = createFinishTime(behaviour, seed)
   const queue: Work[] = []
   const active = new Set<Work>()
+  const queueLengthMax = (behaviour.queuePerSlot ?? QUEUE_PER_SLOT) * behaviour.slots
   const counts = { ran: 0, lateAfterDrain: 0 }
 
   const inFlight = (): number => active.size + queue.length
+  /** Current processing time relative to the usual one, from the finish time of a very small amount of work. */
+  const slowdown = (): number => (finishTime(clock.nowMs(), SAMPLE_WORK_MS) - clock.nowMs()) / SAMPLE_WORK_MS
   const respond = (work: Work, outcome: TargetResponse['outcome']): void =>
-    work.done({ outcome, inFlight: inFlight(), isDraining: clock.nowMs() >= behaviour.drainFromMs })
+    work.done({ outcome, inFlight: inFlight(), slowdown: slowdown(), isDraining: clock.nowMs() >= behaviour.drainFromMs })
 
   const finish = (work: Work): void => {
     if (!active.delete(work)) return
@@ -96,7 +105,7 @@
     const nowMs = clock.nowMs()
     if (nowMs >= behaviour.crashFromMs) respond(work, 'connect-failed')
     else if (nowMs >= behaviour.failFastFromMs) respond(work, 'error-status')
-    else if (queue.length >= QUEUE_PER_SLOT * behaviour.slots) respond(work, 'refused')
+    else if (active.size >= behaviour.slots && queue.length >= queueLengthMax) respond(work, 'refused')
     else {
       if (nowMs >= behaviour.drainFromMs + 3000) counts.lateAfterDrain++
       queue.push(work)
@@ -118,7 +127,11 @@
   }
   if (behaviour.crashFromMs < Infinity) clock.at(behaviour.crashFromMs, crash)
 
-  return { arrive, cancel, inFlight, counts }
+  /** Undefined if the target does not answer probes. */
+  const report = (): LoadReport | undefined =>
+    clock.nowMs() >= behaviour.crashFromMs ? undefined : { inFlight: inFlight(), slots: behaviour.slots, slowdown: slowdown() }
+
+  return { arrive, cancel, inFlight, report, counts }
 }
 
 export type SimulatedTarget = ReturnType<typeof createSimulatedTarget>
