Limit the requests that leave a zone when bytes between zones have a price

The daemon placed requests without regard to the bytes and the round trip of other zones. Cold targets of the own zone are now left only for warm ones; before, a fleet with cold targets alone would have sent all requests to other zones.

--- a/packages/daemon/src/attempts.ts
+++ b/packages/daemon/src/attempts.ts
@@ -20,6 +20,7 @@
 import { tryTakeRetry, tryTakeRetryAfterStatus } from './retrying.js'
 import { dropData, endResponse, onResponseHead, relayData } from './response-relay.js'
 import { failExchange, isolateErrors, onDeadline } from './completion.js'
+import { countBodyBytes, countResponseBytes, countWrittenAttempt } from './zone-traffic.js'
 
 /** Maximum number of further connections per attempt after one was lost before the write. */
 const REACQUIRE_MAX = 2
@@ -157,6 +158,7 @@
     isFlushed: false,
     isWaitingForDrain: false,
     status: 0,
+    responseBytes: 0,
     forwardedAllowance: takeForwardedAllowance(exchange),
     reacquireCount: 0,
     releaseTarget: undefined
@@ -228,6 +230,7 @@
       exchange.firstWrittenMs ??= nowMs
       if (attempt.connection) attempt.connection.sentMs = nowMs
       context.recorder.written(attempt)
+      countWrittenAttempt(context, attempt)
       scheduleHedge(context, attempt, nowMs, {
         startHedge: () => startAttempt(context, exchange, 'hedge'),
         onStalled: () => onSilent(context, attempt)
@@ -235,6 +238,7 @@
     },
     onBodyProgress: sentBytes => {
       bodySend.sentBytes += sentBytes
+      countBodyBytes(context, attempt, sentBytes)
       recordProgress()
     },
     onHead: (status, headers, statusText) => isolateErrors(context, exchange, () => {
@@ -249,6 +253,7 @@
     }),
     onData: chunk => {
       recordProgress()
+      countResponseBytes(context, attempt, chunk.length)
       return attempt.isDropped ? dropData(attempt, chunk) : relayData(attempt, chunk)
     },
     onEnd: trailers => isolateErrors(context, exchange, () => endResponse(context, attempt, trailers)),
--- a/packages/daemon/src/completion.ts
+++ b/packages/daemon/src/completion.ts
@@ -9,6 +9,7 @@
 import { abandonAttempt, finishAttempt, isWritten, type Attempt, type Exchange } from './exchange.js'
 import type { PipelineContext } from './pipeline-context.js'
 import { retryTargetWaiters } from './service-runtimes.js'
+import { recordResponseSize } from './zone-traffic.js'
 
 export type FailureDetail = {
   retryAfterMs?: number
@@ -72,6 +73,7 @@
   if (attempt.isRelay) context.crashWatch.recordFailed(exchange)
   else context.crashWatch.recordAnswered(exchange)
   exchange.isAnswered = !attempt.isRelay
+  recordResponseSize(attempt)
   finishAttempt(attempt, attempt.status >= 500 ? 'error-status' : 'ok', nowMs)
   const wasAdmitted = detach(context, exchange, 'cancelled')
   try {
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -4,7 +4,7 @@
  */
 import { countBy, createRandom } from '@wisteriavalve/common'
 import { UNREACHABLE_LOAD_PERCENT } from '@wisteriavalve/fleet'
-import { createCallerLimits, createFleetSize, createProbeAllowance, createReachability, createServiceTimes, shareRetryLimits, type CallerLimitsOptions, type PolicyName } from '@wisteriavalve/policy'
+import { createCallerLimits, createFleetSize, createProbeAllowance, createReachability, createServiceTimes, createZoneRoundTrips, shareRetryLimits, type CallerLimitsOptions, type PolicyName } from '@wisteriavalve/policy'
 import type { NodeReport, NodeStatus } from '@wisteriavalve/schema'
 import { createCallerServer } from './adapters/caller-http.js'
 import type { ExplainQuery } from './admin-api.js'
@@ -64,10 +64,15 @@
    * requests plus a fixed number.
    */
   fleetRetries?: { share: number, extra: number }
+  /**
+   * Milliseconds of a caller's time that a kilobyte between zones is worth. Limits
+   * the requests that leave the zone; takes effect only with probesBeforeAttempt.
+   */
+  crossZoneMsPerKb?: number
 }
 
 export const createDaemon = (
-  { settings, clock, random, log, events }: DaemonContext, fleet: FleetRuntime, { callerLimits = CALLER_LIMITS, dialect = DEFAULT_DIALECT, collectBytesMax = REPLAY_BYTES_MAX, probesBeforeAttempt = false, probesPerTargetPerS = 0, fleetRetries }: DaemonOptions = {}
+  { settings, clock, random, log, events }: DaemonContext, fleet: FleetRuntime, { callerLimits = CALLER_LIMITS, dialect = DEFAULT_DIALECT, collectBytesMax = REPLAY_BYTES_MAX, probesBeforeAttempt = false, probesPerTargetPerS = 0, fleetRetries, crossZoneMsPerKb }: DaemonOptions = {}
 ): Daemon => {
   const startedMs = clock.nowMs()
   const startedWallMs = Date.now()
@@ -94,6 +99,7 @@
     clock,
     random: createRandom(random.int(0x7fffffff)),
     probesBeforeAttempt,
+    limitsZoneOverflow: crossZoneMsPerKb !== undefined,
     echoesRequestIds: dialect.echoesRequestId,
     ...(fleetRetries && { retryLimits: shareRetryLimits(fleetRetries.share, fleetRetries.extra, fleetSize) }),
     onHealth: nodeEvents.recordTargetHealth,
@@ -179,6 +185,8 @@
     probesBeforeAttempt,
     serviceTimes: createServiceTimes(),
     probeAllowance: createProbeAllowance(probesPerTargetPerS, fleetSize),
+    crossZoneMsPerKb,
+    roundTrips: createZoneRoundTrips(),
     wheel: createDeadlineWheel(clock, WHEEL_TICK_MS),
     pauseDetector,
     runtimes,
--- a/packages/daemon/src/exchange.ts
+++ b/packages/daemon/src/exchange.ts
@@ -105,6 +105,8 @@
   /** Whether reading is held back until the caller has taken what was written. */
   isWaitingForDrain: boolean
   status: number
+  /** Bytes of the response body that were received. */
+  responseBytes: number
   /** Share of the retry allowance that is delegated to the backend server. */
   forwardedAllowance: number
   /** Number of connections that were lost before anything was written. */
--- a/packages/daemon/src/load-probes.ts
+++ b/packages/daemon/src/load-probes.ts
@@ -44,6 +44,10 @@
     finish(false)
   }
 
+  const recordRoundTrip = (nowMs: number): void => {
+    if (connection?.sentMs !== undefined) context.roundTrips.record(target.zone, nowMs - connection.sentMs)
+  }
+
   const onHead = (status: number, headers: string[]): void => {
     const nowMs = context.clock.nowMs()
     context.relaying.responses.recordSuccess()
@@ -56,8 +60,10 @@
     else if (isForeign) {
       pool.recordForeignResponse()
       fail()
-    } else if (report && status < 300) runtime.table.recordLoadReport(targetId, report, nowMs)
-    else if (status < 300) runtime.table.recordLoadProbeWithoutReport(targetId, nowMs)
+    } else if (report && status < 300) {
+      runtime.table.recordLoadReport(targetId, report, nowMs)
+      recordRoundTrip(nowMs)
+    } else if (status < 300) runtime.table.recordLoadProbeWithoutReport(targetId, nowMs)
     else runtime.table.recordLoadProbeFailure(targetId, nowMs)
     const pauseMs = context.dialect.readPauseMs(status, name => rawHeader(headers, name))
     if (pauseMs !== undefined) runtime.table.recordPause(targetId, pauseMs, nowMs)
--- a/packages/daemon/src/metrics-gauges.ts
+++ b/packages/daemon/src/metrics-gauges.ts
@@ -18,6 +18,11 @@
   limitedTargets: number
   /** Targets that asked to be left alone for a time. */
   pausedTargets: number
+  /** Attempts at targets or peers in other zones since the start, and the bytes of their bodies and responses. */
+  crossZoneRequests?: number
+  crossZoneBytes?: number
+  /** Part of the requests that may leave the zone; absent without a limit. */
+  overflowShare?: number
   /** Number of targets by state. */
   targetsByState: Record<string, number>
 }
@@ -34,7 +39,7 @@
 
 const PREFIX = 'wisteriavalve_'
 
-type ServiceGauge = { name: string, help: string, read: (serviceValues: ServiceGaugeValues) => number }
+type ServiceGauge = { name: string, help: string, read: (serviceValues: ServiceGaugeValues) => number | undefined }
 
 const SERVICE_GAUGES: readonly ServiceGauge[] = [
   { name: 'running_requests', help: 'Requests that a backend server is processing or that are about to be sent.', read: ({ runningCount }) => runningCount },
@@ -43,6 +48,7 @@
   { name: 'retries_left', help: 'Retries that the budget currently allows.', read: ({ retriesLeft }) => retriesLeft },
   { name: 'limited_targets', help: 'Targets that limit the requests of all nodes together.', read: ({ limitedTargets }) => limitedTargets },
   { name: 'paused_targets', help: 'Targets that asked to be left alone for a time.', read: ({ pausedTargets }) => pausedTargets },
+  { name: 'zone_overflow_share', help: 'Part of the requests that may leave the availability zone of this node.', read: ({ overflowShare }) => overflowShare },
   { name: 'hedges_left', help: 'Hedges that the budget currently allows.', read: ({ hedgesLeft }) => hedgesLeft }
 ]
 
@@ -55,7 +61,30 @@
       registers: [registry],
       collect: () => {
         gauge.reset()
-        for (const serviceValues of services()) gauge.set({ service: serviceValues.service }, read(serviceValues))
+        for (const serviceValues of services()) {
+          const value = read(serviceValues)
+          if (value !== undefined) gauge.set({ service: serviceValues.service }, value)
+        }
+      }
+    })
+  }
+}
+
+const SERVICE_COUNTERS: readonly ServiceGauge[] = [
+  { name: 'cross_zone_requests_total', help: 'Attempts at targets, or at nodes that relay, in other availability zones.', read: ({ crossZoneRequests }) => crossZoneRequests },
+  { name: 'cross_zone_bytes_total', help: 'Bytes of request and response bodies that were exchanged with other availability zones.', read: ({ crossZoneBytes }) => crossZoneBytes }
+]
+
+const registerServiceCounters = (registry: Registry, services: GaugeSources['services']): void => {
+  for (const { name, help, read } of SERVICE_COUNTERS) {
+    const counter = new Counter({
+      name: PREFIX + name,
+      help,
+      labelNames: ['service'],
+      registers: [registry],
+      collect: () => {
+        counter.reset()
+        for (const serviceValues of services()) counter.inc({ service: serviceValues.service }, read(serviceValues) ?? 0)
       }
     })
   }
@@ -140,6 +169,7 @@
 export const registerGauges = (registry: Registry, sources: GaugeSources): (() => void) => {
   const registered = new Set<string>()
   registerServiceGauges(registry, sources.services)
+  registerServiceCounters(registry, sources.services)
   registerTargets(registry, sources.services)
   registerMembers(registry, sources.membersByState)
   registerProcess(registry)
--- a/packages/daemon/src/pipeline-context.ts
+++ b/packages/daemon/src/pipeline-context.ts
@@ -2,7 +2,7 @@
  * Shared context of the steps of the request path.
  */
 import type { Clock, Random } from '@wisteriavalve/common'
-import type { PolicyName, ProbeAllowance, RepeatPurpose, ServiceTimes } from '@wisteriavalve/policy'
+import type { PolicyName, ProbeAllowance, RepeatPurpose, ServiceTimes, ZoneRoundTrips } from '@wisteriavalve/policy'
 import type { Call } from './adapters/caller-http.js'
 import type { ResultName } from '@wisteriavalve/schema'
 import type { CrashWatch } from './crash-watch.js'
@@ -50,6 +50,9 @@
   probesBeforeAttempt: boolean
   serviceTimes: ServiceTimes
   probeAllowance: ProbeAllowance
+  /** Milliseconds of a caller's time that a kilobyte between zones is worth; without it, requests leave the zone without a limit. */
+  crossZoneMsPerKb?: number
+  roundTrips: ZoneRoundTrips
   headers: HeaderRules
   /** Bodies up to this size are collected before they are sent, and kept for further attempts. */
   collectBytesMax: number
--- a/packages/daemon/src/placement.ts
+++ b/packages/daemon/src/placement.ts
@@ -2,12 +2,13 @@
  * Executes the placement of a request: probes targets for their load, waits,
  * and returns the selected target to the attempt.
  */
-import { planPlacement, type Placement, type PlacementRequest } from '@wisteriavalve/policy'
+import { planPlacement, type OverflowOutcome, type Placement, type PlacementRequest } from '@wisteriavalve/policy'
 import type { Exchange } from './exchange.js'
 import { probeLoad } from './load-probes.js'
 import type { AttemptPurpose, PipelineContext } from './pipeline-context.js'
 import { isolateErrors } from './completion.js'
 import { excludedTargets } from './suspect-isolation.js'
+import { zoneCrossing } from './zone-traffic.js'
 
 export type PlacementOutcome = Exclude<Placement, { step: 'probe' | 'wait' }>
 
@@ -35,7 +36,7 @@
  * are not refused, since a refusal would hide the result of the first attempt.
  */
 const placementRequest = (
-  context: PipelineContext, exchange: Exchange, purpose: AttemptPurpose, { probed, canProbe }: Pick<PlacementRequest, 'probed' | 'canProbe'>
+  context: PipelineContext, exchange: Exchange, purpose: AttemptPurpose, { probed, canProbe, crossing }: Pick<PlacementRequest, 'probed' | 'canProbe' | 'crossing'>
 ): PlacementRequest => {
   const { kind, arrivedMs, deadlineMs } = exchange
   const objectiveMs = (kind.objectiveMs ?? kind.deadlineMs) * OBJECTIVE_SHARE
@@ -52,7 +53,8 @@
     canProbe,
     canWait: purpose !== 'hedge',
     canRefuse: purpose === 'first',
-    requiresFreeAndFast: purpose === 'hedge'
+    requiresFreeAndFast: purpose === 'hedge',
+    crossing
   }
 }
 
@@ -60,6 +62,8 @@
 export const place = (context: PipelineContext, exchange: Exchange, purpose: AttemptPurpose, onPlaced: (outcome: PlacementOutcome) => void): void => {
   const { runtime } = exchange
   const probed = new Set<string>()
+  const startedMs = context.clock.nowMs()
+  let overflow: OverflowOutcome = 'stayed'
   let pendingCount = 0
   let unansweredCount = 0
 
@@ -85,14 +89,18 @@
 
   const step = (): void => {
     const nowMs = context.clock.nowMs()
-    const placement = planPlacement(runtime.table.routing(nowMs), placementRequest(context, exchange, purpose, { probed, canProbe }), nowMs, context.random)
+    const placement = planPlacement(runtime.table.routing(nowMs), placementRequest(context, exchange, purpose, { probed, canProbe, crossing: zoneCrossing(context, exchange, nowMs - startedMs) }), nowMs, context.random)
+    overflow = placement.overflow ?? overflow
     if (placement.step === 'probe') sendProbes(placement.targetIds)
     else if (placement.step === 'wait') {
       exchange.placementTimer = context.wheel.schedule(placement.untilMs, () => {
         probed.clear()
         resume()
       })
-    } else onPlaced(placement)
+    } else {
+      runtime.overflow.record(overflow, nowMs)
+      onPlaced(placement)
+    }
   }
 
   step()
--- a/packages/daemon/src/service-runtimes.ts
+++ b/packages/daemon/src/service-runtimes.ts
@@ -5,8 +5,8 @@
  */
 import { countBy, type Clock, type Random } from '@wisteriavalve/common'
 import {
-  connectionShare, createAdmission, createRetryBudget, createRouteIndex, createServiceIndex, createTargetTable,
-  type Admission, type ProbeResult, type RetryBudget, type RetryLimits, type ServiceIndex, type TargetHealth, type TargetTable
+  connectionShare, createAdmission, createResponseSizes, createRetryBudget, createRouteIndex, createServiceIndex, createTargetTable, createZoneOverflow,
+  type Admission, type ProbeResult, type ResponseSizes, type RetryBudget, type RetryLimits, type ServiceIndex, type TargetHealth, type TargetTable, type ZoneOverflow
 } from '@wisteriavalve/policy'
 import type { ServiceConfiguration, Target, TargetNote, TargetStatus } from '@wisteriavalve/schema'
 import { createTargetConnections, type BackendConnection, type TargetConnections } from './backend-connections.js'
@@ -24,6 +24,12 @@
   targetWaiters: Set<() => void>
   /** Number of attempts of suspects at each target; see suspect-isolation.ts. */
   suspectCounts: Map<string, number>
+  /** Usual response size of each kind. */
+  responseSizes: ResponseSizes
+  /** Limit on the requests that leave the zone; used only with the setting crossZoneMsPerKb. */
+  overflow: ZoneOverflow
+  /** Attempts at targets or peers in other zones, and the bytes of their bodies and responses. */
+  crossZone: { requests: number, bytes: number }
   share: number
   /** Targets that must not get new requests. Checked again directly before a request is written. */
   draining: Set<string>
@@ -38,6 +44,8 @@
    * limited by the reports instead of the capacity estimate.
    */
   probesBeforeAttempt?: boolean
+  /** Whether the requests that leave the zone are limited. */
+  limitsZoneOverflow?: boolean
   /** Whether targets are known to echo request ids in their responses. */
   echoesRequestIds?: boolean
   onHealth: (service: string, targetId: string, health: TargetHealth, reason: string) => void
@@ -79,8 +87,8 @@
   return configuration.trustsReuse === true ? targets.map(target => ({ ...target, trustsReuse: true })) : targets
 }
 
-const gaugeValuesOf = (runtime: ServiceRuntime, nowMs: number): ServiceGaugeValues => {
-  const { configuration, admission, targetWaiters, retryBudget, table } = runtime
+const gaugeValuesOf = (runtime: ServiceRuntime, limitsZoneOverflow: boolean, nowMs: number): ServiceGaugeValues => {
+  const { configuration, admission, targetWaiters, retryBudget, table, overflow, crossZone } = runtime
   const targets = statusOf(runtime, nowMs)
   return {
     service: configuration.name,
@@ -91,6 +99,9 @@
     capacity: table.capacity(nowMs),
     limitedTargets: targets.filter(({ requestLimitPerS }) => requestLimitPerS !== undefined).length,
     pausedTargets: targets.filter(({ pausedMs }) => pausedMs !== undefined).length,
+    crossZoneRequests: crossZone.requests,
+    crossZoneBytes: crossZone.bytes,
+    ...(limitsZoneOverflow && { overflowShare: overflow.share() }),
     targetsByState: countBy(targets, ({ health }) => health)
   }
 }
@@ -126,7 +137,7 @@
   }
 }
 
-export const createServiceRuntimes = ({ clock, random, retryLimits, probesBeforeAttempt = false, echoesRequestIds = false, onHealth, onRequestLimit, onTargetPause, onSilent, onOpenResult }: ServiceRuntimesOptions): ServiceRuntimes => {
+export const createServiceRuntimes = ({ clock, random, retryLimits, probesBeforeAttempt = false, limitsZoneOverflow = false, echoesRequestIds = false, onHealth, onRequestLimit, onTargetPause, onSilent, onOpenResult }: ServiceRuntimesOptions): ServiceRuntimes => {
   const runtimes = new Map<string, ServiceRuntime>()
   /** Services that the configuration leaves out, and since when. */
   const removedRuntimes = new Map<string, { runtime: ServiceRuntime, removedMs: number }>()
@@ -169,6 +180,9 @@
       connections: new Map(),
       targetWaiters: new Set(),
       suspectCounts: new Map(),
+      responseSizes: createResponseSizes(),
+      overflow: createZoneOverflow(),
+      crossZone: { requests: 0, bytes: 0 },
       share,
       draining
     }
@@ -288,7 +302,7 @@
       }
     },
     status: nowMs => [...runtimes.values()].flatMap(runtime => statusOf(runtime, nowMs)),
-    gaugeValues: nowMs => [...runtimes.values()].map(runtime => gaugeValuesOf(runtime, nowMs)),
+    gaugeValues: nowMs => [...runtimes.values()].map(runtime => gaugeValuesOf(runtime, limitsZoneOverflow, nowMs)),
     closeIdle: () => {
       for (const { connections } of runtimes.values()) for (const pool of connections.values()) pool.closeIdle()
     }
--- a/packages/policy/src/zone-crossing.ts
+++ b/packages/policy/src/zone-crossing.ts
@@ -2,8 +2,9 @@
  * Placement of a request when requests that leave their zone are limited. The own
  * zone comes first. Another zone is used if that is worth the round trip and the
  * bytes and the limit allows it; otherwise the request waits, or is refused, as it
- * would be without other zones. A zone that has only cold targets, or none, counts
- * as full, and the limit does not apply to its requests.
+ * would be without other zones. A zone that has no target, or only cold ones while
+ * others have warm ones, counts as full, and the limit does not apply to its
+ * requests.
  */
 import type { Placement, PlacementRequest, ZoneCrossing } from './types/placement.js'
 import type { TargetState } from './types.js'
@@ -68,6 +69,8 @@
   overflow: 'left'
 })
 
+const isWarm = ({ health }: TargetState): boolean => health !== 'cold'
+
 const zoneOf = (targets: readonly TargetState[], targetId: string): string | undefined => targets.find(({ target }) => target.id === targetId)?.target.zone
 
 /** Next step without a limit: other zones first, then the cold targets of the own zone. */
@@ -97,7 +100,9 @@
 ): Placement => {
   const zoneTargets = usable.filter(({ target }) => target.zone === request.zone)
   const otherZoneTargets = usable.filter(({ target }) => target.zone !== request.zone)
-  if (zoneTargets.every(({ health }) => health === 'cold')) return planOutsideZone(zoneTargets, otherZoneTargets, request, steps)
+  const warmElsewhere = otherZoneTargets.filter(isWarm)
+  if (zoneTargets.length === 0) return planOutsideZone(zoneTargets, otherZoneTargets, request, steps)
+  if (!zoneTargets.some(isWarm) && warmElsewhere.length > 0) return planOutsideZone(zoneTargets, warmElsewhere, request, steps)
   const home = steps.choose(zoneTargets)
   if (home) return home
   const causes = findLeaveCauses(zoneTargets, otherZoneTargets, crossing, request, nowMs, steps)
--- a/packages/policy/test/zone-overflow.test.ts
+++ b/packages/policy/test/zone-overflow.test.ts
@@ -4,7 +4,7 @@
  * share that jumps, follows noise, or grows while other zones are full.
  */
 import test from 'ava'
-import { createRandom } from '@wisteriavalve/common'
+import { createRandom, type ListedTarget } from '@wisteriavalve/common'
 import { createResponseSizes, createTargetTable, createZoneOverflow, createZoneRoundTrips, planPlacement, type LoadReport, type OverflowOutcome, type PlacementRequest, type ZoneOverflow } from '../src/index.js'
 import { nextShare, SHARE_STEP } from '../src/zone-overflow.js'
 import type { ZoneCrossing } from '../src/types/placement.js'
@@ -63,6 +63,22 @@
   t.is(placement.overflow, undefined)
 })
 
+test('cold targets of the own zone are left only for warm ones', t => {
+  const planCold = (coldIds: readonly string[]) => {
+    const table = createTargetTable({ service: 's', slotsPerTarget: 4, connectionShare: 8 })
+    table.setTargets([['t0', 'a'], ['t1', 'b']].map(([id, zone]) => ({ id, host: '127.0.0.1', port: 9000, zone } as ListedTarget)), 0)
+    const routing = table.routing(NOW_MS)
+    for (const state of routing.candidates) {
+      table.recordLoadReport(state.target.id, IDLE, NOW_MS)
+      if (coldIds.includes(state.target.id)) state.health = 'cold'
+      else state.health = 'ready'
+    }
+    return planPlacement(routing, createPlacementRequest(NOW_MS, { crossing: { ...CROSSING, mayLeave: () => false } }), NOW_MS, createRandom(5))
+  }
+  t.like(planCold(['t0']), { step: 'send', targetId: 't1' })
+  t.like(planCold(['t0', 't1']), { step: 'send', targetId: 't0' })
+})
+
 const feed = (overflow: ZoneOverflow, outcomes: readonly OverflowOutcome[], intervals: number, startMs = NOW_MS): number[] =>
   Array.from({ length: intervals }, (_, interval) => {
     outcomes.forEach((outcome, index) => overflow.record(outcome, startMs + 100 * interval + index))
