--- a/packages/daemon/test/metrics.test.ts
+++ b/packages/daemon/test/metrics.test.ts
@@ -37,7 +37,7 @@
 
 test('requests, budgets, targets and members are reported, the last two by state', async t => {
   const metrics = createTestMetrics({
-    services: () => [{ service: 'shop', runningCount: 3, queuedCount: 2, retriesLeft: 5, hedgesLeft: 1, capacity: 8, limitedTargets: 1, pausedTargets: 2, targetsByState: { ready: 4, ejected: 1 } }],
+    services: () => [{ service: 'shop', runningCount: 3, queuedCount: 2, retriesLeft: 5, hedgesLeft: 1, capacity: 8, limitedTargets: 1, pausedTargets: 2, crossZoneRequests: 7, crossZoneBytes: 90_000, overflowShare: 0.4, targetsByState: { ready: 4, ejected: 1 } }],
     membersByState: () => ({ alive: 19, suspect: 1 })
   })
   const text = await metrics.text()
@@ -45,6 +45,7 @@
     'wisteriavalve_running_requests{service="shop"} 3', 'wisteriavalve_queued_requests{service="shop"} 2', 'wisteriavalve_capacity_requests{service="shop"} 8',
     'wisteriavalve_retries_left{service="shop"} 5', 'wisteriavalve_hedges_left{service="shop"} 1', 'wisteriavalve_targets{service="shop",state="ejected"} 1',
     'wisteriavalve_limited_targets{service="shop"} 1', 'wisteriavalve_paused_targets{service="shop"} 2',
+    'wisteriavalve_cross_zone_requests_total{service="shop"} 7', 'wisteriavalve_cross_zone_bytes_total{service="shop"} 90000', 'wisteriavalve_zone_overflow_share{service="shop"} 0.4',
     'wisteriavalve_members{state="suspect"} 1'
   ]) t.true(text.split('\n').includes(line), line)
 })
--- a/packages/policy/src/zone-crossing.ts
+++ b/packages/policy/src/zone-crossing.ts
@@ -28,8 +28,7 @@
 const WAITED_SHARE = 0.5
 /**
  * A request leaves this long before it would miss its objective, in units of the
- * usual service time. With less, it found every slot taken in the few probes that
- * were left.
+ * usual service time, so there is time for several probes of other zones.
  */
 const LEAVE_RESERVE = 1
 
--- a/packages/policy/src/zone-overflow.ts
+++ b/packages/policy/src/zone-overflow.ts
@@ -26,8 +26,8 @@
 const SHARE_MIN = 0.05
 /**
  * The share is raised when it exceeds the demand by less than this, and lowered
- * when it exceeds it by more than the second figure. A share without room above the
- * demand cost up to 0.8% of the requests their objective in simulated peaks.
+ * when it exceeds it by more than the second figure. Without room above the demand,
+ * fewer requests met their objective in simulated peaks.
  */
 const HEADROOM_MIN = 0.1
 const HEADROOM_MAX = 0.3
