Merge the limit on requests that leave their zone

A preview weighs the zones like a request, so the weights of a crossing are built from a kind and a body size.

--- a/packages/daemon/src/placement.ts
+++ b/packages/daemon/src/placement.ts
@@ -2,12 +2,13 @@
  * Executes the placement of a request: probes targets for their load, waits,
  * and returns the selected target to the attempt.
  */
-import { planPlacement, type Placement, type PlacementRequest } from '@wisteriavalve/policy'
+import { planPlacement, type OverflowOutcome, type Placement, type PlacementRequest } from '@wisteriavalve/policy'
 import type { Exchange } from './exchange.js'
 import { probeLoad } from './load-probes.js'
 import type { AttemptPurpose, PipelineContext } from './pipeline-context.js'
 import { isolateErrors } from './completion.js'
 import { excludedTargets } from './suspect-isolation.js'
+import { zoneCrossing } from './zone-traffic.js'
 
 export type PlacementOutcome = Exclude<Placement, { step: 'probe' | 'wait' }>
 
@@ -38,7 +39,7 @@
  */
 export const createPlacementRequest = (
   context: Pick<PipelineContext, 'clock' | 'serviceTimes' | 'zone'>, request: PlacedRequest, purpose: AttemptPurpose,
-  fields: Pick<PlacementRequest, 'probed' | 'canProbe' | 'exclude' | 'bodyBytes' | 'warmupDraw'>
+  fields: Pick<PlacementRequest, 'probed' | 'canProbe' | 'exclude' | 'bodyBytes' | 'warmupDraw' | 'crossing'>
 ): PlacementRequest => {
   const { kind, arrivedMs, deadlineMs } = request
   const objectiveMs = (kind.objectiveMs ?? kind.deadlineMs) * OBJECTIVE_SHARE
@@ -62,6 +63,8 @@
   const { runtime } = exchange
   const probed = new Set<string>()
   const warmupDraw = context.random.next()
+  const startedMs = context.clock.nowMs()
+  let overflow: OverflowOutcome = 'stayed'
   let pendingCount = 0
   let unansweredCount = 0
 
@@ -87,15 +90,27 @@
 
   const step = (): void => {
     const nowMs = context.clock.nowMs()
-    const request = createPlacementRequest(context, exchange, purpose, { probed, canProbe, warmupDraw, exclude: excludedTargets(context, exchange), bodyBytes: exchange.body.sizeBytes() })
+    const bodyBytes = exchange.body.sizeBytes()
+    const request = createPlacementRequest(context, exchange, purpose, {
+      probed,
+      canProbe,
+      warmupDraw,
+      exclude: excludedTargets(context, exchange),
+      bodyBytes,
+      crossing: zoneCrossing(context, exchange, bodyBytes, nowMs - startedMs)
+    })
     const placement = planPlacement(runtime.table.routing(nowMs), request, nowMs, context.random)
+    overflow = placement.overflow ?? overflow
     if (placement.step === 'probe') sendProbes(placement.targetIds)
     else if (placement.step === 'wait') {
       exchange.placementTimer = context.wheel.schedule(placement.untilMs, () => {
         probed.clear()
         resume()
       })
-    } else onPlaced(placement)
+    } else {
+      runtime.overflow.record(overflow, nowMs)
+      onPlaced(placement)
+    }
   }
 
   step()
--- a/packages/daemon/src/request-preview.ts
+++ b/packages/daemon/src/request-preview.ts
@@ -10,8 +10,9 @@
 import { createPlacementRequest } from './placement.js'
 import type { PipelineContext } from './pipeline-context.js'
 import type { ServiceRuntime } from './service-runtimes.js'
+import { zoneCrossing } from './zone-traffic.js'
 
-export type PreviewContext = Pick<PipelineContext, 'clock' | 'zone' | 'policy' | 'probesBeforeAttempt' | 'serviceTimes' | 'runtimes'> & {
+export type PreviewContext = Pick<PipelineContext, 'clock' | 'zone' | 'policy' | 'probesBeforeAttempt' | 'serviceTimes' | 'runtimes' | 'crossZoneMsPerKb' | 'roundTrips'> & {
   nodeId: string
   /** Of its own, so that a preview does not change the random choices of requests. */
   random: Random
@@ -25,11 +26,13 @@
 }
 
 /** The decision of a node that probes targets before each attempt: the target probed first, and the choice if no probe is answered. */
-const previewPlacement = (context: PreviewContext, { table }: ServiceRuntime, { kind, allowedZones }: Destination, bodyBytes: number): Pick<ServicePreview, 'probesFirst' | 'decision'> => {
+const previewPlacement = (context: PreviewContext, runtime: ServiceRuntime, { kind, allowedZones }: Destination, bodyBytes: number): Pick<ServicePreview, 'probesFirst' | 'decision'> => {
+  const { table } = runtime
   const nowMs = context.clock.nowMs()
+  const crossing = zoneCrossing(context, { runtime, kind }, bodyBytes, 0)
   const plan = (canProbe: boolean): Placement => planPlacement(table.routing(nowMs), createPlacementRequest(
     context, { kind, arrivedMs: nowMs, deadlineMs: nowMs + kind.deadlineMs, allowedZones }, 'first',
-    { probed: new Set(), canProbe: () => canProbe, exclude: new Set(), bodyBytes }
+    { probed: new Set(), canProbe: () => canProbe, exclude: new Set(), bodyBytes, crossing }
   ), nowMs, context.random)
   const first = plan(true)
   return first.step === 'probe'
--- a/packages/daemon/test/request-preview.test.ts
+++ b/packages/daemon/test/request-preview.test.ts
@@ -4,7 +4,7 @@
  */
 import test from 'ava'
 import { createManualClock, createRandom, type Route } from '@wisteriavalve/common'
-import { createServiceTimes, planPlacement, type LoadReport } from '@wisteriavalve/policy'
+import { createServiceTimes, createZoneRoundTrips, planPlacement, type LoadReport } from '@wisteriavalve/policy'
 import { createPlacementRequest } from '../src/placement.js'
 import { previewRequest, type PreviewContext } from '../src/request-preview.js'
 import { createServiceRuntimes } from '../src/service-runtimes.js'
@@ -42,7 +42,7 @@
   const target = (id: string, index: number) => ({ id, host: '127.0.0.1', port: 9_000 + index, zone: 'a' })
   runtimes.applyTargets('desk', { targets: ['d0', 'd1', 'd2'].map(target), leavingIds: [] })
   runtimes.applyTargets('spare', { targets: [], leavingIds: [] })
-  return { clock, zone: 'a', policy: 'adaptive', probesBeforeAttempt: true, serviceTimes: createServiceTimes(), runtimes, nodeId: 'n1', random: createRandom(1) }
+  return { clock, zone: 'a', policy: 'adaptive', probesBeforeAttempt: true, serviceTimes: createServiceTimes(), runtimes, nodeId: 'n1', random: createRandom(1), crossZoneMsPerKb: undefined, roundTrips: createZoneRoundTrips() }
 }
 
 const report = ({ runtimes, clock }: PreviewContext, reports: readonly LoadReport[], ageMs = 0): void =>
