--- a/packages/daemon/src/fleet/store-fleet.ts
+++ b/packages/daemon/src/fleet/store-fleet.ts
@@ -12,8 +12,6 @@
 import { createPeerAuth, type PeerAuth } from '../adapters/peer-auth.js'
 import { createPeerClients, type PeerClients } from '../adapters/peer-client.js'
 import { openPeerServer, type OpenPeerServer, type PeerServer } from '../adapters/peer-rpc.js'
-import { withDeadline } from '../adapters/deadline.js'
-import { describeError } from '../adapters/http-json.js'
 import type { ActiveConfiguration, DaemonContext, FleetRuntime, PeerSource, ServiceTargets } from '../types.js'
 import { createFleetQueries, createMemberReporter } from './fleet-reports.js'
 import { createGossipDriver } from './gossip-driver.js'
@@ -26,6 +24,7 @@
 import { createConfigurationNews } from './configuration-news.js'
 import { createEvacuationReporter } from './evacuation-reports.js'
 import { createChangeWaiters } from './change-waiters.js'
+import { createPeerPulls } from './peer-pulls.js'
 import { createPeerWatch, withRestoreCount, type ChangesQuery, type PeerChanges, type PublishedQuery, type PublishedUpdate } from './peer-watch.js'
 import { createSuspectSync } from './suspect-sync.js'
 import { createStoreFollower, type PlatformStore, type FollowedPeer, type StoreChanges } from './store-follower.js'
@@ -50,12 +49,6 @@
 
 /** Interval of time-driven work: reading the seeds and expiring targets that are kept for a grace period. */
 const MAINTENANCE_INTERVAL_MS = 250
-/** Minimum interval between two pulls of a node without contact to the store. */
-const PULL_INTERVAL_MS = 500
-/** One in this many pulls may go to another zone. */
-const PULLS_PER_CROSS_ZONE_PULL = 3
-/** A peer answers within some ms; one that takes longer is not waited for, since another one may know as much. */
-const PULL_TIMEOUT_MS = 600
 /** Age of the news of a node whose sources read the store: a watch at the store and some calls between nodes. */
 const FRESH_AGE_MAX_MS = 1_000
 /** Value of the log field `source` for changes that only time has caused. */
@@ -92,7 +85,6 @@
   let peerServer: PeerServer | undefined
   let peerSource: PeerSource | undefined
   let cancelMaintenance = (): void => {}
-  let lastPullMs = -Infinity
   let isStopped = false
 
   /** -1 before the first configuration. */
@@ -258,47 +250,25 @@
     }
   }
 
-  const pullFrom = async (peer: MemberUpdate): Promise<void> => {
-    try {
-      const query: PublishedQuery = { ...state.position(), configurationVersion: configurationVersion() }
-      const update = await withDeadline(PULL_TIMEOUT_MS, null, signal => clients.to(peer).published.query(query, { signal }), clock.after)
-      if (update && !isStopped) applyUpdate(update, peer.nodeId)
-    } catch (error) {
-      log('peer_unreachable', { member: peer.nodeId, message: describeError(error) })
-    }
-  }
+  const pulls = createPeerPulls({
+    context,
+    peers,
+    clients,
+    query: () => ({ ...state.position(), configurationVersion: configurationVersion() }),
+    onUpdate: (update, peerId) => { if (!isStopped) applyUpdate(update, peerId) }
+  })
 
   const catchUpOptions = {
     clock,
     isStale: () => follower.isDisconnected() || follower.ageMs() > FRESH_AGE_MAX_MS,
-    pullFrom: async (peerId: string) => {
-      const peer = peers().find(({ nodeId }) => nodeId === peerId)
-      if (peer) await pullFrom(peer)
-    }
+    pullFrom: pulls.pullFrom
   }
   const catchUp = createCatchUp<number>({ ...catchUpOptions, isBehind: version => version > configurationVersion() })
   const evacuationCatchUp = createCatchUp<StorePosition>({ ...catchUpOptions, isBehind: position => compareStorePositions(position, state.position()) > 0 })
 
-  let pullCount = 0
-
-  /** Pulls the published state from a random peer at a limited rate. Most pulls stay in the own zone, because traffic between zones costs money. */
-  const pull = (): void => {
-    const nowMs = clock.nowMs()
-    if (nowMs - lastPullMs < PULL_INTERVAL_MS) return
-    const alivePeers = peers().filter(({ state: memberState }) => memberState === 'alive')
-    const sameZonePeers = alivePeers.filter(({ zone }) => zone === settings.zone)
-    const isCrossZoneTurn = (pullCount + 1) % PULLS_PER_CROSS_ZONE_PULL === 0
-    const candidates = sameZonePeers.length === 0 || isCrossZoneTurn ? alivePeers : sameZonePeers
-    const peer = candidates[random.int(Math.max(1, candidates.length))]
-    if (!peer) return
-    pullCount++
-    lastPullMs = nowMs
-    pullFrom(peer).catch(error => { throw error })
-  }
-
   const runMaintenance = (): void => {
     gossip.addCandidates(seeds())
-    if (follower.isDisconnected()) pull()
+    if (follower.isDisconnected()) pulls.pullFromAny()
     publish(TIME_SOURCE)
     cancelMaintenance = clock.after(alignedDelayMs(clock.nowMs(), MAINTENANCE_INTERVAL_MS), runMaintenance)
   }
