Notice pressure from the reported occupancy as well, and count arrivals over 4 s

At 2 requests per second and node, a service counted as under pressure for only 42% of a burst of all kinds, so less urgent requests were not limited.

--- a/packages/policy/src/scarcity.ts
+++ b/packages/policy/src/scarcity.ts
@@ -21,16 +21,16 @@
 /** A node that has sent less counts as sending this many requests. */
 const SENT_PER_MS_MIN = 0.7 / 1_000
 /** Change of the admitted share after one search, for a node with one request in the window. */
-const GAIN = 0.6
-const GAIN_MAX = 0.2
+const GAIN = 1.2
+const GAIN_MAX = 0.3
 /** With fewer arrivals in the window, as on a node that has just started, rates are unknown. */
-const ARRIVALS_MIN = 4
+const ARRIVALS_MIN = 3
 /** Without any report of at most this age, requests are placed as without pressure. */
 const REPORT_AGE_MAX_MS = 1_000
 /** Mean reported occupancy from which a target without a recent report is taken to be full too. */
 const FULL_OCCUPANCY = 0.8
 /** A service counts as under pressure for this time after a search found no free target. */
-const PRESSURE_MS = 4_000
+const PRESSURE_MS = 5_000
 /** Occupancy as above while the service is under pressure. Searches end at the first free target, so the reports of a node show less than the mean. */
 const PRESSED_OCCUPANCY = 0.5
 /** A request waits for a slot only if the node is expected to find enough slots within this share of its waiting time. */
@@ -204,6 +204,7 @@
         if (identity !== undefined && early.has(identity, nowMs)) return refuseEarly(request, random, nowMs)
       }
       shares.recordArrival(request.weight, nowMs)
+      if (isMostlyFull(routing.candidates, FULL_OCCUPANCY, nowMs)) pressedMs = nowMs
       if (isPressed(nowMs)) shares.giveWay(request.weight)
       const hasReports = meanOccupancy(routing.candidates, nowMs) !== undefined
       const isThrottled = hasReports && !isAdmitted(request, nowMs, random)
--- a/packages/policy/src/weight-shares.ts
+++ b/packages/policy/src/weight-shares.ts
@@ -4,7 +4,8 @@
  */
 import { halfLifeWeight } from './half-life.js'
 
-const HALF_LIFE_MS = 2_000
+/** At 2 requests per second and node, shorter windows contain too few requests of one weight. */
+const HALF_LIFE_MS = 4_000
 /** At a constant rate, the decayed count equals the arrivals within this time. */
 const WINDOW_MS = HALF_LIFE_MS / Math.LN2
 /** Minimum share of a kind, relative to the share of all requests. A quarter is required; the rest is for deviations among nodes. */
@@ -17,8 +18,10 @@
 const PRIOR_COUNT = 0.5
 /** A less urgent weight gives way while the sent share of its requests is not lower than that of a more urgent one by this much, since a part of the requests that are sent is lost at full targets. */
 const ORDER_MARGIN = 0.03
+/** Requests that are still searching count as not sent, so the sent share is below 1 without pressure as well. */
+const SENT_SHARE_USUAL = 0.9
 /** Relative decrease of the admitted share with each arrival meanwhile. */
-const ORDER_STEP = 0.06
+const ORDER_STEP = 0.1
 
 type WeightClass = { weight: number, count: number, updatedMs: number, sentCount: number, share: number }
 
@@ -103,7 +106,7 @@
       const own = classes.find(entry => entry.weight === weight)
       if (!own) return
       const ownSentShare = sentShare(own) + ORDER_MARGIN
-      if (classes.some(entry => entry.weight > weight && sentShare(entry) < ownSentShare && sentShare(entry) < 1)) own.share = Math.max(SHARE_MIN, Math.min(1, own.share) * (1 - ORDER_STEP))
+      if (classes.some(entry => entry.weight > weight && sentShare(entry) < ownSentShare && sentShare(entry) < SENT_SHARE_USUAL)) own.share = Math.max(SHARE_MIN, Math.min(1, own.share) * (1 - ORDER_STEP))
     },
     adjust: (weight, change) => {
       for (const entry of classes) {
