--- a/packages/daemon/src/attempts.ts
+++ b/packages/daemon/src/attempts.ts
@@ -14,12 +14,14 @@
 import { permitWaitMaxMs, place, type PlacementOutcome } from './placement.js'
 import { EARLY_RESPONSE_MARGIN_MS, LEAVING_RETRY_AFTER_MS } from './constants.js'
 import { scheduleHedge } from './hedging.js'
+import { failWithoutTarget } from './missing-targets.js'
 import { cannotReachTargets, CUT_OFF_RETRY_AFTER_MS, delegateAttempts, isCutOff, isRelayed, reclaimAttempts, selectRelayPeer, tryTargetAgain } from './relaying.js'
 import { excludedTargets, isTaken, reserveTarget } from './suspect-isolation.js'
-import { withPermit } from './target-permits.js'
+import { withPermits } from './warmup-permits.js'
 import { tryTakeRetry, tryTakeRetryAfterStatus } from './retrying.js'
 import { dropData, endResponse, onResponseHead, relayData } from './response-relay.js'
 import { failExchange, isolateErrors, onDeadline } from './completion.js'
+import { countBodyBytes, countResponseBytes, countWrittenAttempt } from './zone-traffic.js'
 
 /** Maximum number of further connections per attempt after one was lost before the write. */
 const REACQUIRE_MAX = 2
@@ -97,7 +99,7 @@
   if (outcome.step === 'send' && target) startPermitted(context, exchange, purpose, target, outcome, lastResult)
   else if (purpose === 'hedge') exchange.isHedged = true
   else if (outcome.step === 'refuse') failExchange(context, exchange, exchange.unknownResult ?? lastResult ?? REFUSAL_RESULTS[outcome.cause], { retryAfterMs: outcome.retryAfterMs, detail: outcome.detail })
-  else failExchange(context, exchange, exchange.unknownResult ?? lastResult ?? 'no-target')
+  else failWithoutTarget(context, exchange, lastResult)
 }
 
 const selectAndStart = (context: PipelineContext, exchange: Exchange, purpose: AttemptPurpose, lastResult?: ResultName): void => {
@@ -107,7 +109,9 @@
     zone: context.zone,
     exclude: excludedTargets(context, exchange),
     idempotent: kind.idempotent,
-    permitWaitMaxMs: purpose === 'hedge' ? 0 : permitWaitMaxMs(context, exchange)
+    allowedZones: exchange.allowedZones,
+    permitWaitMaxMs: purpose === 'hedge' ? 0 : permitWaitMaxMs(context, exchange),
+    excludesCold: purpose === 'hedge'
   }, nowMs, context.random)
   const target = selection.ok ? runtime.table.target(selection.targetId) : undefined
   if (selection.ok && target) {
@@ -118,18 +122,18 @@
   if (!selection.ok && selection.error === 'all-busy') waitForTarget(context, exchange, purpose, lastResult)
   else if (!selection.ok && selection.error === 'paused') failExchange(context, exchange, exchange.unknownResult ?? lastResult ?? 'targets-paused', { retryAfterMs: selection.retryAfterMs })
   else if (!selection.ok && selection.error === 'rate-limited') failExchange(context, exchange, exchange.unknownResult ?? lastResult ?? 'target-rate-limited', { retryAfterMs: selection.retryAfterMs, detail: selection.detail })
-  else failExchange(context, exchange, exchange.unknownResult ?? lastResult ?? 'no-target')
+  else failWithoutTarget(context, exchange, lastResult)
 }
 
-/** Starts the attempt, after a permit for it if the target has a request limit. Without a permit another target is chosen. */
+/** Starts the attempt, after a permit for it if the target has a request limit or may be cold. Without a permit another target is chosen. */
 const startPermitted = (
   context: PipelineContext, exchange: Exchange, purpose: AttemptPurpose, target: Target,
   { reason, permitWaitMaxMs: waitMaxMs }: { reason: string, permitWaitMaxMs: number }, lastResult: ResultName | undefined
-): void => withPermit(context, exchange, target.id, waitMaxMs, {
-  onPermitted: hasPermit => {
+): void => withPermits(context, exchange, purpose, target.id, waitMaxMs, {
+  onPermitted: permits => {
     if (exchange.responder) return
     if (isTaken(context, exchange, target.id)) startAttempt(context, exchange, purpose, lastResult)
-    else if (canAttempt(exchange)) startAt(context, exchange, { ...targetDestination(context, exchange, target), purpose, reason, hasPermit }, lastResult)
+    else if (canAttempt(exchange)) startAt(context, exchange, { ...targetDestination(context, exchange, target), purpose, reason, ...permits }, lastResult)
     else failWithoutAttempt(context, exchange, lastResult)
   },
   onDenied: () => {
@@ -157,6 +161,7 @@
     isFlushed: false,
     isWaitingForDrain: false,
     status: 0,
+    responseBytes: 0,
     forwardedAllowance: takeForwardedAllowance(exchange),
     reacquireCount: 0,
     releaseTarget: undefined
@@ -228,6 +233,7 @@
       exchange.firstWrittenMs ??= nowMs
       if (attempt.connection) attempt.connection.sentMs = nowMs
       context.recorder.written(attempt)
+      countWrittenAttempt(context, attempt)
       scheduleHedge(context, attempt, nowMs, {
         startHedge: () => startAttempt(context, exchange, 'hedge'),
         onStalled: () => onSilent(context, attempt)
@@ -235,6 +241,7 @@
     },
     onBodyProgress: sentBytes => {
       bodySend.sentBytes += sentBytes
+      countBodyBytes(context, attempt, sentBytes)
       recordProgress()
     },
     onHead: (status, headers, statusText) => isolateErrors(context, exchange, () => {
@@ -249,6 +256,7 @@
     }),
     onData: chunk => {
       recordProgress()
+      countResponseBytes(context, attempt, chunk.length)
       return attempt.isDropped ? dropData(attempt, chunk) : relayData(attempt, chunk)
     },
     onEnd: trailers => isolateErrors(context, exchange, () => endResponse(context, attempt, trailers)),
@@ -330,7 +338,7 @@
   if (failure === 'connect-failed' && handleWithoutTargets(context, exchange, 'retry', result)) return
   if (tryTakeRetry(context, exchange, failure)) startAttempt(context, exchange, 'retry', result)
   else {
-    exchange.runtime.scarcity.recordTaken(exchange.kind.weight, context.clock.nowMs())
+    exchange.runtime.scarcity?.recordTaken(exchange.kind.weight, context.clock.nowMs())
     failExchange(context, exchange, exchange.unknownResult ?? result, { detail, retryAfterMs: RETRY_AFTER_REFUSAL_MS })
   }
 }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -4,9 +4,10 @@
  */
 import { countBy, createRandom } from '@wisteriavalve/common'
 import { UNREACHABLE_LOAD_PERCENT } from '@wisteriavalve/fleet'
-import { createCallerLimits, createFleetSize, createProbeAllowance, createReachability, createServiceTimes, shareRetryLimits, type CallerLimitsOptions, type PolicyName } from '@wisteriavalve/policy'
+import { createCallerLimits, createFleetSize, createProbeAllowance, createReachability, createServiceTimes, createZoneRoundTrips, shareRetryLimits, type CallerLimitsOptions, type PolicyName } from '@wisteriavalve/policy'
 import type { NodeReport, NodeStatus } from '@wisteriavalve/schema'
 import { createCallerServer } from './adapters/caller-http.js'
+import { onLibraryException } from './adapters/library-guard.js'
 import type { ExplainQuery } from './admin-api.js'
 import { createAdminServer } from './admin-server.js'
 import { createBurnBuckets } from './burn-buckets.js'
@@ -23,6 +24,7 @@
 import { createPeerTargets } from './peer-targets.js'
 import type { PipelineContext } from './pipeline-context.js'
 import { createReadAhead } from './read-ahead.js'
+import { previewRequest } from './request-preview.js'
 import { createReachabilityLog, type Relaying } from './relaying.js'
 import { createRequestIds } from './request-ids.js'
 import { createRequestPipeline } from './request-pipeline.js'
@@ -64,10 +66,20 @@
    * requests plus a fixed number.
    */
   fleetRetries?: { share: number, extra: number }
+  /**
+   * Milliseconds of a caller's time that a kilobyte between zones is worth. Limits
+   * the requests that leave the zone; takes effect only with probesBeforeAttempt.
+   */
+  crossZoneMsPerKb?: number
+  /**
+   * Whether requests are admitted by priority while a service has too little
+   * capacity; takes effect only with probesBeforeAttempt.
+   */
+  admitsByPriority?: boolean
 }
 
 export const createDaemon = (
-  { settings, clock, random, log, events }: DaemonContext, fleet: FleetRuntime, { callerLimits = CALLER_LIMITS, dialect = DEFAULT_DIALECT, collectBytesMax = REPLAY_BYTES_MAX, probesBeforeAttempt = false, probesPerTargetPerS = 0, fleetRetries }: DaemonOptions = {}
+  { settings, clock, random, log, events }: DaemonContext, fleet: FleetRuntime, { callerLimits = CALLER_LIMITS, dialect = DEFAULT_DIALECT, collectBytesMax = REPLAY_BYTES_MAX, probesBeforeAttempt = false, probesPerTargetPerS = 0, fleetRetries, crossZoneMsPerKb, admitsByPriority = false }: DaemonOptions = {}
 ): Daemon => {
   const startedMs = clock.nowMs()
   const startedWallMs = Date.now()
@@ -94,11 +106,14 @@
     clock,
     random: createRandom(random.int(0x7fffffff)),
     probesBeforeAttempt,
+    limitsZoneOverflow: crossZoneMsPerKb !== undefined,
+    admitsByPriority,
     echoesRequestIds: dialect.echoesRequestId,
     ...(fleetRetries && { retryLimits: shareRetryLimits(fleetRetries.share, fleetRetries.extra, fleetSize) }),
     onHealth: nodeEvents.recordTargetHealth,
     onRequestLimit: nodeEvents.recordRequestLimit,
     onTargetPause: nodeEvents.recordTargetPause,
+    onWarmup: nodeEvents.recordWarmup,
     onOpenResult: (targetId, isOpen) => {
       const nowMs = clock.nowMs()
       if (isOpen) {
@@ -179,6 +194,8 @@
     probesBeforeAttempt,
     serviceTimes: createServiceTimes(),
     probeAllowance: createProbeAllowance(probesPerTargetPerS, fleetSize),
+    crossZoneMsPerKb,
+    roundTrips: createZoneRoundTrips(),
     wheel: createDeadlineWheel(clock, WHEEL_TICK_MS),
     pauseDetector,
     runtimes,
@@ -243,17 +260,20 @@
     events: nodeEvents.find({ automaticOnly: true, withinMs: REPORT_WINDOW_MS })
   })
 
+  const previewContext = { ...context, nodeId: settings.nodeId, random: createRandom(settings.seed) }
   const peerSource: PeerSource = { status, explain: (query: ExplainQuery) => nodeEvents.find(query), report, crashNotes: crashWatch.notes }
   const admin = createAdminServer({
     status,
     explain: peerSource.explain,
     fleetStatus: fleet.queryFleetStatus,
     fleetExplain: fleet.queryFleetExplain,
-    fleetReport: fleet.queryFleetReport
+    fleetReport: fleet.queryFleetReport,
+    preview: query => previewRequest(previewContext, query)
   }, metrics.text)
 
   const start = async (): Promise<void> => {
     fleet.onTargets(runtimes.applyTargets)
+    fleet.onEvacuations(runtimes.applyEvacuations)
     fleet.onNotes(notes => {
       crashWatch.applyNotes(notes)
       runtimes.applyNotes(notes.filter(note => !isCrashNote(note)))
@@ -271,6 +291,11 @@
     })
   }
 
+  const stopReportingExceptions = onLibraryException(({ side, address, error }) => {
+    metrics.increment('library_exceptions')
+    log('library_exception', { side, address, message: error instanceof Error ? error.stack ?? error.message : String(error) })
+  })
+
   const leave = async (): Promise<void> => {
     lifecycle.send('stop-requested')
     lastSendMs = sendEndMs(clock.nowMs(), settings.stopTimeoutMs)
@@ -289,6 +314,7 @@
     await fleet.stop()
     admin.close()
     admin.closeAllConnections()
+    stopReportingExceptions()
     lifecycle.send('finished')
     log('daemon_stopped', { uptime_ms: Math.round(clock.nowMs() - startedMs) })
   }
--- a/packages/daemon/src/exchange.ts
+++ b/packages/daemon/src/exchange.ts
@@ -23,6 +23,8 @@
   head: () => string
   runtime: ServiceRuntime
   kind: Kind
+  /** Zones whose targets the request may reach; undefined: all. */
+  allowedZones?: ReadonlySet<string>
   body: RequestBody
   /** Request headers that are sent with every attempt. */
   headers: string[]
@@ -90,6 +92,8 @@
   delegatedCount: number
   /** Whether the permit owner of the target permits one request. */
   hasPermit: boolean
+  /** Time until which a warm-up permit for one request to the target is valid; -Infinity without one. */
+  warmupPermitEndMs: number
   /** Pause epoch in which the target was selected. */
   pauseEpoch: number
   startedMs: number
@@ -107,6 +111,8 @@
   /** Whether reading is held back until the caller has taken what was written. */
   isWaitingForDrain: boolean
   status: number
+  /** Bytes of the response body that were received. */
+  responseBytes: number
   /** Share of the retry allowance that is delegated to the backend server. */
   forwardedAllowance: number
   /** Number of connections that were lost before anything was written. */
--- a/packages/daemon/src/fleet/published-configuration.ts
+++ b/packages/daemon/src/fleet/published-configuration.ts
@@ -4,6 +4,7 @@
 import type { PublishedConfiguration, PublishedService } from '@wisteriavalve/fleet'
 import type { FleetSettings, Kind, ServiceConfiguration } from '@wisteriavalve/schema'
 import type { ActiveConfiguration, DaemonSettings } from '../types.js'
+import { withAllowedZones } from './route-zones.js'
 
 const DEFAULT_OBJECTIVE = { inTimePercent: 99, windowDays: 28 }
 /** Slots per target of a service whose targets do not report them. */
@@ -30,7 +31,7 @@
  */
 const ENTRY_LIFETIME_MS = 4_500
 
-const toServiceConfiguration = ({ name, healthPath, connectionsPerTarget }: PublishedService): ServiceConfiguration => ({
+const toServiceConfiguration = ({ name, healthPath, connectionsPerTarget, warmupMs, warmupRatePerS }: PublishedService): ServiceConfiguration => ({
   format: 1,
   name,
   pathPrefix: '/',
@@ -38,6 +39,8 @@
   slotsPerTarget: DEFAULT_SLOTS,
   connectionsPerTarget: Math.max(connectionsPerTarget, DEFAULT_SLOTS * ASSUMED_ENTRY_VM_COUNT),
   healthPath,
+  ...(warmupMs !== undefined && { warmupMs }),
+  ...(warmupRatePerS !== undefined && { warmupRatePerS }),
   defaultDeadlineMs: DEFAULT_DEADLINE_MS,
   targets: [],
   objective: DEFAULT_OBJECTIVE,
@@ -62,6 +65,6 @@
   order: { restoreCount: 0, revision: version, headHash: EMPTY_HEAD_HASH },
   settings: toFleetSettings(settings),
   services: new Map(services.map(service => [service.name, toServiceConfiguration(service)])),
-  routes,
+  routes: withAllowedZones(routes, settings.zoneRegions ?? {}),
   callerBounds
 })
--- a/packages/daemon/src/fleet/store-fleet.ts
+++ b/packages/daemon/src/fleet/store-fleet.ts
@@ -5,7 +5,7 @@
  * random peer. Nodes discover each other through seeds and then by gossip.
  */
 import { alignedDelayMs } from '@wisteriavalve/common'
-import { buildZoneEntryAnswer, chooseStoreSource, compareStorePositions, createChangeLog, createPublishedState, type PublishedConfiguration, type PublishedStateView, type StorePosition } from '@wisteriavalve/fleet'
+import { buildZoneEntryAnswer, chooseStoreSource, compareStorePositions, createChangeLog, createPublishedState, fromAnnouncedHash, fromSentChanges, toAnnouncedHash, toSentChanges, type PublishedConfiguration, type PublishedStateView, type StorePosition } from '@wisteriavalve/fleet'
 import type { ProbeResult } from '@wisteriavalve/policy'
 import type { EntryAnswer, MemberUpdate, TargetNote, VmEntry } from '@wisteriavalve/schema'
 import { openGossipSocket, type OpenGossipSocket } from '../adapters/gossip-udp.js'
@@ -18,11 +18,13 @@
 import { createFleetQueries, createMemberReporter } from './fleet-reports.js'
 import { createGossipDriver } from './gossip-driver.js'
 import { createListeners } from './listeners.js'
+import { entryZones, findUnknownRegions, type EntryCaller } from './route-zones.js'
 import { openPeerAddresses } from './open-peer-addresses.js'
 import { createPermits } from './permits.js'
 import { toActiveConfiguration } from './published-configuration.js'
 import { createCatchUp } from './catch-up.js'
 import { createConfigurationNews } from './configuration-news.js'
+import { createEvacuationReporter } from './evacuation-reports.js'
 import { createChangeWaiters } from './change-waiters.js'
 import { createPeerWatch, withRestoreCount, type ChangesQuery, type PeerChanges, type PublishedQuery, type PublishedUpdate } from './peer-watch.js'
 import { createSuspectSync } from './suspect-sync.js'
@@ -56,6 +58,8 @@
 const PULL_TIMEOUT_MS = 600
 /** Age of the news of a node whose sources read the store: a watch at the store and some calls between nodes. */
 const FRESH_AGE_MAX_MS = 1_000
+/** Value of the log field `source` for changes that only time has caused. */
+const TIME_SOURCE = 'time'
 const DEFAULT_ENTRY_LIFETIME_MS = 1_000
 const ENTRY_ADDRESSES_MAX = 64
 /** Number of reads whose changes are kept for peers that follow this node. */
@@ -69,6 +73,7 @@
 
 export const createStoreFleet = (context: DaemonContext, { store, targetLeaseMs, seeds, network = PEER_NETWORK }: StoreFleetOptions): FleetRuntime => {
   const { clock, random, settings, log } = context
+  const { zoneRegions = {} } = settings
   const auth = createPeerAuth(settings.fleet, settings.fleetKey)
   const clients = network.createClients(auth)
   const state = createPublishedState({ targetLeaseMs })
@@ -77,9 +82,12 @@
   const excludedUntilMs = new Map<string, number>()
   const onConfiguration = createListeners<[ActiveConfiguration]>()
   const onTargets = createListeners<[string, ServiceTargets]>()
+  const onEvacuations = createListeners<[ReadonlySet<string>]>()
   const onNotes = createListeners<[TargetNote[]]>()
   const onProbe = createListeners<[string, string, ProbeResult]>()
   let activeConfiguration: ActiveConfiguration | undefined
+  /** Position at the last change of the evacuated zones. */
+  let evacuationPosition: StorePosition | undefined
   let adoptedMs: number | undefined
   let peerServer: PeerServer | undefined
   let peerSource: PeerSource | undefined
@@ -92,9 +100,10 @@
   const news = createConfigurationNews({ clock, version: configurationVersion, follower: () => follower })
   const members = (): MemberUpdate[] => gossip.membership()?.members() ?? []
   const peers = (): MemberUpdate[] => members().filter(({ nodeId }) => nodeId !== settings.nodeId)
-  const permits = createPermits({ context, members, clients })
+  const permits = createPermits({ context, members, clients, hasSeeds: () => seeds().length > 0 })
   const suspectSync = createSuspectSync({ clock, random, peers, clients, onNotes: onNotes.emit })
   const reportMember = createMemberReporter(context)
+  const reportEvacuations = createEvacuationReporter(log)
 
   const logAdopted = ({ version, routes }: PublishedConfiguration, source: string): void => log('configuration_adopted', {
     revision: version,
@@ -109,12 +118,22 @@
   /** @param source logged origin of the change: the store, a peer's node id, or time for time-driven changes */
   const publish = (source: string): void => {
     const changes = state.takeChanges(clock.nowMs())
+    // Before the configuration, with which the node begins to serve.
+    if (changes.evacuatedZones) {
+      reportEvacuations(changes.evacuatedZones, state.view(), source)
+      onEvacuations.emit(changes.evacuatedZones)
+      // What a node reads at its start is no news to others.
+      if (activeConfiguration && source !== TIME_SOURCE) evacuationPosition = state.position()
+    }
     if (changes.configuration) {
       activeConfiguration = toActiveConfiguration(changes.configuration, settings)
       adoptedMs = clock.nowMs()
       logAdopted(changes.configuration, source)
+      for (const unknown of findUnknownRegions(changes.configuration.routes, zoneRegions)) log('route_region_unknown', unknown)
       onConfiguration.emit(activeConfiguration)
-      gossip.membership()?.setConfiguration(activeConfiguration.order)
+    }
+    if (activeConfiguration && (changes.configuration || changes.evacuatedZones)) {
+      gossip.membership()?.setConfiguration({ ...activeConfiguration.order, headHash: toAnnouncedHash(evacuationPosition) })
     }
     for (const [service, targets] of changes.targets) onTargets.emit(service, targets)
   }
@@ -188,7 +207,7 @@
     if (!canAnswer()) return { state: 'behind' }
     const changes = changeLog.since(after)
     const ageMs = follower.ageMs()
-    return changes ? { state: 'current', ...state.position(), changes, ageMs } : { state: 'restart', view: state.view(), ageMs }
+    return changes ? { state: 'current', ...state.position(), ...toSentChanges(changes), ageMs } : { state: 'restart', view: state.view(), ageMs }
   }
 
   const follower = createStoreFollower({
@@ -213,6 +232,7 @@
     },
     onNotes: notes => onNotes.emit(notes),
     onConfigurationSeen: (from, order) => {
+      evacuationCatchUp.recordSeen(from, fromAnnouncedHash(order.headHash))
       if (order.revision <= configurationVersion()) return
       news.recordHeard(order.revision)
       catchUp.recordSeen(from, order.revision)
@@ -225,12 +245,12 @@
     const position = { restoreCount, revision }
     if (compareStorePositions(state.position(), position) <= 0) return configuration.version > peerVersion ? { state: 'configuration', configuration } : null
     const changes = changeLog.since(position)
-    return changes ? { state: 'changes', ...state.position(), changes } : { state: 'whole', view: state.view() }
+    return changes ? { state: 'changes', ...state.position(), ...toSentChanges(changes) } : { state: 'whole', view: state.view() }
   }
 
   const applyUpdate = (update: PublishedUpdate, source: string): void => {
     const { restoreCount } = state.position()
-    if (update.state === 'changes') applyChanges(withRestoreCount(update, restoreCount), source)
+    if (update.state === 'changes') applyChanges({ ...withRestoreCount(update, restoreCount), changes: fromSentChanges(update) }, source)
     else if (update.state === 'whole') applySnapshot(withRestoreCount(update.view, restoreCount), source)
     else {
       state.offerConfiguration(update.configuration)
@@ -248,15 +268,16 @@
     }
   }
 
-  const catchUp = createCatchUp({
+  const catchUpOptions = {
     clock,
-    version: configurationVersion,
     isStale: () => follower.isDisconnected() || follower.ageMs() > FRESH_AGE_MAX_MS,
-    pullFrom: async peerId => {
+    pullFrom: async (peerId: string) => {
       const peer = peers().find(({ nodeId }) => nodeId === peerId)
       if (peer) await pullFrom(peer)
     }
-  })
+  }
+  const catchUp = createCatchUp<number>({ ...catchUpOptions, isBehind: version => version > configurationVersion() })
+  const evacuationCatchUp = createCatchUp<StorePosition>({ ...catchUpOptions, isBehind: position => compareStorePositions(position, state.position()) > 0 })
 
   let pullCount = 0
 
@@ -278,7 +299,7 @@
   const runMaintenance = (): void => {
     gossip.addCandidates(seeds())
     if (follower.isDisconnected()) pull()
-    publish('time')
+    publish(TIME_SOURCE)
     cancelMaintenance = clock.after(alignedDelayMs(clock.nowMs(), MAINTENANCE_INTERVAL_MS), runMaintenance)
   }
 
@@ -298,8 +319,9 @@
     runMaintenance()
   }
 
-  const entryAnswer = (zone?: string): EntryAnswer => buildZoneEntryAnswer(members(), {
-    zone,
+  const entryAnswer = (caller: EntryCaller = {}): EntryAnswer => buildZoneEntryAnswer(members(), {
+    zone: caller.zone,
+    zones: entryZones(activeConfiguration?.routes ?? [], zoneRegions, caller),
     addressesMax: ENTRY_ADDRESSES_MAX,
     lifetimeMs: activeConfiguration?.settings.entryLifetimeMs ?? DEFAULT_ENTRY_LIFETIME_MS
   })
@@ -308,6 +330,7 @@
     start,
     onConfiguration: onConfiguration.add,
     onTargets: onTargets.add,
+    onEvacuations: onEvacuations.add,
     onNotes: onNotes.add,
     onProbe: onProbe.add,
     setLastResponseSource: () => undefined,
@@ -338,6 +361,7 @@
       ...(Number.isFinite(follower.ageMs()) && { store_age_ms: Math.round(follower.ageMs()) }),
       store_revision: state.position().revision,
       store_restore_count: state.position().restoreCount,
+      evacuated_zones: state.evacuatedZones().size,
       configuration_version: state.configuration()?.version ?? 0,
       configuration_heard_version: news.newestVersion(),
       ...(adoptedMs !== undefined && { configuration_age_ms: Math.round(clock.nowMs() - adoptedMs) })
@@ -346,6 +370,7 @@
       isStopped = true
       cancelMaintenance()
       catchUp.stop()
+      evacuationCatchUp.stop()
       suspectSync.stop()
       follower.stop()
       await Promise.all([gossip.stop(), peerServer?.close(), clients.close(), store.close()])
--- a/packages/daemon/src/placement.ts
+++ b/packages/daemon/src/placement.ts
@@ -2,13 +2,14 @@
  * Executes the placement of a request: probes targets for their load, waits,
  * and returns the selected target to the attempt.
  */
-import { planPlacement, type Placement, type PlacementRequest, type Refused, type Search } from '@wisteriavalve/policy'
+import { planPlacement, type OverflowOutcome, type Placement, type PlacementRequest, type Refused, type Search } from '@wisteriavalve/policy'
 import type { Exchange } from './exchange.js'
 import { probeLoad } from './load-probes.js'
 import type { AttemptPurpose, PipelineContext } from './pipeline-context.js'
 import { isolateErrors } from './completion.js'
 import { requestIdentity } from './request-identity.js'
 import { excludedTargets } from './suspect-isolation.js'
+import { zoneCrossing } from './zone-traffic.js'
 
 export type PlacementOutcome = Exclude<Placement, { step: 'probe' | 'wait' }>
 
@@ -25,8 +26,10 @@
  */
 const UNANSWERED_PROBES_MAX = 6
 
+type PlacedRequest = Pick<Exchange, 'kind' | 'arrivedMs' | 'deadlineMs' | 'allowedZones'>
+
 /** Time for which a request can wait for a permit and still be answered within its objective. */
-export const permitWaitMaxMs = ({ clock, serviceTimes }: PipelineContext, { kind, arrivedMs, deadlineMs }: Exchange): number => {
+export const permitWaitMaxMs = ({ clock, serviceTimes }: Pick<PipelineContext, 'clock' | 'serviceTimes'>, { kind, arrivedMs, deadlineMs }: PlacedRequest): number => {
   const objectiveMs = (kind.objectiveMs ?? kind.deadlineMs) * OBJECTIVE_SHARE
   return Math.max(0, Math.min(arrivedMs + objectiveMs, deadlineMs) - clock.nowMs() - serviceTimes.usualMs(kind.name, objectiveMs))
 }
@@ -35,22 +38,21 @@
  * A hedge does not wait, since it would be sent too late. Retries and hedges
  * are not refused, since a refusal would hide the result of the first attempt.
  */
-const placementRequest = (
-  context: PipelineContext, exchange: Exchange, purpose: AttemptPurpose, { probed, canProbe }: Pick<PlacementRequest, 'probed' | 'canProbe'>
+export const createPlacementRequest = (
+  context: Pick<PipelineContext, 'clock' | 'serviceTimes' | 'zone'>, request: PlacedRequest, purpose: AttemptPurpose,
+  fields: Pick<PlacementRequest, 'probed' | 'canProbe' | 'exclude' | 'bodyBytes' | 'warmupDraw' | 'crossing'>
 ): PlacementRequest => {
-  const { kind, arrivedMs, deadlineMs } = exchange
+  const { kind, arrivedMs, deadlineMs } = request
   const objectiveMs = (kind.objectiveMs ?? kind.deadlineMs) * OBJECTIVE_SHARE
   return {
+    ...fields,
     zone: context.zone,
-    exclude: excludedTargets(context, exchange),
     idempotent: kind.idempotent,
-    bodyBytes: exchange.body.sizeBytes(),
+    allowedZones: request.allowedZones,
     serviceTimeMs: context.serviceTimes.usualMs(kind.name, objectiveMs),
     objectiveEndMs: arrivedMs + objectiveMs,
     deadlineMs,
-    permitWaitMaxMs: purpose === 'hedge' ? 0 : permitWaitMaxMs(context, exchange),
-    probed,
-    canProbe,
+    permitWaitMaxMs: purpose === 'hedge' ? 0 : permitWaitMaxMs(context, request),
     canWait: purpose !== 'hedge',
     canRefuse: purpose === 'first',
     requiresFreeAndFast: purpose === 'hedge'
@@ -63,12 +65,12 @@
   return identity === undefined ? undefined : `${exchange.call.address} ${exchange.call.req.socket.remotePort} ${identity}`
 }
 
-/** Starts the search of a request that may be refused because of the load. */
-const beginSearch = (context: PipelineContext, exchange: Exchange, resume: () => void): Search | Refused => {
+/** Starts the search of a request that may be refused because of the load; undefined without admission by priority. */
+const beginSearch = (context: PipelineContext, exchange: Exchange, resume: () => void): Search | Refused | undefined => {
   const { runtime, kind, arrivedMs, deadlineMs } = exchange
   const nowMs = context.clock.nowMs()
   const objectiveMs = (kind.objectiveMs ?? kind.deadlineMs) * OBJECTIVE_SHARE
-  return runtime.scarcity.begin({
+  return runtime.scarcity?.begin({
     weight: kind.weight,
     serviceTimeMs: context.serviceTimes.usualMs(kind.name, objectiveMs),
     objectiveEndMs: arrivedMs + objectiveMs,
@@ -78,10 +80,17 @@
   }, runtime.table.routing(nowMs), nowMs, context.random)
 }
 
+/** Adds the limits of the admission by priority to a request; without it, the request is not changed. */
+export const limitByPriority = (request: PlacementRequest, { scarcity }: Pick<Exchange['runtime'], 'scarcity'>, search: Search | undefined, nowMs: number): PlacementRequest =>
+  scarcity ? { ...request, avoidsReportedFull: true, ...search?.limits(nowMs) } : request
+
 /** @param onPlaced called once, unless the request ends earlier */
 export const place = (context: PipelineContext, exchange: Exchange, purpose: AttemptPurpose, onPlaced: (outcome: PlacementOutcome) => void): void => {
   const { runtime } = exchange
   const probed = new Set<string>()
+  const warmupDraw = context.random.next()
+  const startedMs = context.clock.nowMs()
+  let overflow: OverflowOutcome = 'stayed'
   let pendingCount = 0
   let unansweredCount = 0
   let search: Search | undefined
@@ -96,8 +105,9 @@
   const finish = (outcome: PlacementOutcome): void => {
     const nowMs = context.clock.nowMs()
     if (outcome.step === 'send') search?.recordSent(nowMs)
-    const completed = search && outcome.step === 'refuse' && outcome.cause === 'late' ? search.refuse(outcome, nowMs) : outcome
+    const completed = search && outcome.step === 'refuse' && outcome.cause === 'late' ? { ...outcome, ...search.refuse(outcome, nowMs) } : outcome
     search?.end()
+    runtime.overflow.record(overflow, nowMs)
     onPlaced(completed)
   }
 
@@ -122,8 +132,17 @@
 
   const step = (): void => {
     const nowMs = context.clock.nowMs()
-    const request = { ...placementRequest(context, exchange, purpose, { probed, canProbe }), ...search?.limits(nowMs) }
-    const placement = planPlacement(runtime.table.routing(nowMs), request, nowMs, context.random)
+    const bodyBytes = exchange.body.sizeBytes()
+    const request = createPlacementRequest(context, exchange, purpose, {
+      probed,
+      canProbe,
+      warmupDraw,
+      exclude: excludedTargets(context, exchange),
+      bodyBytes,
+      crossing: zoneCrossing(context, exchange, bodyBytes, nowMs - startedMs)
+    })
+    const placement = planPlacement(runtime.table.routing(nowMs), limitByPriority(request, runtime, search, nowMs), nowMs, context.random)
+    overflow = placement.overflow ?? overflow
     if (placement.step === 'probe') sendProbes(placement.targetIds)
     else if (placement.step === 'wait') {
       search?.recordWait(nowMs)
@@ -137,7 +156,7 @@
 
   if (purpose === 'first') {
     const begun = beginSearch(context, exchange, resumeEarly)
-    if ('step' in begun) {
+    if (begun && 'step' in begun) {
       onPlaced(begun)
       return
     }
--- a/packages/daemon/src/request-pipeline.ts
+++ b/packages/daemon/src/request-pipeline.ts
@@ -2,13 +2,14 @@
  * The request path: validation, admission, attempts, completion. See section 5
  * of docs/design.md.
  */
-import type { CallerLimits } from '@wisteriavalve/policy'
+import { isZoneAllowed, type CallerLimits } from '@wisteriavalve/policy'
 import type { ResultName } from '@wisteriavalve/schema'
 import { resetCaller, sendFailureResponse, type Call } from './adapters/caller-http.js'
 import { startAttempt } from './attempts.js'
 import { LEAVING_RETRY_AFTER_MS } from './constants.js'
 import type { Exchange } from './exchange.js'
 import { isRequestId } from './headers.js'
+import { failWithoutTarget } from './missing-targets.js'
 import { validateCall, type CallValidation } from './request-validation.js'
 import type { PipelineContext } from './pipeline-context.js'
 import { createRequestBody } from './request-body.js'
@@ -59,6 +60,7 @@
     head,
     runtime,
     kind,
+    allowedZones: accepted.allowedZones,
     body: createRequestBody({
       call,
       collectBytesMax: context.collectBytesMax,
@@ -144,8 +146,8 @@
     failExchange(context, exchange, 'request-crashes-targets', { detail: context.crashWatch.describe(exchange) })
     return
   }
-  if (runtime.table.routing(nowMs).candidates.length === 0) {
-    failExchange(context, exchange, 'no-target')
+  if (!runtime.table.routing(nowMs).candidates.some(state => isZoneAllowed(state, exchange))) {
+    failWithoutTarget(context, exchange)
     return
   }
   exchange.phase = 'queued'
--- a/packages/daemon/src/service-runtimes.ts
+++ b/packages/daemon/src/service-runtimes.ts
@@ -5,8 +5,8 @@
  */
 import { countBy, type Clock, type Random } from '@wisteriavalve/common'
 import {
-  connectionShare, createAdmission, createRetryBudget, createRouteIndex, createScarcity, createServiceIndex, createTargetTable,
-  type Admission, type ProbeResult, type RetryBudget, type RetryLimits, type Scarcity, type ServiceIndex, type TargetHealth, type TargetTable
+  connectionShare, createAdmission, createResponseSizes, createRetryBudget, createRouteIndex, createScarcity, createServiceIndex, createTargetTable, createZoneOverflow,
+  type Admission, type ProbeResult, type ResponseSizes, type RetryBudget, type RetryLimits, type Scarcity, type ServiceIndex, type TargetHealth, type TargetTable, type WarmupOptions, type WarmupReason, type ZoneOverflow
 } from '@wisteriavalve/policy'
 import type { ServiceConfiguration, Target, TargetNote, TargetStatus } from '@wisteriavalve/schema'
 import { createTargetConnections, type BackendConnection, type TargetConnections } from './backend-connections.js'
@@ -19,13 +19,19 @@
   table: TargetTable
   admission: Admission
   retryBudget: RetryBudget
-  /** Admission by priority of requests that are placed by fresh load reports. */
-  scarcity: Scarcity
+  /** Admission by priority of requests that are placed by fresh load reports; absent unless the option admitsByPriority is set. */
+  scarcity: Scarcity | undefined
   connections: Map<string, TargetConnections>
   /** Callbacks of requests that found all usable targets at their limits; each retries the selection. */
   targetWaiters: Set<() => void>
   /** Number of attempts of suspects at each target; see suspect-isolation.ts. */
   suspectCounts: Map<string, number>
+  /** Usual response size of each kind. */
+  responseSizes: ResponseSizes
+  /** Limit on the requests that leave the zone; used only with the setting crossZoneMsPerKb. */
+  overflow: ZoneOverflow
+  /** Attempts at targets or peers in other zones, and the bytes of their bodies and responses. */
+  crossZone: { requests: number, bytes: number }
   share: number
   /** Targets that must not get new requests. Checked again directly before a request is written. */
   draining: Set<string>
@@ -40,11 +46,16 @@
    * limited by the reports instead of the capacity estimate.
    */
   probesBeforeAttempt?: boolean
+  /** Whether the requests that leave the zone are limited. */
+  limitsZoneOverflow?: boolean
+  /** Whether requests are admitted by priority while a service has too little capacity. */
+  admitsByPriority?: boolean
   /** Whether targets are known to echo request ids in their responses. */
   echoesRequestIds?: boolean
   onHealth: (service: string, targetId: string, health: TargetHealth, reason: string) => void
   onRequestLimit: (service: string, targetId: string, limitPerS: number | undefined) => void
   onTargetPause: (service: string, targetId: string, pauseMs: number) => void
+  onWarmup: (service: string, targetId: string, isCold: boolean, reason: WarmupReason) => void
   onSilent: (service: string, targetId: string, retired: BackendConnection[]) => void
   /** Called when a new connection to a target has opened or failed to open. */
   onOpenResult: (targetId: string, isOpen: boolean) => void
@@ -56,6 +67,8 @@
   all: () => Iterable<ServiceRuntime>
   applyConfiguration: (adopted: ActiveConfiguration) => void
   applyTargets: (service: string, targets: ServiceTargets) => void
+  /** @param zones zones whose targets must get no requests */
+  applyEvacuations: (zones: ReadonlySet<string>) => void
   applyNotes: (notes: readonly TargetNote[]) => void
   applyProbe: (service: string, targetId: string, result: ProbeResult) => void
   /** Connection pool of a target; created on first use. */
@@ -81,8 +94,8 @@
   return configuration.trustsReuse === true ? targets.map(target => ({ ...target, trustsReuse: true })) : targets
 }
 
-const gaugeValuesOf = (runtime: ServiceRuntime, nowMs: number): ServiceGaugeValues => {
-  const { configuration, admission, targetWaiters, retryBudget, scarcity, table } = runtime
+const gaugeValuesOf = (runtime: ServiceRuntime, limitsZoneOverflow: boolean, nowMs: number): ServiceGaugeValues => {
+  const { configuration, admission, targetWaiters, retryBudget, scarcity, table, overflow, crossZone } = runtime
   const targets = statusOf(runtime, nowMs)
   return {
     service: configuration.name,
@@ -91,14 +104,24 @@
     retriesLeft: retryBudget.remaining('retry', nowMs),
     hedgesLeft: retryBudget.remaining('hedge', nowMs),
     capacity: table.capacity(nowMs),
-    pressure: scarcity.pressure(nowMs),
-    refusalsByWeight: Object.fromEntries(scarcity.refusals()),
+    pressure: scarcity?.pressure(nowMs) ?? 0,
+    refusalsByWeight: Object.fromEntries(scarcity?.refusals() ?? []),
     limitedTargets: targets.filter(({ requestLimitPerS }) => requestLimitPerS !== undefined).length,
+    coldTargets: table.coldCount(nowMs),
     pausedTargets: targets.filter(({ pausedMs }) => pausedMs !== undefined).length,
+    crossZoneRequests: crossZone.requests,
+    crossZoneBytes: crossZone.bytes,
+    ...(limitsZoneOverflow && { overflowShare: overflow.share() }),
     targetsByState: countBy(targets, ({ health }) => health)
   }
 }
 
+/** Time for which a health response shows that a target is warm. */
+const WARMUP_TRUST_MS = 1_000
+
+const warmupOptions = ({ warmupMs = 0, warmupRatePerS = 0 }: ServiceConfiguration, probesBeforeAttempt: boolean): WarmupOptions | undefined =>
+  warmupMs > 0 ? { durationMs: warmupMs, ratePerS: warmupRatePerS, trustMs: probesBeforeAttempt ? WARMUP_TRUST_MS : Infinity } : undefined
+
 /** Lets each request that waits for a target try again. A request that still finds none registers again. */
 export const retryTargetWaiters = (runtime: ServiceRuntime): void => {
   if (runtime.targetWaiters.size === 0) return
@@ -130,11 +153,12 @@
   }
 }
 
-export const createServiceRuntimes = ({ clock, random, retryLimits, probesBeforeAttempt = false, echoesRequestIds = false, onHealth, onRequestLimit, onTargetPause, onSilent, onOpenResult }: ServiceRuntimesOptions): ServiceRuntimes => {
+export const createServiceRuntimes = ({ clock, random, retryLimits, probesBeforeAttempt = false, limitsZoneOverflow = false, admitsByPriority = false, echoesRequestIds = false, onHealth, onRequestLimit, onTargetPause, onWarmup, onSilent, onOpenResult }: ServiceRuntimesOptions): ServiceRuntimes => {
   const runtimes = new Map<string, ServiceRuntime>()
   /** Services that the configuration leaves out, and since when. */
   const removedRuntimes = new Map<string, { runtime: ServiceRuntime, removedMs: number }>()
   const targetsByService = new Map<string, ServiceTargets>()
+  let evacuatedZones: ReadonlySet<string> = new Set()
   let index: ServiceIndex | undefined
   /** Services with attempts or changes since target notes were last collected. */
   const changedRuntimes = new Set<ServiceRuntime>()
@@ -145,6 +169,7 @@
     service: configuration.name,
     slotsPerTarget: configuration.slotsPerTarget,
     connectionShare: share,
+    evacuatedZones,
     onHealth: (targetId, health, reason) => {
       if (health === 'draining') draining.add(targetId)
       else draining.delete(targetId)
@@ -153,7 +178,9 @@
       onHealth(configuration.name, targetId, health, reason)
     },
     onRequestLimit: (targetId, limitPerS) => onRequestLimit(configuration.name, targetId, limitPerS),
-    onPause: (targetId, pauseMs) => onTargetPause(configuration.name, targetId, pauseMs)
+    warmup: warmupOptions(configuration, probesBeforeAttempt),
+    onPause: (targetId, pauseMs) => onTargetPause(configuration.name, targetId, pauseMs),
+    onWarmup: (targetId, isCold, reason) => onWarmup(configuration.name, targetId, isCold, reason)
   })
 
   const setTargets = (runtime: ServiceRuntime, { targets, leavingIds }: ServiceTargets): void => {
@@ -170,10 +197,13 @@
       table: createTable(configuration, share, draining),
       admission: createAdmission({ queueLengthMax: QUEUE_LENGTH_MAX, capacity: nowMs => probesBeforeAttempt ? Infinity : runtime.table.capacity(nowMs) }),
       retryBudget: createRetryBudget(retryLimits),
-      scarcity: createScarcity(),
+      scarcity: admitsByPriority ? createScarcity() : undefined,
       connections: new Map(),
       targetWaiters: new Set(),
       suspectCounts: new Map(),
+      responseSizes: createResponseSizes(),
+      overflow: createZoneOverflow(),
+      crossZone: { requests: 0, bytes: 0 },
       share,
       draining
     }
@@ -208,13 +238,22 @@
       setTargets(runtime, targets)
       return
     }
-    const isResized = existing.share !== share || existing.configuration.slotsPerTarget !== configuration.slotsPerTarget
+    const { slotsPerTarget, warmupMs, warmupRatePerS } = existing.configuration
+    const isResized = existing.share !== share || slotsPerTarget !== configuration.slotsPerTarget ||
+      warmupMs !== configuration.warmupMs || warmupRatePerS !== configuration.warmupRatePerS
     existing.configuration = configuration
     existing.share = share
-    if (isResized) existing.table.resize({ slotsPerTarget: configuration.slotsPerTarget, connectionShare: share })
+    if (isResized) existing.table.resize({ slotsPerTarget: configuration.slotsPerTarget, connectionShare: share, warmup: warmupOptions(configuration, probesBeforeAttempt) })
     setTargets(existing, targets)
   }
 
+  /** Targets of a zone that is used again are expected to be cold, before they can be chosen. */
+  const setEvacuatedZones = ({ table }: ServiceRuntime, endedZones: readonly string[]): void => {
+    const nowMs = clock.nowMs()
+    for (const zone of endedZones) table.expectWarmup(zone, nowMs)
+    table.setEvacuatedZones(evacuatedZones)
+  }
+
   const connectionsTo = (runtime: ServiceRuntime, target: Target): TargetConnections => {
     changedRuntimes.add(runtime)
     const existing = runtime.connections.get(target.id)
@@ -247,6 +286,15 @@
       const runtime = runtimes.get(service)
       if (runtime) setTargets(runtime, targets)
     },
+    applyEvacuations: zones => {
+      const endedZones = [...evacuatedZones].filter(zone => !zones.has(zone))
+      evacuatedZones = zones
+      for (const { runtime } of removedRuntimes.values()) setEvacuatedZones(runtime, endedZones)
+      for (const runtime of runtimes.values()) {
+        setEvacuatedZones(runtime, endedZones)
+        retryTargetWaiters(runtime)
+      }
+    },
     applyNotes: notes => {
       const nowMs = clock.nowMs()
       for (const note of notes) runtimes.get(note.service)?.table.recordPeerObservation(note, nowMs)
@@ -293,7 +341,7 @@
       }
     },
     status: nowMs => [...runtimes.values()].flatMap(runtime => statusOf(runtime, nowMs)),
-    gaugeValues: nowMs => [...runtimes.values()].map(runtime => gaugeValuesOf(runtime, nowMs)),
+    gaugeValues: nowMs => [...runtimes.values()].map(runtime => gaugeValuesOf(runtime, limitsZoneOverflow, nowMs)),
     closeIdle: () => {
       for (const { connections } of runtimes.values()) for (const pool of connections.values()) pool.closeIdle()
     }
--- a/packages/policy/src/placement.ts
+++ b/packages/policy/src/placement.ts
@@ -21,6 +21,10 @@
 import { chooseLimited, hasLimit, isPermitPossible } from './request-limit.js'
 import { isPaused, pauseRetryAfterMs } from './target-pause.js'
 import type { RoutingState, TargetState } from './types.js'
+import { chooseColdOverflow, chooseColdShare, chooseColdWait, isCold, isRecentlyChecked, needsWarmupPermit, splitByWarmup, type WarmupOptions } from './warmup.js'
+import { isZoneAllowed } from './zone-limits.js'
+import { planWithCrossing, type CrossingSteps } from './zone-crossing.js'
+import { byteCostMs } from './zone-overflow.js'
 
 /** A report of at most this age is used as the current state of the target. */
 const FRESH_REPORT_MS = 20
@@ -68,7 +72,7 @@
 const slowdownOf = (state: TargetState, nowMs: number): number => {
   const weight = state.lastReportMs === -Infinity ? 0 : halfLifeWeight(nowMs - state.lastReportMs - FRESH_REPORT_MS, SLOWDOWN_HALF_LIFE_MS)
   const reported = weight * state.slowdown + (1 - weight) * UNKNOWN_SLOWDOWN
-  return state.health === 'cold' ? Math.max(COLD_SLOWDOWN, reported) : reported
+  return state.health === 'cold' || isCold(state, nowMs) ? Math.max(COLD_SLOWDOWN, reported) : reported
 }
 
 /** Whether the target has a free slot, besides those that are left to more urgent requests. */
@@ -88,21 +92,27 @@
 
 /** Servers slow down when their last slot is taken, so such a target is a second choice, as is a cold target. */
 const isFirstChoice = (state: TargetState, isPressed: boolean, nowMs: number): boolean =>
-  state.health !== 'cold' && (isPressed || loadOf(state) + 1 < state.slots) && !hasRecentFailure(state, nowMs)
+  state.health !== 'cold' && !isCold(state, nowMs) && (isPressed || loadOf(state) + 1 < state.slots) && !hasRecentFailure(state, nowMs)
+
+/** Cost of a target because of its zone, in units of the usual service time. */
+const zoneCost = ({ target }: TargetState, { zone, crossing, serviceTimeMs }: PlacementRequest): number => {
+  if (target.zone === zone) return 0
+  return crossing ? (crossing.roundTripMs(target.zone) + byteCostMs(crossing)) / serviceTimeMs : OTHER_ZONE_COST
+}
 
 /** Expected time until the response for a given load, plus preferences, in units of the usual service time. */
-const expectedCost = (state: TargetState, load: number, zone: string, nowMs: number): number => {
+const expectedCost = (state: TargetState, load: number, request: PlacementRequest, nowMs: number): number => {
   const slowdown = slowdownOf(state, nowMs)
   const wait = Math.max(0, load + 1 - state.slots) / state.slots
   // A target with more free slots is less likely to be full when the request arrives.
   const occupancyCost = Math.min(1, load / state.slots) * 0.2
   const failureCost = hasRecentFailure(state, nowMs) ? FAILURE_COST : 0
-  return slowdown * (1 + wait) + occupancyCost + failureCost + (state.target.zone === zone ? 0 : OTHER_ZONE_COST)
+  return slowdown * (1 + wait) + occupancyCost + failureCost + zoneCost(state, request)
 }
 
 /** Expected cost of a target without a fresh report. */
 const estimatedCost = (state: TargetState, routing: RoutingState, request: PlacementRequest, nowMs: number): number =>
-  expectedCost(state, expectedLoad(state, routing, request.serviceTimeMs, nowMs), request.zone, nowMs)
+  expectedCost(state, expectedLoad(state, routing, request.serviceTimeMs, nowMs), request, nowMs)
 
 const withLowestCost = (states: readonly TargetState[], costOf: (state: TargetState) => number, random: Random): TargetState | undefined => {
   let best: TargetState | undefined
@@ -119,8 +129,8 @@
   return best
 }
 
-const isEligible = (state: TargetState, { exclude, idempotent }: PlacementRequest, isFailOpen: boolean): boolean =>
-  !exclude.has(state.target.id) && (state.health !== 'probation' || idempotent !== false || isFailOpen)
+const isEligible = (state: TargetState, request: PlacementRequest, isFailOpen: boolean): boolean =>
+  !request.exclude.has(state.target.id) && isZoneAllowed(state, request) && (state.health !== 'probation' || request.idempotent !== false || isFailOpen)
 
 const isAcceptingRequests = (state: TargetState, nowMs: number): boolean =>
   state.inFlight < Math.max(effectiveLimit(state), state.slots) && nowMs >= state.avoidUntilMs
@@ -128,7 +138,7 @@
 const describe = (state: TargetState, nowMs: number): string =>
   `load ${loadOf(state)} of ${state.slots} slots, work takes ${state.slowdown.toFixed(2)} times the usual, report ${Math.round(nowMs - state.lastReportMs)} ms old`
 
-const send = (state: TargetState, reason: string, permitWaitMaxMs = 0): Placement =>
+const send = (state: TargetState, reason: string, permitWaitMaxMs = 0): Placement & { step: 'send' } =>
   ({ step: 'send', targetId: state.target.id, reason, permitWaitMaxMs })
 
 /**
@@ -140,17 +150,22 @@
 ): Placement | undefined => {
   const isPressed = request.needsReport === true
   const freshMs = isPressed ? PRESSED_REPORT_MS : FRESH_REPORT_MS
-  const fresh = group.filter(state => nowMs - state.lastReportMs <= freshMs && isFreeAndFast(state, request.reservedShare))
-  const firstChoice = withLowestCost(fresh.filter(state => isFirstChoice(state, isPressed, nowMs)), state => expectedCost(state, loadOf(state), request.zone, nowMs), random)
+  // A load report of a response to a request does not show whether the target is cold.
+  const isWarmthKnown = (state: TargetState): boolean =>
+    isRecentlyChecked(state, routing.warmup, nowMs) && !needsWarmupPermit(state, routing.warmup, nowMs)
+  const fresh = group.filter(state => nowMs - state.lastReportMs <= freshMs && isWarmthKnown(state) && isFreeAndFast(state, request.reservedShare))
+  const firstChoice = withLowestCost(fresh.filter(state => isFirstChoice(state, isPressed, nowMs)), state => expectedCost(state, loadOf(state), request, nowMs), random)
   if (firstChoice) return send(firstChoice, describe(firstChoice, nowMs))
-  const unprobed = request.probed.size >= (request.probesMax ?? Infinity) ? [] : group.filter(state => !request.probed.has(state.target.id) && !hasFreshReport(state, nowMs) && request.canProbe(state.target.id))
+  const needsProbe = (state: TargetState): boolean =>
+    !request.probed.has(state.target.id) && !(hasFreshReport(state, nowMs) && isWarmthKnown(state)) && request.canProbe(state.target.id)
+  const unprobed = request.probed.size >= (request.probesMax ?? Infinity) ? [] : group.filter(needsProbe)
   const targetIds: string[] = []
   for (let count = 0; count < PARALLEL_PROBES_MAX; count++) {
     const next = withLowestCost(unprobed.filter(({ target }) => !targetIds.includes(target.id)), state => estimatedCost(state, routing, request, nowMs), random)
     if (next) targetIds.push(next.target.id)
   }
   if (targetIds.length > 0) return { step: 'probe', targetIds }
-  const secondChoice = withLowestCost(fresh, state => expectedCost(state, loadOf(state), request.zone, nowMs), random)
+  const secondChoice = withLowestCost(fresh, state => expectedCost(state, loadOf(state), request, nowMs), random)
   return secondChoice && send(secondChoice, `second choice: ${describe(secondChoice, nowMs)}`)
 }
 
@@ -172,15 +187,16 @@
  * slot on a slow target is preferred to a queue. When every slot is taken, the
  * request is refused: it would wait in a target's queue, be late, and delay the
  * requests behind it. A target without a recent report, because a probe failed or
- * this node is overloaded, is not a reason to refuse. A request that cannot be
- * refused any more is sent to a target whose fresh report shows that its slots are
- * taken only if all targets have such reports.
+ * this node is overloaded, is not a reason to refuse. With avoidsReportedFull, a
+ * request that cannot be refused any more is sent to a target whose fresh report
+ * shows that its slots are taken only if all targets have such reports.
  */
 const chooseFallback = (group: readonly TargetState[], request: PlacementRequest, nowMs: number, random: Random): Placement => {
-  const costOf = (state: TargetState): number => expectedCost(state, loadOf(state), request.zone, nowMs)
+  const costOf = (state: TargetState): number => expectedCost(state, loadOf(state), request, nowMs)
   const needsReport = request.needsReport && request.canRefuse
   const free = withLowestCost(group.filter(state => nowMs - state.lastReportMs <= (needsReport ? PRESSED_REPORT_MS : RECENT_REPORT_MS) ? isFree(state, request.reservedShare) : !needsReport), costOf, random)
-  const best = free ?? withLowestCost(group.filter(state => !hasFreshReport(state, nowMs)), costOf, random) ?? withLowestCost(group, costOf, random)
+  const unreported = request.avoidsReportedFull ? group.filter(state => !hasFreshReport(state, nowMs)) : []
+  const best = free ?? withLowestCost(unreported, costOf, random) ?? withLowestCost(group, costOf, random)
   if (!best) return { step: 'none' }
   const expectedMs = costOf(best) * request.serviceTimeMs
   const isTooLate = hasRecentReport(best, nowMs) && nowMs + EXPECTED_TIME_SHARE * expectedMs > (request.isThrottled ? request.objectiveEndMs : request.deadlineMs)
@@ -188,17 +204,34 @@
     const backlogMs = Math.min(...group.map(state => queueWaitMs(state, request.serviceTimeMs)))
     return { step: 'refuse', cause: 'late', retryAfterMs: Math.max(RETRY_AFTER_MIN_MS, backlogMs) }
   }
-  return send(best, `none is better: ${describe(best, nowMs)}`)
+  return { ...send(best, `none is better: ${describe(best, nowMs)}`), isFallback: true }
+}
+
+/** Expected time until the response of a target that is not free and fast, with the wait for a slot or for the end of its slowness. */
+const expectedHomeMs = (state: TargetState, routing: RoutingState, { serviceTimeMs }: PlacementRequest, nowMs: number): number => {
+  const load = hasRecentReport(state, nowMs) ? loadOf(state) : expectedLoad(state, routing, serviceTimeMs, nowMs)
+  const slowMs = (slowdownOf(state, nowMs) - 1) * serviceTimeMs
+  return serviceTimeMs * (1 + Math.max(0, load + 1 - state.slots) / state.slots) + Math.min(slowMs, SLOWDOWN_HALF_LIFE_MS)
 }
 
+/** The steps of this module for one request, for the plan that limits requests between zones. */
+const stepsFor = (routing: RoutingState, request: PlacementRequest, nowMs: number, random: Random): CrossingSteps => ({
+  choose: group => chooseInGroup(group, routing, request, nowMs, random),
+  fallBack: group => chooseFallback(group, request, nowMs, random),
+  expectedHomeMs: state => expectedHomeMs(state, routing, request, nowMs),
+  hasRecentlyFree: state => hasRecentReport(state, nowMs) && isFree(state, request.reservedShare),
+  waitUntilMs: group => request.canWait && isWorthWaiting(group, request, nowMs) ? nowMs + waitMs(request.serviceTimeMs) : undefined
+})
+
 /** Next step among targets without a request limit. */
 const planUnlimited = (eligible: readonly TargetState[], routing: RoutingState, request: PlacementRequest, nowMs: number, random: Random): Placement => {
   const acceptingTargets = eligible.filter(state => isAcceptingRequests(state, nowMs))
   const usable = acceptingTargets.length > 0 ? acceptingTargets : eligible
+  if (request.crossing) return planWithCrossing(usable, request.crossing, request, nowMs, stepsFor(routing, request, nowMs, random))
   const zoneTargets = usable.filter(({ target }) => target.zone === request.zone)
   const otherZoneTargets = usable.filter(({ target }) => target.zone !== request.zone)
   const shouldStayInZone = zoneTargets.length > 0 && request.bodyBytes > CROSS_ZONE_BODY_BYTES_MAX
-  const canWait = request.canWait && !request.isThrottled && isWorthWaiting(shouldStayInZone ? zoneTargets : usable, request, nowMs)
+  const canWait = request.canWait && isWorthWaiting(shouldStayInZone ? zoneTargets : usable, request, nowMs)
   const step = chooseInGroup(zoneTargets, routing, request, nowMs, random) ??
     (shouldStayInZone && canWait ? undefined : chooseInGroup(otherZoneTargets, routing, request, nowMs, random))
   if (step) return step
@@ -221,10 +254,11 @@
  * much the target can take, so it is asked for no load report, and what the limit
  * leaves goes to other targets. Hedges leave the permits to requests.
  */
-const choosePermitted = (limited: readonly TargetState[], request: PlacementRequest, nowMs: number, random: Random): Placement | undefined => {
+const choosePermitted = (limited: readonly TargetState[], { warmup }: RoutingState, request: PlacementRequest, nowMs: number, random: Random): Placement | undefined => {
   if (request.requiresFreeAndFast) return undefined
   const permitted = limited.filter(state => isPermittedFirst(state, request, nowMs))
-  const best = withLowestCost(permitted, state => expectedCost(state, loadOf(state), request.zone, nowMs), random)
+  const best = withLowestCost(permitted, state => expectedCost(state, loadOf(state), request, nowMs), random)
+  if (best && needsWarmupPermit(best, warmup, nowMs)) return { step: 'probe', targetIds: [best.target.id] }
   return best && send(best, `within its request limit: ${describe(best, nowMs)}`)
 }
 
@@ -236,6 +270,36 @@
   return request.canRefuse ? { step: 'refuse', cause: 'rate-limited', retryAfterMs: choice.retryAfterMs, detail: choice.detail } : { step: 'none' }
 }
 
+/** Next step among targets of which at least one may take a request without a warm-up permit, or may show in a probe that it can. */
+const planOpen = (usable: readonly TargetState[], routing: RoutingState, request: PlacementRequest, nowMs: number, random: Random): Placement => {
+  const limited = usable.filter(hasLimit)
+  if (limited.length === 0) return planUnlimited(usable, routing, request, nowMs, random)
+  return choosePermitted(limited, routing, request, nowMs, random) ?? (limited.length === usable.length
+    ? chooseAmongLimited(limited, request, nowMs, random)
+    : planUnlimited(usable.filter(state => !hasLimit(state)), routing, request, nowMs, random))
+}
+
+/** Waits for the warm-up permit that is due first, or refuses. Hedges are not sent to cold targets. */
+const planAllCold = (cold: readonly TargetState[], request: PlacementRequest, nowMs: number, random: Random): Placement => {
+  if (request.requiresFreeAndFast) return { step: 'none' }
+  const choice = chooseColdWait(cold, request, nowMs, random.next())
+  if ('state' in choice) return send(choice.state, `all targets may be cold, and its permit is due first: ${describe(choice.state, nowMs)}`, choice.permitWaitMaxMs)
+  return request.canRefuse ? { step: 'refuse', cause: 'rate-limited', retryAfterMs: choice.retryAfterMs, detail: choice.detail } : { step: 'none' }
+}
+
+/** Next step in a service with a warm-up; see warmup.ts. */
+const planWithWarmup = (usable: readonly TargetState[], options: WarmupOptions, routing: RoutingState, request: PlacementRequest, nowMs: number, random: Random): Placement => {
+  const shared = chooseColdShare(usable, request, nowMs)
+  if (shared?.step === 'probe') return { step: 'probe', targetIds: [shared.state.target.id] }
+  if (shared) return send(shared.state, `its share while it is cold: ${describe(shared.state, nowMs)}`)
+  const { cold, open } = splitByWarmup(usable, options, request, nowMs)
+  if (open.length === 0) return planAllCold(cold, request, nowMs, random)
+  const step = planOpen(open, routing, request, nowMs, random)
+  if (step.step === 'probe' || (step.step === 'send' && step.isFallback !== true)) return step
+  const overflow = chooseColdOverflow(cold, request, step.step === 'wait', nowMs)
+  return overflow ? send(overflow, `warm targets are busy, and it is cold: ${describe(overflow, nowMs)}`) : step
+}
+
 /**
  * Next step for a request that has no target yet. Call again after each probe
  * result and after each wait.
@@ -245,9 +309,7 @@
   if (eligible.length === 0) return { step: 'none' }
   const usable = eligible.filter(state => !isPaused(state, nowMs))
   if (usable.length === 0) return request.canRefuse ? { step: 'refuse', cause: 'paused', retryAfterMs: pauseRetryAfterMs(eligible, nowMs, random.next()) } : { step: 'none' }
-  const limited = usable.filter(hasLimit)
-  if (limited.length === 0) return planUnlimited(usable, routing, request, nowMs, random)
-  return choosePermitted(limited, request, nowMs, random) ?? (limited.length === usable.length
-    ? chooseAmongLimited(limited, request, nowMs, random)
-    : planUnlimited(usable.filter(state => !hasLimit(state)), routing, request, nowMs, random))
+  return routing.warmup
+    ? planWithWarmup(usable, routing.warmup, routing, request, nowMs, random)
+    : planOpen(usable, routing, request, nowMs, random)
 }
--- a/packages/policy/src/scarcity.ts
+++ b/packages/policy/src/scarcity.ts
@@ -151,7 +151,7 @@
       limits: nowMs => {
         const share = reservedShare(nowMs)
         const needsReport = isMostlyFull(routing.candidates, isPressed(nowMs) ? PRESSED_OCCUPANCY : FULL_OCCUPANCY, nowMs)
-        const canWait = hasWaited || !(needsReport || isPressed(nowMs)) || !isQueueTooLong(request, nowMs)
+        const canWait = !isThrottled && (hasWaited || !(needsReport || isPressed(nowMs)) || !isQueueTooLong(request, nowMs))
         const isLessUrgent = isPressed(nowMs) && shares.moreUrgentShare(request.weight, nowMs) > 0
         const probesMax = isThrottled ? 0 : isLessUrgent ? LESS_URGENT_PROBES_MAX : Infinity
         return { reservedShare: share, isThrottled, probesMax, needsReport, canWait }
