--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -71,10 +71,15 @@
    * the requests that leave the zone; takes effect only with probesBeforeAttempt.
    */
   crossZoneMsPerKb?: number
+  /**
+   * Whether requests are admitted by priority while a service has too little
+   * capacity; takes effect only with probesBeforeAttempt.
+   */
+  admitsByPriority?: boolean
 }
 
 export const createDaemon = (
-  { settings, clock, random, log, events }: DaemonContext, fleet: FleetRuntime, { callerLimits = CALLER_LIMITS, dialect = DEFAULT_DIALECT, collectBytesMax = REPLAY_BYTES_MAX, probesBeforeAttempt = false, probesPerTargetPerS = 0, fleetRetries, crossZoneMsPerKb }: DaemonOptions = {}
+  { settings, clock, random, log, events }: DaemonContext, fleet: FleetRuntime, { callerLimits = CALLER_LIMITS, dialect = DEFAULT_DIALECT, collectBytesMax = REPLAY_BYTES_MAX, probesBeforeAttempt = false, probesPerTargetPerS = 0, fleetRetries, crossZoneMsPerKb, admitsByPriority = false }: DaemonOptions = {}
 ): Daemon => {
   const startedMs = clock.nowMs()
   const startedWallMs = Date.now()
@@ -102,6 +107,7 @@
     random: createRandom(random.int(0x7fffffff)),
     probesBeforeAttempt,
     limitsZoneOverflow: crossZoneMsPerKb !== undefined,
+    admitsByPriority,
     echoesRequestIds: dialect.echoesRequestId,
     ...(fleetRetries && { retryLimits: shareRetryLimits(fleetRetries.share, fleetRetries.extra, fleetSize) }),
     onHealth: nodeEvents.recordTargetHealth,
--- a/packages/daemon/src/placement.ts
+++ b/packages/daemon/src/placement.ts
@@ -2,11 +2,12 @@
  * Executes the placement of a request: probes targets for their load, waits,
  * and returns the selected target to the attempt.
  */
-import { planPlacement, type OverflowOutcome, type Placement, type PlacementRequest } from '@wisteriavalve/policy'
+import { planPlacement, type OverflowOutcome, type Placement, type PlacementRequest, type Refused, type Search } from '@wisteriavalve/policy'
 import type { Exchange } from './exchange.js'
 import { probeLoad } from './load-probes.js'
 import type { AttemptPurpose, PipelineContext } from './pipeline-context.js'
 import { isolateErrors } from './completion.js'
+import { requestIdentity } from './request-identity.js'
 import { excludedTargets } from './suspect-isolation.js'
 import { zoneCrossing } from './zone-traffic.js'
 
@@ -58,6 +59,31 @@
   }
 }
 
+/** Identifies a request that is repeated on the connection of its caller. Equal requests of other callers arrive on other connections. */
+const repeatIdentity = (exchange: Exchange): string | undefined => {
+  const identity = requestIdentity(exchange)
+  return identity === undefined ? undefined : `${exchange.call.address} ${exchange.call.req.socket.remotePort} ${identity}`
+}
+
+/** Starts the search of a request that may be refused because of the load; undefined without admission by priority. */
+const beginSearch = (context: PipelineContext, exchange: Exchange, resume: () => void): Search | Refused | undefined => {
+  const { runtime, kind, arrivedMs, deadlineMs } = exchange
+  const nowMs = context.clock.nowMs()
+  const objectiveMs = (kind.objectiveMs ?? kind.deadlineMs) * OBJECTIVE_SHARE
+  return runtime.scarcity?.begin({
+    weight: kind.weight,
+    serviceTimeMs: context.serviceTimes.usualMs(kind.name, objectiveMs),
+    objectiveEndMs: arrivedMs + objectiveMs,
+    deadlineMs,
+    identity: () => repeatIdentity(exchange),
+    resume
+  }, runtime.table.routing(nowMs), nowMs, context.random)
+}
+
+/** Adds the limits of the admission by priority to a request; without it, the request is not changed. */
+export const limitByPriority = (request: PlacementRequest, { scarcity }: Pick<Exchange['runtime'], 'scarcity'>, search: Search | undefined, nowMs: number): PlacementRequest =>
+  scarcity ? { ...request, avoidsReportedFull: true, ...search?.limits(nowMs) } : request
+
 /** @param onPlaced called once, unless the request ends earlier */
 export const place = (context: PipelineContext, exchange: Exchange, purpose: AttemptPurpose, onPlaced: (outcome: PlacementOutcome) => void): void => {
   const { runtime } = exchange
@@ -67,6 +93,7 @@
   let overflow: OverflowOutcome = 'stayed'
   let pendingCount = 0
   let unansweredCount = 0
+  let search: Search | undefined
 
   const canProbe = (targetId: string): boolean =>
     unansweredCount < UNANSWERED_PROBES_MAX && context.probeAllowance.has(targetId, context.clock.nowMs())
@@ -75,6 +102,21 @@
 
   const resume = (): void => isolateErrors(context, exchange, () => { if (isRunning()) step() })
 
+  const finish = (outcome: PlacementOutcome): void => {
+    const nowMs = context.clock.nowMs()
+    if (outcome.step === 'send') search?.recordSent(nowMs)
+    const completed = search && outcome.step === 'refuse' && outcome.cause === 'late' ? { ...outcome, ...search.refuse(outcome, nowMs) } : outcome
+    search?.end()
+    runtime.overflow.record(overflow, nowMs)
+    onPlaced(completed)
+  }
+
+  const resumeEarly = (): void => {
+    if (exchange.placementTimer) context.wheel.cancel(exchange.placementTimer)
+    probed.clear()
+    resume()
+  }
+
   const sendProbes = (targetIds: readonly string[]): void => {
     for (const targetId of targetIds) {
       probed.add(targetId)
@@ -99,19 +141,27 @@
       bodyBytes,
       crossing: zoneCrossing(context, exchange, bodyBytes, nowMs - startedMs)
     })
-    const placement = planPlacement(runtime.table.routing(nowMs), request, nowMs, context.random)
+    const placement = planPlacement(runtime.table.routing(nowMs), limitByPriority(request, runtime, search, nowMs), nowMs, context.random)
     overflow = placement.overflow ?? overflow
     if (placement.step === 'probe') sendProbes(placement.targetIds)
     else if (placement.step === 'wait') {
+      search?.recordWait(nowMs)
       exchange.placementTimer = context.wheel.schedule(placement.untilMs, () => {
         probed.clear()
         resume()
       })
-    } else {
-      runtime.overflow.record(overflow, nowMs)
-      onPlaced(placement)
-    }
+    } else if (placement.step === 'send' && search?.yieldToMoreUrgent()) step()
+    else finish(placement)
   }
 
+  if (purpose === 'first') {
+    const begun = beginSearch(context, exchange, resumeEarly)
+    if (begun && 'step' in begun) {
+      onPlaced(begun)
+      return
+    }
+    search = begun
+    exchange.search = begun
+  }
   step()
 }
--- a/packages/daemon/src/service-runtimes.ts
+++ b/packages/daemon/src/service-runtimes.ts
@@ -5,8 +5,8 @@
  */
 import { countBy, type Clock, type Random } from '@wisteriavalve/common'
 import {
-  connectionShare, createAdmission, createResponseSizes, createRetryBudget, createRouteIndex, createServiceIndex, createTargetTable, createZoneOverflow,
-  type Admission, type ProbeResult, type ResponseSizes, type RetryBudget, type RetryLimits, type ServiceIndex, type TargetHealth, type TargetTable, type WarmupOptions, type WarmupReason, type ZoneOverflow
+  connectionShare, createAdmission, createResponseSizes, createRetryBudget, createRouteIndex, createScarcity, createServiceIndex, createTargetTable, createZoneOverflow,
+  type Admission, type ProbeResult, type ResponseSizes, type RetryBudget, type RetryLimits, type Scarcity, type ServiceIndex, type TargetHealth, type TargetTable, type WarmupOptions, type WarmupReason, type ZoneOverflow
 } from '@wisteriavalve/policy'
 import type { ServiceConfiguration, Target, TargetNote, TargetStatus } from '@wisteriavalve/schema'
 import { createTargetConnections, type BackendConnection, type TargetConnections } from './backend-connections.js'
@@ -19,6 +19,8 @@
   table: TargetTable
   admission: Admission
   retryBudget: RetryBudget
+  /** Admission by priority of requests that are placed by fresh load reports; absent unless the option admitsByPriority is set. */
+  scarcity: Scarcity | undefined
   connections: Map<string, TargetConnections>
   /** Callbacks of requests that found all usable targets at their limits; each retries the selection. */
   targetWaiters: Set<() => void>
@@ -46,6 +48,8 @@
   probesBeforeAttempt?: boolean
   /** Whether the requests that leave the zone are limited. */
   limitsZoneOverflow?: boolean
+  /** Whether requests are admitted by priority while a service has too little capacity. */
+  admitsByPriority?: boolean
   /** Whether targets are known to echo request ids in their responses. */
   echoesRequestIds?: boolean
   onHealth: (service: string, targetId: string, health: TargetHealth, reason: string) => void
@@ -91,7 +95,7 @@
 }
 
 const gaugeValuesOf = (runtime: ServiceRuntime, limitsZoneOverflow: boolean, nowMs: number): ServiceGaugeValues => {
-  const { configuration, admission, targetWaiters, retryBudget, table, overflow, crossZone } = runtime
+  const { configuration, admission, targetWaiters, retryBudget, scarcity, table, overflow, crossZone } = runtime
   const targets = statusOf(runtime, nowMs)
   return {
     service: configuration.name,
@@ -100,6 +104,8 @@
     retriesLeft: retryBudget.remaining('retry', nowMs),
     hedgesLeft: retryBudget.remaining('hedge', nowMs),
     capacity: table.capacity(nowMs),
+    pressure: scarcity?.pressure(nowMs) ?? 0,
+    refusalsByWeight: Object.fromEntries(scarcity?.refusals() ?? []),
     limitedTargets: targets.filter(({ requestLimitPerS }) => requestLimitPerS !== undefined).length,
     coldTargets: table.coldCount(nowMs),
     pausedTargets: targets.filter(({ pausedMs }) => pausedMs !== undefined).length,
@@ -147,7 +153,7 @@
   }
 }
 
-export const createServiceRuntimes = ({ clock, random, retryLimits, probesBeforeAttempt = false, limitsZoneOverflow = false, echoesRequestIds = false, onHealth, onRequestLimit, onTargetPause, onWarmup, onSilent, onOpenResult }: ServiceRuntimesOptions): ServiceRuntimes => {
+export const createServiceRuntimes = ({ clock, random, retryLimits, probesBeforeAttempt = false, limitsZoneOverflow = false, admitsByPriority = false, echoesRequestIds = false, onHealth, onRequestLimit, onTargetPause, onWarmup, onSilent, onOpenResult }: ServiceRuntimesOptions): ServiceRuntimes => {
   const runtimes = new Map<string, ServiceRuntime>()
   /** Services that the configuration leaves out, and since when. */
   const removedRuntimes = new Map<string, { runtime: ServiceRuntime, removedMs: number }>()
@@ -191,6 +197,7 @@
       table: createTable(configuration, share, draining),
       admission: createAdmission({ queueLengthMax: QUEUE_LENGTH_MAX, capacity: nowMs => probesBeforeAttempt ? Infinity : runtime.table.capacity(nowMs) }),
       retryBudget: createRetryBudget(retryLimits),
+      scarcity: admitsByPriority ? createScarcity() : undefined,
       connections: new Map(),
       targetWaiters: new Set(),
       suspectCounts: new Map(),
--- a/packages/policy/src/types/placement.ts
+++ b/packages/policy/src/types/placement.ts
@@ -32,6 +32,16 @@
   canRefuse: boolean
   /** Whether only a target with a free slot and its usual speed may be chosen, as for a hedge. */
   requiresFreeAndFast: boolean
+  /** Share of the slots of a target that stay free for more urgent requests; 0 by default. */
+  reservedShare?: number
+  /** Whether the request takes a slot that a fresh report shows, or is refused; see scarcity.ts. */
+  isThrottled?: boolean
+  /** Maximum number of probes between two waits; unlimited by default. */
+  probesMax?: number
+  /** Whether the request waits or is refused rather than sent to a target without a recent report. */
+  needsReport?: boolean
+  /** Whether targets without a fresh report are preferred to those whose report shows that their slots are taken. */
+  avoidsReportedFull?: boolean
   /** Random number from 0 to 1, drawn once for the request, that selects requests for cold targets. */
   warmupDraw?: number
   /** Absent if requests may leave the zone as soon as it has no free and fast target. */
--- a/packages/testbench/src/experiments/deployments.ts
+++ b/packages/testbench/src/experiments/deployments.ts
@@ -8,8 +8,9 @@
   idempotent: boolean
   weight: number
   deadlineMs: number
-  /** Used by the simulation of zones only. */
+  /** Latency objective, for placement by load probes. */
   objectiveMs?: number
+  /** Used by the simulation of zones only. */
   requestBytes?: number
   responseBytes?: number
 }
--- a/packages/testbench/src/experiments/simulated-node.ts
+++ b/packages/testbench/src/experiments/simulated-node.ts
@@ -28,6 +28,8 @@
 }
 
 export type RequestResult = {
+  /** Number of the request on its node, in the order of arrival. */
+  sequence: number
   kind: SimulatedKind
   startedMs: number
   latencyMs: number
@@ -38,12 +40,16 @@
   runs: number
   /** Target of each attempt. */
   targetIds: string[]
+  /** Time after which a refused caller is told to come back. */
+  retryAfterMs?: number
 }
 
 type Attempt = { targetId: string, startedMs: number, slowdown: number, work: Work, hasEnded: boolean }
 
 type PendingRequest = {
   id: string
+  /** Identity of a request that its caller sends again. */
+  identity: string | undefined
   kind: SimulatedKind
   workMs: number
   startedMs: number
@@ -54,6 +60,7 @@
   isAdmitted: boolean
   admittedMs: number
   allowance: number
+  retryAfterMs?: number | undefined
 }
 
 const BUSY_RETRY_MS = 0.5
@@ -83,6 +90,7 @@
     if (request.isAdmitted) admission.release(nowMs - request.admittedMs, nowMs)
     else admission.cancel(request.id)
     options.record({
+      sequence: Number(request.id),
       kind: request.kind,
       startedMs: request.startedMs,
       latencyMs: nowMs - request.startedMs,
@@ -90,7 +98,8 @@
       attempts: request.attempts.length,
       isHedged: request.isHedged,
       runs: request.attempts.filter(({ work }) => work.hasStarted).length,
-      targetIds: request.attempts.map(({ targetId }) => targetId)
+      targetIds: request.attempts.map(({ targetId }) => targetId),
+      ...(request.retryAfterMs !== undefined && { retryAfterMs: request.retryAfterMs })
     })
   }
 
@@ -106,8 +115,10 @@
       attempts: request.attempts.length,
       allowance: request.allowance
     }, outcome, nowMs)
+    const isRetried = decision.decision === 'retry' && budget.tryTake('retry', nowMs)
+    if (!isRetried && request.attempts.length > 0) options.placement?.recordLost(request.kind, nowMs)
     if (decision.decision === 'give-up') settle(request, decision.resultClass)
-    else if (!budget.tryTake('retry', nowMs)) settle(request, outcome === 'refused' || outcome === 'connect-failed' ? 'not-run' : 'outcome-unknown')
+    else if (!isRetried) settle(request, outcome === 'refused' || outcome === 'connect-failed' ? 'not-run' : 'outcome-unknown')
     else {
       request.allowance--
       send(request)
@@ -149,14 +160,16 @@
 
   const placeAndSend = (request: PendingRequest, placement: SimulatedPlacement): void => placement.place({
     kind: request.kind,
+    identity: request.identity,
     startedMs: request.startedMs,
     deadlineMs: request.deadlineMs,
     exclude: new Set(request.attempts.map(({ targetId }) => targetId)),
     isFirst: request.attempts.length === 0,
     isRunning: () => !request.isSettled
-  }, targetId => {
-    if (targetId !== undefined) sendTo(request, targetId)
-    else settle(request, 'not-run')
+  }, (targetId, retryAfterMs) => {
+    if (targetId !== undefined) return sendTo(request, targetId)
+    request.retryAfterMs = retryAfterMs
+    settle(request, request.attempts.some(({ work }) => work.hasStarted) ? 'outcome-unknown' : 'not-run')
   })
 
   const sendTo = (request: PendingRequest, targetId: string): void => {
@@ -214,10 +227,11 @@
     send(request)
   }
 
-  const accept = (kind: SimulatedKind, workMs: number): void => {
+  const accept = (kind: SimulatedKind, workMs: number, identity?: string): void => {
     const nowMs = clock.nowMs()
     const request: PendingRequest = {
       id: String(sequence++),
+      identity,
       kind,
       workMs,
       startedMs: nowMs,
--- a/packages/testbench/src/experiments/simulated-target.ts
+++ b/packages/testbench/src/experiments/simulated-target.ts
@@ -22,6 +22,8 @@
   drainFromMs: number
   /** Queue length per slot from which the target sheds load; QUEUE_PER_SLOT if absent. */
   queuePerSlot?: number
+  /** What a target does with a request while its slots are taken; by default it queues it. */
+  whenFull?: 'reset' | 'refused'
 }
 
 export type TargetResponse = { outcome: 'ok' | 'refused' | 'error-status' | 'connect-failed' | 'reset', inFlight: number, slowdown: number, isDraining: boolean }
@@ -105,6 +107,7 @@
     const nowMs = clock.nowMs()
     if (nowMs >= behaviour.crashFromMs) respond(work, 'connect-failed')
     else if (nowMs >= behaviour.failFastFromMs) respond(work, 'error-status')
+    else if (behaviour.whenFull && active.size >= behaviour.slots) respond(work, behaviour.whenFull)
     else if (active.size >= behaviour.slots && queue.length >= queueLengthMax) respond(work, 'refused')
     else {
       if (nowMs >= behaviour.drainFromMs + 3000) counts.lateAfterDrain++
--- a/packages/testbench/src/experiments/zone-simulation.ts
+++ b/packages/testbench/src/experiments/zone-simulation.ts
@@ -7,7 +7,7 @@
 import { shareRetryLimits } from '@wisteriavalve/policy'
 import { SAME_ZONE_ONE_WAY_MS, SERVICE_SIGMA, type SimulatedKind } from './deployments.js'
 import { createNode, createNodeTable, type RequestResult } from './simulated-node.js'
-import { createSimulatedPlacement } from './simulated-placement.js'
+import { createSimulatedPlacement, type SendProbe } from './simulated-placement.js'
 import { createSimulatedTarget } from './simulated-target.js'
 import { createSimulationClock, type SimulationClock } from './simulation-clock.js'
 
@@ -48,6 +48,7 @@
 /** Retry budget of the deployments: a share of the requests, and some retries on top for each node. */
 const RETRY_SHARE = 0.2
 const RETRIES_PER_NODE = 1.5
+const PROBE_TIMEOUT_MS = 30
 const WARM_UP_MS = 2_000
 const FLOW_WINDOW_MS = 500
 /** A smaller net flow has no direction. */
@@ -129,6 +130,14 @@
     })
   }
 
+  const sendProbe: SendProbe = ({ target, oneWayMs }, onResult) => {
+    const sentMs = clock.nowMs()
+    clock.at(sentMs + oneWayMs, () => {
+      const report = target.report()
+      clock.at(report ? clock.nowMs() + oneWayMs : sentMs + PROBE_TIMEOUT_MS, () => onResult(report))
+    })
+  }
+
   const recordShares = (): (share: number) => void => {
     let last: number | undefined
     return share => {
@@ -162,6 +171,7 @@
         targets: reachable,
         nodeCount,
         probesPerTargetPerS: options.probesPerTargetPerS,
+        sendProbe,
         crossZoneMsPerKb: options.crossZoneMsPerKb,
         onShare: recordShares()
       }),
