--- a/packages/policy/src/placement.ts
+++ b/packages/policy/src/placement.ts
@@ -289,7 +289,7 @@
 
 /** Next step in a service with a warm-up; see warmup.ts. */
 const planWithWarmup = (usable: readonly TargetState[], options: WarmupOptions, routing: RoutingState, request: PlacementRequest, nowMs: number, random: Random): Placement => {
-  const shared = chooseColdShare(usable, request, nowMs)
+  const shared = chooseColdShare(usable, options, request, nowMs)
   if (shared?.step === 'probe') return { step: 'probe', targetIds: [shared.state.target.id] }
   if (shared) return send(shared.state, `its share while it is cold: ${describe(shared.state, nowMs)}`)
   const { cold, open } = splitByWarmup(usable, options, request, nowMs)
--- a/packages/policy/src/warmup.ts
+++ b/packages/policy/src/warmup.ts
@@ -33,6 +33,8 @@
 const RECENT_CHECK_MS = 100
 /** Service time on a cold target in units of the usual service time. */
 const COLD_SERVICE_TIMES = 2
+/** Share of the drawn targets of the own zone that are probed because their last health response is old. */
+const CHECKED_SHARE = 0.25
 /** Minimum time after which refused callers return. */
 const RETRY_AFTER_MIN_MS = 100
 
@@ -131,18 +133,21 @@
  * The share of one target. The draw of the request selects one of all targets of
  * the service. If it is cold, it takes the request. If it is assumed to be cold, it
  * is probed, because nodes that have other targets to use would not learn whether
- * it is. A target whose last health response is only old is left to the probes of
- * the usual choice, since probing it here would cost each request a connection.
+ * it is. Of the targets of the own zone whose last health response is only old, a
+ * part is probed, because one can become cold unnoticed; probing each of them would
+ * cost many requests a connection.
  */
 export const chooseColdShare = (
-  usable: readonly TargetState[], request: PlacementRequest, nowMs: number
+  usable: readonly TargetState[], options: WarmupOptions, request: PlacementRequest, nowMs: number
 ): { step: 'send' | 'probe', state: TargetState } | undefined => {
   if (request.requiresFreeAndFast || request.warmupDraw === undefined || !fitsObjective(request, nowMs)) return undefined
-  const state = usable[Math.floor(request.warmupDraw * usable.length)]
+  const position = request.warmupDraw * usable.length
+  const state = usable[Math.floor(position)]
   if (!state) return undefined
   if (isStatedCold(state, nowMs)) return isPermittedNow(state, nowMs) ? { step: 'send', state } : undefined
   const { id } = state.target
-  return state.warmup.isAssumed && !request.probed.has(id) && request.canProbe(id) ? { step: 'probe', state } : undefined
+  const isDueForCheck = options.ratePerS > 0 && state.target.zone === request.zone && position % 1 < CHECKED_SHARE && isUnchecked(state, options, nowMs)
+  return (state.warmup.isAssumed || isDueForCheck) && !request.probed.has(id) && request.canProbe(id) ? { step: 'probe', state } : undefined
 }
 
 /**
--- a/packages/policy/test/warmup.test.ts
+++ b/packages/policy/test/warmup.test.ts
@@ -105,6 +105,21 @@
   t.like(place(table, {}, laterMs), { step: 'send', targetId: 't0' })
 })
 
+test('a quarter of the drawn targets of the own zone with an old health response is probed although others are free, and none without a rate or in another zone', t => {
+  const probedFor = (fields: Partial<PlacementRequest>, warmup: WarmupOptions = RATE): number => {
+    const table = createTable(0, 4, { warmup })
+    const laterMs = NOW_MS + 1_001
+    table.recordWarmup('t0', 0, laterMs)
+    table.recordLoadReport('t0', { inFlight: 0, slots: 4, slowdown: 1 }, laterMs)
+    const steps = Array.from({ length: 400 }, (_, number) => place(table, { warmupDraw: number / 400, ...fields }, laterMs))
+    return steps.filter(step => step.step === 'probe').length
+  }
+  t.is(probedFor({}), 75)
+  t.is(probedFor({ canProbe: () => false }), 0)
+  t.is(probedFor({}, { ...RATE, ratePerS: 0 }), 0)
+  t.is(probedFor({ zone: 'b' }), 0)
+})
+
 test('a busy node probes a target again although responses report its load', t => {
   const table = createTable(0, 1)
   const laterMs = NOW_MS + 101
