Listen for the answer of an upload before it can come

By reading: the upload fails after 1 s without progress, and on a busy machine that came before the test listened. It listens from the start, so it would fail and not hang; the checks are the same. 12 of 12 tests of the file pass.

--- a/packages/daemon/test/resilience.test.ts
+++ b/packages/daemon/test/resilience.test.ts
@@ -159,6 +159,8 @@
   })))
   const daemon = await startDaemon([createService(ports)])
   const req = request({ port: daemon.port, method: 'PUT', path: '/shop/x', agent: false, headers: { 'content-length': 200_000 } })
+  // Listens from the start: an answer that comes early would be missed, and the test would wait without end.
+  const answered = once(req, 'response')
   req.write(Buffer.alloc(100_000))
   await upload.promise
   const responses = []
@@ -166,7 +168,7 @@
   t.is(responses.filter(response => response.body === hits[0]).length, 1)
   t.true(responses.every(response => response.headers['x-draining'] === undefined))
   req.end(Buffer.alloc(100_000))
-  const [res] = await once(req, 'response') as [IncomingMessage]
+  const [res] = await answered as [IncomingMessage]
   t.is(Buffer.concat(await res.toArray()).toString(), `${hits[0]} got 200000`)
   // Notes are shared periodically, possibly only after the requests above.
   for (let waitedMs = 0; waitedMs < 10 * MAINTENANCE_INTERVAL_MS && !daemon.fleet.sharedNotes.some(note => note.observation === 'draining'); waitedMs += MAINTENANCE_INTERVAL_MS) {
