--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,5 +3,5 @@
 # dependencies, so this only checks that they can be loaded. The nodes are built by the deploy file.
 cd "$(dirname "$0")" || exit 1
 for file in lib-2.mjs 6/run.mjs 7/run.mjs 8/run.mjs 9/run.mjs 10/run.mjs; do
-  node --check "$file" || exit 1
+  [ ! -e "$file" ] || node --check "$file" || exit 1
 done
