--- a/review/8/run.mjs
+++ b/review/8/run.mjs
@@ -49,7 +49,7 @@
     socket.setNoDelay(true)
     let waiting = []
     let wake = () => {}
-    let isClosed = false
+    const state = { isClosed: false }
     const reader = createAnswerReader({
       onAnswer: ({ status }) => {
         const id = waiting.shift()
@@ -60,18 +60,18 @@
     })
     socket.on('data', reader.add)
     socket.on('error', () => {})
-    socket.on('close', () => { isClosed = true; wake() })
-    for (let isFirst = true; !isClosed && nowMs() < endMs; isFirst = false) {
+    socket.on('close', () => { state.isClosed = true; wake() })
+    for (let isFirst = true; !state.isClosed && nowMs() < endMs; isFirst = false) {
       const pair = [nextId(), nextId()]
       waiting = [...pair]
       counts.pairs++
       record.add('sent', { ids: pair.join(',') })
       socket.write(pair.map(id => requestText({ path: `/read/${id}`, id, deadlineMs: DEADLINE_MS })).join(''))
       const sentMs = nowMs()
-      while (waiting.length > 0 && !isClosed && nowMs() - sentMs < DEADLINE_MS + 200) {
+      while (waiting.length > 0 && !state.isClosed && nowMs() - sentMs < DEADLINE_MS + 200) {
         await new Promise(resolve => { wake = resolve; setTimeout(resolve, 100) })
       }
-      if (isClosed) {
+      if (state.isClosed) {
         counts.closed++
         record.add('the node closed the connection', { unanswered: waiting.join(',') })
         const [first] = waiting
