--- a/review/14/case.mjs
+++ b/review/14/case.mjs
@@ -11,7 +11,7 @@
 const SETTLE_MS = 500
 const REQUESTS_MAX = 2
 const CUT_MS = 5_000
-const LOAD_PER_S = 130
+const LOAD_PER_S = 150
 const WORK_MS = 120
 const SLOTS = 4
 
--- a/review/lib-3.mjs
+++ b/review/lib-3.mjs
@@ -6,13 +6,12 @@
 import { spawn } from 'node:child_process'
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
 import { createServer, request as httpRequest } from 'node:http'
-import { createServer as createNetServer } from 'node:net'
 import { tmpdir } from 'node:os'
-import { join, resolve } from 'node:path'
+import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
 import { randomBytes } from 'node:crypto'
 
-const ROOT = resolve(fileURLToPath(new URL('.', import.meta.url)), '..')
+const ROOT = fileURLToPath(new URL('..', import.meta.url))
 
 export const HEARTBEAT_MS = 1_500
 /** The store removes an entry after three heartbeat intervals of silence. */
@@ -21,7 +20,7 @@
 /** Whether the script runs with its disruption. */
 export const HAS_TROUBLE = process.env.TROUBLE !== '0'
 
-export const sleep = ms => new Promise(done => { setTimeout(done, ms) })
+export const sleep = ms => new Promise(resolve => { setTimeout(resolve, ms) })
 export const nowMs = () => performance.now()
 
 /** Writes record.txt beside the script. */
@@ -42,17 +41,9 @@
 }
 export const nextAddress = createAddresses()
 
-const freePort = host => new Promise((done, fail) => {
-  const server = createNetServer().once('error', fail)
-  server.listen(0, host, () => {
-    const { port } = server.address()
-    server.close(() => done(port))
-  })
-})
-
-const listen = (server, host, port = 0) => new Promise((done, fail) => {
-  server.once('error', fail)
-  server.listen(port, host, () => done(server.address().port))
+const listen = (server, host, port = 0) => new Promise((resolve, reject) => {
+  server.once('error', reject)
+  server.listen(port, host, () => resolve(server.address().port))
 })
 
 /** The platform's store: items with leases, ranges in pages, and watches over a history of 20 s. */
@@ -60,7 +51,7 @@
   const host = nextAddress()
   const items = new Map()
   const waiting = new Set()
-  let history = []
+  const history = []
   let revision = 100
   let lostRevision = 0
   let fault = 'none'
@@ -199,8 +190,11 @@
         end()
         if (res.destroyed) return
         res.writeHead(status, {
-          'wisteriavalve-request-id': requestId, 'wisteriavalve-server-load': load(), 'content-length': Buffer.byteLength(body),
-          ...(status < 300 && { 'wisteriavalve-response-stamp': `stamp.${id}.${requestId}` }), ...headers
+          'wisteriavalve-request-id': requestId,
+          'wisteriavalve-server-load': load(),
+          'content-length': Buffer.byteLength(body),
+          ...(status < 300 && { 'wisteriavalve-response-stamp': `stamp.${id}.${requestId}` }),
+          ...headers
         }).end(body)
       }, delayMs)
     })
@@ -215,7 +209,9 @@
   beat()
   const timer = setInterval(beat, HEARTBEAT_MS)
   return {
-    id, host, port,
+    id,
+    host,
+    port,
     /** Partitions the server from the store, not from the machines. */
     cutFromStore: isCut => { isCutFromStore = isCut },
     reportDraining: () => { state = 'draining'; beat() },
@@ -339,7 +335,7 @@
 }
 
 /** One HTTP exchange on a connection of its own. Resolves always; status 0 means that no answer came. */
-export const exchange = ({ host, port = PORTS.front, method = 'GET', path, headers = {}, body, timeoutMs = 2_000, agent = false }) => new Promise(done => {
+export const exchange = ({ host, port = PORTS.front, method = 'GET', path, headers = {}, body, timeoutMs = 2_000, agent = false }) => new Promise(resolve => {
   const startMs = nowMs()
   const req = httpRequest({ host, port, method, path, headers, agent })
   let isDone = false
@@ -347,7 +343,7 @@
     if (isDone) return
     isDone = true
     clearTimeout(timer)
-    done({ ...result, startMs, tookMs: nowMs() - startMs })
+    resolve({ ...result, startMs, tookMs: nowMs() - startMs })
   }
   const timer = setTimeout(() => {
     finish({ status: 0, error: 'time limit' })
@@ -375,7 +371,11 @@
 export const send = (machine, path, { method = 'GET', deadlineMs = 1_000, body, id = newId() } = {}) => {
   machinesById.set(id, machine.host)
   return exchange({
-    host: machine.host, method, path, body, timeoutMs: deadlineMs,
+    host: machine.host,
+    method,
+    path,
+    body,
+    timeoutMs: deadlineMs,
     headers: { host: HOST, 'wisteriavalve-request-id': id, 'wisteriavalve-deadline-ms': String(deadlineMs), ...(body !== undefined && { 'content-length': Buffer.byteLength(body) }) }
   }).then(answer => ({ ...answer, id, machine: machine.host }))
 }
@@ -444,7 +444,7 @@
   record.add(['the rule held', 'the rule was broken', 'the case could not run'][code])
   console.log(['the rule held', 'the rule was broken', 'the case could not run'][code])
   record.save()
-  const exits = [...children].map(child => new Promise(done => child.once('exit', done)))
+  const exits = [...children].map(child => new Promise(resolve => child.once('exit', resolve)))
   for (const child of children) child.kill('SIGKILL')
   await Promise.race([Promise.all(exits), sleep(2_000)])
   process.exit(code)
