--- a/review/14/case.mjs
+++ b/review/14/case.mjs
@@ -1,70 +1,94 @@
 /**
- * A server sheds load for a moment: it turns requests away with 503 and
- * Retry-After, and wants nothing from those machines for that time. Then it is
- * partitioned from the store for 5 s, so its entry runs out and comes back.
- * Counted are the requests that reach it from a machine during its pause.
+ * A service is busy, so uploads wait for a server. Some clients leave before their time
+ * limit: they have written a large upload whole, and close the connection. Counted are
+ * the uploads that reach a server more than half a second after the close has reached
+ * the machine, which the kernel shows by the acknowledged end of the connection.
  */
-import { createConfiguration, createRecord, HAS_TROUBLE, isReady, nextAddress, nowMs, openStore, runCase, send, sleep, startLoad, startMachine, startServer, waitUntil } from '../lib-3.mjs'
+import { readFileSync } from 'node:fs'
+import { connect } from 'node:net'
+import { createConfiguration, createRecord, HAS_TROUBLE, HOST, isReady, newId, nextAddress, nowMs, openStore, PORTS, runCase, send, sleep, startLoad, startMachine, startServer, waitUntil } from '../lib-3.mjs'
 
-const PAUSE_S = 20
-/** The rule counts from half a second after the answer. */
-const SETTLE_MS = 500
-const REQUESTS_MAX = 2
-const CUT_MS = 5_000
-const LOAD_PER_S = 150
-const WORK_MS = 120
-const SLOTS = 4
+const UPLOAD_BYTES = 1_200_000
+const GIVE_UP_MS = 150
+const LATE_MS = 500
+/** More than a few. */
+const LATE_MAX = 3
+const DEADLINE_MS = 8_000
+const WORK_MS = 900
+const SMALL_PER_S = 6
+const LARGE_INTERVAL_MS = 400
+const WATCHED_MS = 40_000
 
 const record = createRecord(import.meta.url)
 
+/** States of a closed socket whose end the other side has acknowledged: FIN_WAIT2, TIME_WAIT. */
+const ENDED_STATES = new Set(['05', '06'])
+const hex = port => port.toString(16).toUpperCase().padStart(4, '0')
+
+/** Whether the kernel lists a connection of this client as ended on both kernels, with nothing left to send. */
+const hasCloseArrived = localPort => readFileSync('/proc/net/tcp', 'utf8').split('\n').some(line => {
+  const [, local = '', remote = '', state, queues = ''] = line.trim().split(/\s+/)
+  return local.endsWith(`:${hex(localPort)}`) && remote.endsWith(`:${hex(PORTS.front)}`) && ENDED_STATES.has(state) && queues.startsWith('00000000:')
+})
+
 await runCase(record, async () => {
   const store = await openStore()
-  store.put('op/config', createConfiguration(7))
-  /** Time of the first refusal with Retry-After to each machine. */
-  const refusedMs = new Map()
-  const arrivals = []
-  let isShedding = false
-  const shed = ({ requestId, machine }) => {
-    arrivals.push({ atMs: nowMs(), machine })
-    if (!isShedding || refusedMs.has(machine)) {
-      record.add(`server i-1 runs ${requestId} of ${machine}`)
-      return {}
-    }
-    refusedMs.set(machine, nowMs())
-    record.add(`server i-1 answers ${requestId} of ${machine} with 503, Retry-After: ${PAUSE_S}`)
-    return { status: 503, headers: { 'wisteriavalve-not-executed': '1', 'retry-after': String(PAUSE_S) }, delayMs: 2 }
+  const configuration = createConfiguration(7, { routeFields: { timeout: `${DEADLINE_MS}ms`, slo_latency: '3000ms' } })
+  store.put('op/config', { ...configuration, limits: { ...configuration.limits, max_body_bytes: 67_108_864 } })
+  /** Time by which the close of each client that left had reached its machine. */
+  const closedMs = new Map()
+  const lateMs = []
+  const runsAfterClose = []
+  const onHead = id => {
+    record.add(`upload ${id} reaches a server`)
+    const sinceMs = nowMs() - (closedMs.get(id) ?? Infinity)
+    if (sinceMs > LATE_MS) lateMs.push(Math.round(sinceMs))
   }
-  const shedding = await startServer({ id: 'i-1', service: 'registry', slots: SLOTS, workMs: WORK_MS, store, respond: shed })
-  for (const id of ['i-2', 'i-3', 'i-4', 'i-5']) await startServer({ id, service: 'registry', slots: SLOTS, workMs: WORK_MS, store, respond: () => ({}) })
-  const hosts = [nextAddress(), nextAddress(), nextAddress()]
-  const machines = hosts.map((host, index) => startMachine({ host, zone: 'abc'[index], seeds: hosts, store }))
+  const respond = ({ requestId }) => {
+    if (closedMs.has(requestId)) runsAfterClose.push(requestId)
+    record.add(`a server runs upload ${requestId}`)
+    return {}
+  }
+  for (const id of ['i-1', 'i-2']) await startServer({ id, service: 'registry', slots: 2, workMs: WORK_MS, store, onHead, respond })
+  const hosts = [nextAddress(), nextAddress()]
+  const machines = hosts.map((host, index) => startMachine({ host, zone: 'ab'[index], seeds: hosts, store }))
   await waitUntil('all machines are ready', async () => (await Promise.all(machines.map(isReady))).every(Boolean))
-  const load = startLoad(LOAD_PER_S, number => send(machines[number % machines.length], `/read/${number}`))
+  const small = startLoad(SMALL_PER_S, number => send(machines[number % 2], `/upload/small-${number}`, { method: 'POST', body: 'x'.repeat(1_000), deadlineMs: DEADLINE_MS }))
   await sleep(3_000)
-  isShedding = true
-  record.add('server i-1 begins to shed')
-  await waitUntil('the server has turned a request away', () => refusedMs.size > 0, 10_000)
-  await sleep(500)
-  isShedding = false
-  const pauseEndMs = Math.min(...refusedMs.values()) + PAUSE_S * 1_000
-  await sleep(1_000)
-  if (HAS_TROUBLE) {
-    record.add('server i-1 is cut from the store')
-    shedding.cutFromStore(true)
-    await sleep(CUT_MS)
-    shedding.cutFromStore(false)
-    record.add('server i-1 reaches the store again')
+
+  let largeCount = 0
+  const sockets = new Set()
+  const upload = () => {
+    const id = newId()
+    const socket = connect(PORTS.front, hosts[largeCount % 2])
+    sockets.add(socket)
+    socket.on('error', () => undefined).on('data', () => undefined).on('close', () => sockets.delete(socket))
+    socket.write(`POST /upload/large-${largeCount++} HTTP/1.1\r\nHost: ${HOST}\r\nWisteriavalve-Request-Id: ${id}\r\nWisteriavalve-Deadline-Ms: ${DEADLINE_MS}\r\nContent-Length: ${UPLOAD_BYTES}\r\n\r\n`)
+    socket.write(Buffer.alloc(UPLOAD_BYTES, 'y'))
+    record.add(`client sends upload ${id} of ${UPLOAD_BYTES} bytes`)
+    if (HAS_TROUBLE) setTimeout(() => leave(socket, id), GIVE_UP_MS)
+  }
+  const leave = (socket, id) => {
+    const { localPort } = socket
+    if (socket.destroyed || localPort === undefined) return
+    socket.destroy()
+    record.add(`client of ${id} closes its connection`)
+    const check = () => {
+      if (!hasCloseArrived(localPort)) return
+      clearInterval(timer)
+      closedMs.set(id, nowMs())
+      record.add(`the close of ${id} has reached the machine`)
+    }
+    const timer = setInterval(check, 10)
+    setTimeout(() => clearInterval(timer), 3_000)
   }
-  await sleep(Math.max(0, pauseEndMs - nowMs()))
-  await load.stop()
-  const counts = machines.map(({ host }) => {
-    const fromMs = (refusedMs.get(host) ?? Infinity) + SETTLE_MS
-    const toMs = (refusedMs.get(host) ?? 0) + PAUSE_S * 1_000
-    return arrivals.filter(({ atMs, machine }) => machine === host && atMs > fromMs && atMs < toMs).length
-  })
-  const served = load.answers.filter(({ status }) => status === 200).length
-  const summary = `requests in the pause, by machine: ${counts.join(', ')}; allowed ${REQUESTS_MAX}; ${served} of ${load.answers.length} requests served`
+  const timer = setInterval(upload, LARGE_INTERVAL_MS)
+  await sleep(WATCHED_MS)
+  clearInterval(timer)
+  await small.stop()
+  for (const socket of sockets) socket.destroy()
+  const summary = `${lateMs.length} of ${largeCount} large uploads reach a server over ${LATE_MS} ms after the close, up to ${Math.max(0, ...lateMs)} ms; allowed ${LATE_MAX}; ${runsAfterClose.length} run whole after the close`
   record.add(summary)
   console.log(summary)
-  return counts.some(count => count > REQUESTS_MAX)
+  return lateMs.length > LATE_MAX
 })
